--- /dev/null
+++ b/crates/api/src/lib.rs
@@ -0,0 +1,16 @@
+//! Types of the operators' HTTP paths.
+//!
+//! The daemon writes them and the command line reads them. The paths are
+//! listed in docs/OPERATORS-PATHS.md.
+
+mod explain;
+mod status;
+mod submit;
+mod timeline;
+
+pub use explain::{AttemptTrace, RequestTrace};
+pub use status::{
+    ClassStatus, PeerStatus, RevisionStatus, ServiceCounters, ServiceStatus, StatusAnswer,
+};
+pub use submit::{SubmitAnswer, SubmitRequest, SubmitVerdict};
+pub use timeline::TimelineAnswer;
--- /dev/null
+++ b/crates/api/src/timeline.rs
@@ -0,0 +1,16 @@
+//! Events of one VM.
+
+use gentianridge_core::Event;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// The events of one VM.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct TimelineAnswer {
+    /// Name of the VM.
+    pub vm: SmolStr,
+    /// Events dropped since the start because the ring is bounded.
+    pub dropped: u64,
+    /// Events in their order.
+    pub events: Vec<Event>,
+}
--- /dev/null
+++ b/crates/cli/src/args.rs
@@ -0,0 +1,299 @@
+//! Arguments of the command line.
+
+use pico_args::Arguments;
+use smol_str::SmolStr;
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// Commands in the order of the help text.
+const COMMANDS: [&str; 6] = ["check", "submit", "status", "timeline", "explain", "file"];
+/// Similarity from which a known command is suggested.
+const MIN_SIMILARITY: f64 = 0.7;
+/// Time shown by `timeline` if none is asked for.
+const DEFAULT_SINCE: Duration = Duration::from_secs(300);
+
+const HELP: &str = "\
+gentianridge - operate the load balancer with files
+
+Usage:
+  gentianridge check FILE
+  gentianridge submit FILE --author NAME [--force] [--resume SUBMISSION]
+  gentianridge status [--json]
+  gentianridge timeline [--since 5m] [--service S] [--target T] [--follow] [--json] [--svg FILE]
+  gentianridge explain REQUEST [--json]
+  gentianridge file
+
+Options for all commands that talk to a VM:
+  --to ADDR        operators' address of any VM (or GENTIANRIDGE_TO; default 127.0.0.1:8081)
+  --token TOKEN    operators' token (or GENTIANRIDGE_TOKEN)
+
+  --help           show this text, or that of a command
+  --version        show the version
+
+Exit codes: 0 done, 1 failed, 2 wrong usage, 3 faulty or not accepted, 4 unknown
+";
+
+/// A command line that cannot be understood.
+#[derive(Debug)]
+pub struct UsageError {
+    message: String,
+    hint: Option<String>,
+}
+
+impl UsageError {
+    fn new(message: impl Into<String>) -> Self {
+        Self {
+            message: message.into(),
+            hint: None,
+        }
+    }
+
+    fn hint(mut self, hint: impl Into<String>) -> Self {
+        self.hint = Some(hint.into());
+        self
+    }
+}
+
+impl std::fmt::Display for UsageError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "error: {}", self.message)?;
+        if let Some(hint) = &self.hint {
+            write!(f, "\n  did you mean: {hint}")?;
+        }
+        write!(f, "\n  see gentianridge --help")
+    }
+}
+
+impl std::error::Error for UsageError {}
+
+impl From<pico_args::Error> for UsageError {
+    fn from(error: pico_args::Error) -> Self {
+        Self::new(error.to_string())
+    }
+}
+
+/// Where the VMs are and how to be let in.
+#[derive(Debug, Clone)]
+pub struct Access {
+    /// Operators' address of any VM.
+    pub to: SocketAddr,
+    /// Operators' token.
+    pub token: String,
+}
+
+/// One understood command line.
+#[derive(Debug)]
+pub enum Cli {
+    /// Show a help text.
+    Help(&'static str),
+    /// Show the version.
+    Version,
+    /// Check a file without talking to a VM.
+    Check(PathBuf),
+    /// Submit a file.
+    Submit(SubmitArgs),
+    /// Show the status of all VMs.
+    Status {
+        /// Where the VMs are.
+        access: Access,
+        /// True for JSON.
+        is_json: bool,
+    },
+    /// Show events of all VMs.
+    Timeline(TimelineArgs),
+    /// Show the way of one request.
+    Explain {
+        /// Where the VMs are.
+        access: Access,
+        /// Name of the request.
+        request: String,
+        /// True for JSON.
+        is_json: bool,
+    },
+    /// Show the file in force.
+    File(Access),
+}
+
+/// Arguments of `submit`.
+#[derive(Debug)]
+pub struct SubmitArgs {
+    /// Where the VMs are.
+    pub access: Access,
+    /// File to submit.
+    pub file: PathBuf,
+    /// Operator who submits.
+    pub author: SmolStr,
+    /// True to accept warnings.
+    pub force: bool,
+    /// Submission whose fate is asked again.
+    pub resume: Option<SmolStr>,
+}
+
+/// Arguments of `timeline`.
+#[derive(Debug)]
+pub struct TimelineArgs {
+    /// Where the VMs are.
+    pub access: Access,
+    /// How far to look back.
+    pub since: Duration,
+    /// Only events of this service.
+    pub service: Option<SmolStr>,
+    /// Only events of this target.
+    pub target: Option<SmolStr>,
+    /// True to go on showing new events.
+    pub follow: bool,
+    /// True for JSON.
+    pub is_json: bool,
+    /// File for a picture.
+    pub svg: Option<PathBuf>,
+}
+
+impl Cli {
+    /// Reads the arguments after the name of the program.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the nearest known word if a command is mistyped.
+    pub fn parse(args: Vec<OsString>) -> Result<Self, UsageError> {
+        let mut args = Arguments::from_vec(args);
+        if args.contains("--version") {
+            return Ok(Self::Version);
+        }
+        let wants_help = args.contains("--help");
+        let Some(command) = args.subcommand()? else {
+            return if wants_help {
+                Ok(Self::Help(HELP))
+            } else {
+                Err(UsageError::new("no command"))
+            };
+        };
+        if wants_help {
+            return help_of(&command).map(Self::Help);
+        }
+        let cli = parse_command(&command, &mut args)?;
+        let rest = args.finish();
+        if let Some(unknown) = rest.first() {
+            return Err(UsageError::new(format!(
+                "unexpected argument {}",
+                unknown.to_string_lossy()
+            )));
+        }
+        Ok(cli)
+    }
+}
+
+fn parse_command(command: &str, args: &mut Arguments) -> Result<Cli, UsageError> {
+    match command {
+        "check" => Ok(Cli::Check(free_path(args, "FILE")?)),
+        "submit" => parse_submit(args).map(Cli::Submit),
+        "status" => Ok(Cli::Status {
+            is_json: args.contains("--json"),
+            access: parse_access(args)?,
+        }),
+        "timeline" => parse_timeline(args).map(Cli::Timeline),
+        "explain" => Ok(Cli::Explain {
+            is_json: args.contains("--json"),
+            access: parse_access(args)?,
+            request: free_text(args, "REQUEST")?,
+        }),
+        "file" => parse_access(args).map(Cli::File),
+        unknown => Err(unknown_command(unknown)),
+    }
+}
+
+fn parse_submit(args: &mut Arguments) -> Result<SubmitArgs, UsageError> {
+    Ok(SubmitArgs {
+        access: parse_access(args)?,
+        author: args
+            .opt_value_from_str::<_, SmolStr>("--author")?
+            .ok_or_else(|| UsageError::new("--author NAME is missing"))?,
+        force: args.contains("--force"),
+        resume: args.opt_value_from_str("--resume")?,
+        file: free_path(args, "FILE")?,
+    })
+}
+
+fn parse_timeline(args: &mut Arguments) -> Result<TimelineArgs, UsageError> {
+    let since: Option<String> = args.opt_value_from_str("--since")?;
+    let since = match since {
+        Some(text) => gentianridge_config::parse_duration(&text).ok_or_else(|| {
+            UsageError::new(format!("--since {text}: expected a duration such as 5m"))
+        })?,
+        None => DEFAULT_SINCE,
+    };
+    Ok(TimelineArgs {
+        access: parse_access(args)?,
+        since,
+        service: args.opt_value_from_str("--service")?,
+        target: args.opt_value_from_str("--target")?,
+        follow: args.contains("--follow"),
+        is_json: args.contains("--json"),
+        svg: args.opt_value_from_str("--svg")?,
+    })
+}
+
+fn parse_access(args: &mut Arguments) -> Result<Access, UsageError> {
+    let to: Option<SocketAddr> = args.opt_value_from_str("--to")?;
+    let token: Option<String> = args.opt_value_from_str("--token")?;
+    let to = match (to, std::env::var("GENTIANRIDGE_TO")) {
+        (Some(to), _) => to,
+        (None, Ok(text)) => text.parse().map_err(|_| {
+            UsageError::new(format!(
+                "GENTIANRIDGE_TO={text}: expected an IP address and port"
+            ))
+        })?,
+        (None, Err(_)) => SocketAddr::from(([127, 0, 0, 1], 8081)),
+    };
+    let token = token
+        .or_else(|| std::env::var("GENTIANRIDGE_TOKEN").ok())
+        .unwrap_or_default();
+    Ok(Access { to, token })
+}
+
+fn free_path(args: &mut Arguments, name: &str) -> Result<PathBuf, UsageError> {
+    free_text(args, name).map(PathBuf::from)
+}
+
+fn free_text(args: &mut Arguments, name: &str) -> Result<String, UsageError> {
+    args.opt_free_from_str()?
+        .ok_or_else(|| UsageError::new(format!("{name} is missing")))
+}
+
+fn unknown_command(word: &str) -> UsageError {
+    let error = UsageError::new(format!("unknown command {word}"));
+    let nearest = COMMANDS
+        .iter()
+        .map(|known| (strsim::jaro_winkler(word, known), *known))
+        .filter(|(similarity, _)| *similarity >= MIN_SIMILARITY)
+        .max_by(|a, b| a.0.total_cmp(&b.0));
+    match nearest {
+        Some((_, known)) => error.hint(known),
+        None => error,
+    }
+}
+
+fn help_of(command: &str) -> Result<&'static str, UsageError> {
+    match command {
+        "check" => Ok(
+            "gentianridge check FILE\n\nChecks a file as the daemon would and shows every fault with its line.\nNothing is sent.\n",
+        ),
+        "submit" => Ok(
+            "gentianridge submit FILE --author NAME [--force] [--resume SUBMISSION] [--to ADDR] [--token TOKEN]\n\nSubmits a file. It is accepted as a whole or not at all. --force accepts the\nwarnings of a file that drains or shrinks a service. If the answer is unknown,\n--resume with the printed submission asks again without submitting twice.\n",
+        ),
+        "status" => Ok(
+            "gentianridge status [--json] [--to ADDR] [--token TOKEN]\n\nShows every VM, the revision in force on it, and the services with the reasons\nthat the file gives.\n",
+        ),
+        "timeline" => Ok(
+            "gentianridge timeline [--since 5m] [--service S] [--target T] [--follow] [--json] [--svg FILE]\n\nShows the events of all VMs in the order of their causes.\n",
+        ),
+        "explain" => Ok(
+            "gentianridge explain REQUEST [--json] [--to ADDR] [--token TOKEN]\n\nShows where a request waited, what was tried and what its code means.\nThe name of a request is in the x-request-id header of its answer.\n",
+        ),
+        "file" => Ok(
+            "gentianridge file [--to ADDR] [--token TOKEN]\n\nShows the file in force, to be edited and submitted anew.\n",
+        ),
+        unknown => Err(unknown_command(unknown)),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/command/mod.rs
@@ -0,0 +1,10 @@
+//! The commands.
+
+mod check;
+mod explain;
+mod run;
+mod status;
+mod submit;
+mod timeline;
+
+pub use run::run;
--- /dev/null
+++ b/crates/cli/src/command/run.rs
@@ -0,0 +1,40 @@
+//! Dispatch of the commands.
+
+use super::check::check;
+use super::explain::explain;
+use super::status::status;
+use super::submit::submit;
+use super::timeline::timeline;
+use crate::client::OperatorClient;
+use crate::{Cli, Exit};
+
+/// Carries out one command and says how it ended.
+///
+/// # Errors
+///
+/// Fails if a file cannot be read or a VM does not answer.
+pub async fn run(cli: Cli) -> anyhow::Result<Exit> {
+    match cli {
+        Cli::Help(text) => {
+            print!("{text}");
+            Ok(Exit::Done)
+        }
+        Cli::Version => {
+            println!("gentianridge {}", env!("CARGO_PKG_VERSION"));
+            Ok(Exit::Done)
+        }
+        Cli::Check(path) => check(&path),
+        Cli::Submit(args) => submit(&args).await,
+        Cli::Status { access, is_json } => status(&access, is_json).await,
+        Cli::Timeline(args) => timeline(&args).await,
+        Cli::Explain {
+            access,
+            request,
+            is_json,
+        } => explain(&access, &request, is_json).await,
+        Cli::File(access) => {
+            print!("{}", OperatorClient::of(&access)?.file().await?);
+            Ok(Exit::Done)
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/command/timeline.rs
@@ -0,0 +1,78 @@
+//! `gentianridge timeline`
+
+use crate::Exit;
+use crate::args::TimelineArgs;
+use crate::client::OperatorClient;
+use crate::output::{merge_timelines, render_event, render_timeline_svg};
+use gentianridge_core::Event;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Time between two looks with `--follow`.
+const FOLLOW_PAUSE: Duration = Duration::from_secs(1);
+
+/// Shows the events of every VM in one order.
+pub(super) async fn timeline(args: &TimelineArgs) -> anyhow::Result<Exit> {
+    let client = OperatorClient::of(&args.access)?;
+    let mut since = now_millis().saturating_sub(args.since.as_millis() as u64);
+    loop {
+        let answers = client.timeline_of_all(since).await?;
+        for answer in &answers {
+            if let Err(error) = &answer.answer {
+                eprintln!("{}: no answer: {error:#}", answer.vm);
+            }
+        }
+        let is_complete = answers.iter().all(|answer| answer.answer.is_ok());
+        let found = answers
+            .into_iter()
+            .filter_map(|answer| answer.answer.ok())
+            .collect();
+        let events: Vec<Event> = merge_timelines(found)
+            .into_iter()
+            .filter(|event| is_wanted(event, args))
+            .collect();
+        show(args, &events)?;
+        if !args.follow {
+            return Ok(if is_complete {
+                Exit::Done
+            } else {
+                Exit::Failed
+            });
+        }
+        since = events.last().map_or(since, |event| event.at.millis);
+        tokio::time::sleep(FOLLOW_PAUSE).await;
+    }
+}
+
+fn show(args: &TimelineArgs, events: &[Event]) -> anyhow::Result<()> {
+    if let Some(path) = &args.svg {
+        std::fs::write(path, render_timeline_svg(events)?)?;
+        println!("{} events drawn to {}", events.len(), path.display());
+        return Ok(());
+    }
+    for event in events {
+        if args.is_json {
+            println!("{}", serde_json::to_string(event)?);
+        } else {
+            println!("{}", render_event(event));
+        }
+    }
+    Ok(())
+}
+
+fn is_wanted(event: &Event, args: &TimelineArgs) -> bool {
+    let is_service = args
+        .service
+        .as_ref()
+        .is_none_or(|wanted| event.kind.get_service() == Some(wanted));
+    let is_target = args
+        .target
+        .as_ref()
+        .is_none_or(|wanted| event.kind.get_target() == Some(wanted));
+    is_service && is_target
+}
+
+fn now_millis() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/cli/src/output/explain.rs
@@ -0,0 +1,54 @@
+//! The way of one request as text.
+
+use gentianridge_api::RequestTrace;
+use gentianridge_core::{ResultCode, RunState};
+use std::fmt::Write;
+
+/// Writes the way of one request.
+pub(crate) fn render_trace(trace: &RequestTrace) -> String {
+    let mut text = String::new();
+    // Writing to a string cannot fail.
+    let _ = writeln!(text, "request {} on {}", trace.request, trace.vm);
+    let place = match (&trace.service, &trace.class) {
+        (Some(service), Some(class)) => format!("service {service}, class {class}"),
+        _ => "no service matched".to_owned(),
+    };
+    let _ = writeln!(text, "  {place}");
+    let _ = writeln!(text, "  waited {} for a slot", millis(trace.queued_us));
+    for attempt in &trace.attempts {
+        let took = attempt.elapsed_us.map_or("not ended".to_owned(), millis);
+        let _ = writeln!(
+            text,
+            "  at {:>10}  {:<6} to {:<16} {:<10} {took}",
+            millis(attempt.started_us),
+            attempt.kind,
+            attempt.target,
+            attempt.outcome
+        );
+    }
+    let _ = writeln!(
+        text,
+        "  answered {} after {}",
+        trace.status,
+        millis(trace.elapsed_us)
+    );
+    if let Some(code) = trace.code.and_then(ResultCode::from_number) {
+        let _ = writeln!(text, "  code {}: {}", code.number(), code.text());
+        let _ = writeln!(text, "  {}", advice(code));
+    }
+    text
+}
+
+fn advice(code: ResultCode) -> &'static str {
+    match code.run_state() {
+        RunState::NotRun if code.is_retryable() => {
+            "it was not run; the caller may send it again after a pause"
+        }
+        RunState::NotRun => "it was not run; the caller has to change the request",
+        RunState::Unknown => "it may have run; the caller has to check before sending it again",
+    }
+}
+
+fn millis(micros: u64) -> String {
+    format!("{}.{:03} ms", micros / 1000, micros % 1000)
+}
--- /dev/null
+++ b/crates/cli/src/output/mod.rs
@@ -0,0 +1,12 @@
+//! What the commands show.
+
+mod explain;
+mod status;
+mod svg;
+mod timeline;
+
+pub(crate) use explain::render_trace;
+pub(crate) use status::render_status;
+pub use svg::render_timeline_svg;
+pub use timeline::merge_timelines;
+pub(crate) use timeline::render_event;
--- /dev/null
+++ b/crates/cli/src/output/timeline.rs
@@ -0,0 +1,33 @@
+//! Events as lines.
+
+use gentianridge_api::TimelineAnswer;
+use gentianridge_core::Event;
+
+const MILLIS_PER_DAY: u64 = 86_400_000;
+
+/// Merges the events of several VMs in the order of their causes.
+///
+/// The hybrid logical clock orders an event after everything that its VM had
+/// heard of; the name of the VM parts events that are equally old.
+pub fn merge_timelines(answers: Vec<TimelineAnswer>) -> Vec<Event> {
+    let mut events: Vec<Event> = answers
+        .into_iter()
+        .flat_map(|answer| answer.events)
+        .collect();
+    events.sort_by(|a, b| (a.at, &a.vm).cmp(&(b.at, &b.vm)));
+    events
+}
+
+/// Writes one event as a line, with the time of day in UTC.
+pub(crate) fn render_event(event: &Event) -> String {
+    let millis = event.at.millis % MILLIS_PER_DAY;
+    let (seconds, millis) = (millis / 1000, millis % 1000);
+    format!(
+        "{:02}:{:02}:{:02}.{millis:03} {:<10} {}",
+        seconds / 3600,
+        seconds / 60 % 60,
+        seconds % 60,
+        event.vm,
+        event.kind
+    )
+}
--- /dev/null
+++ b/crates/config/src/document/mod.rs
@@ -0,0 +1,6 @@
+//! INI text with line numbers.
+
+mod lines;
+mod parse;
+
+pub(crate) use parse::{Document, Entry, Section};
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,18 @@
+//! The operators' file and the daemon's settings.
+//!
+//! Both are INI. A file is checked as a whole: either a typed value comes out
+//! or every fault at once, each with its line, what was found and what was
+//! expected. The keys are listed in docs/OPERATORS-FILE.md and
+//! docs/SETTINGS.md.
+
+mod document;
+mod fault;
+mod fleet;
+mod reader;
+mod settings;
+mod value;
+
+pub use fault::{Fault, FaultKind, FaultReport};
+pub use fleet::{Warning, compare_fleets, parse_fleet};
+pub use settings::{LogFormat, Settings, parse_settings};
+pub use value::{format_duration, parse_duration, parse_size};
--- /dev/null
+++ b/crates/config/src/value/mod.rs
@@ -0,0 +1,7 @@
+//! Values with units.
+
+mod duration;
+mod size;
+
+pub use duration::{format_duration, parse_duration};
+pub use size::parse_size;
--- /dev/null
+++ b/crates/core/src/ledger/mod.rs
@@ -0,0 +1,10 @@
+//! Work that must run at most once.
+//!
+//! The record in the platform's table service decides who may run a request.
+//! docs/decisions/0006-once-only-work.md explains why a lease does not.
+
+mod claim;
+mod machine;
+
+pub use claim::{Claim, ClaimState, RecordedAnswer, RequestPrint, Version};
+pub use machine::{Ledger, LedgerAction, LedgerInput};
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,41 @@
+//! Every decision of gentianridge, without input or output.
+//!
+//! The crate holds state machines only. Time, random seeds and everything that
+//! a socket, a file or another VM says comes in as a plain value, and what
+//! should happen leaves as a plain value. The same inputs therefore give the
+//! same outputs on every machine, which is what the tests rely on. The map of
+//! crates is in docs/ARCHITECTURE.md.
+
+mod clock;
+mod code;
+mod event;
+mod ledger;
+mod membership;
+mod probe;
+mod quarantine;
+mod revision;
+mod service;
+mod spec;
+
+pub use clock::{Clock, HybridClock, HybridTime};
+pub use code::{ResultCode, RunState};
+pub use event::{Event, EventKind, EventRing};
+pub use ledger::{
+    Claim, ClaimState, Ledger, LedgerAction, LedgerInput, RecordedAnswer, RequestPrint, Version,
+};
+pub use membership::{
+    Heartbeat, Membership, PeerState, PeerView, PlatformState, TargetNotice, TargetNotices,
+};
+pub use probe::{ProbeBudget, is_probe_owner};
+pub use quarantine::{CrashMark, Quarantine, QuarantineChange};
+pub use revision::{
+    Adoption, RevisionLog, RevisionRecord, Submission, SubmissionAction, SubmissionInput, Verdict,
+};
+pub use service::{
+    Arrival, AttemptKey, AttemptKind, CallKey, ClassKey, Counters, LoadReport, Outcome, Output,
+    Service, TargetCondition, TargetKey, TargetStatus,
+};
+pub use spec::{
+    ClassKind, ClassSpec, DomainName, FleetSpec, MethodSet, Note, RouteMatch, ServiceSpec,
+    TargetSpec, VmName,
+};
--- /dev/null
+++ b/crates/core/src/membership/heartbeat.rs
@@ -0,0 +1,42 @@
+//! What a VM says about itself and about its peers.
+
+use super::TargetNotice;
+use crate::{CrashMark, HybridTime, VmName};
+use smol_str::SmolStr;
+use std::net::SocketAddr;
+
+/// What one VM knows about another.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerView {
+    /// Name of the VM.
+    pub vm: VmName,
+    /// Start of the VM's process in milliseconds since the Unix epoch.
+    pub incarnation: u64,
+    /// Number of the newest heartbeat of this incarnation.
+    pub seq: u64,
+    /// Address at which the VM takes messages of peers.
+    pub addr: SocketAddr,
+    /// Address of the operators' paths.
+    pub operator_addr: SocketAddr,
+    /// True if the VM is stopping.
+    pub is_leaving: bool,
+    /// Revision in force on the VM, 0 if there is none.
+    pub revision: u64,
+}
+
+/// One message of the exchange between VMs.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Heartbeat {
+    /// Name of the fleet; messages of other fleets are dropped.
+    pub fleet: SmolStr,
+    /// The sender.
+    pub me: PeerView,
+    /// Order of the message among events.
+    pub at: HybridTime,
+    /// Crashes under requests, newest first.
+    pub marks: Vec<CrashMark>,
+    /// What targets said about their leaving.
+    pub notices: Vec<TargetNotice>,
+    /// Other VMs that the sender has heard of.
+    pub peers: Vec<PeerView>,
+}
--- /dev/null
+++ b/crates/core/src/membership/notices.rs
@@ -0,0 +1,74 @@
+//! What targets said about their leaving, as the VMs tell each other.
+
+use crate::HybridTime;
+use smol_str::SmolStr;
+
+/// One target's word on whether it is leaving.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TargetNotice {
+    /// Service of the target.
+    pub service: SmolStr,
+    /// Name of the target.
+    pub target: SmolStr,
+    /// True if the target is going to stop, false if it is back.
+    pub is_leaving: bool,
+    /// Time of the answer that said so.
+    pub at: HybridTime,
+}
+
+/// The newest notice of each target that ever announced a leave.
+///
+/// The newest answer of a target wins over older ones, whichever VM saw it,
+/// so a target that is back is not taken out again by an old message.
+#[derive(Debug, Default)]
+pub struct TargetNotices {
+    notices: Vec<TargetNotice>,
+}
+
+impl TargetNotices {
+    /// Time for which a target that is back is still told to peers, in milliseconds.
+    pub const KEEP_BACK_MILLIS: u64 = 60_000;
+
+    /// Creates an empty table.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes in a notice and returns true if it changes what is known.
+    pub fn merge(&mut self, notice: TargetNotice) -> bool {
+        match self.find(&notice.service, &notice.target) {
+            Ok(index) if notice.at <= self.notices[index].at => false,
+            Ok(index) => {
+                let is_change = self.notices[index].is_leaving != notice.is_leaving;
+                self.notices[index] = notice;
+                is_change
+            }
+            Err(_) if !notice.is_leaving => false,
+            Err(index) => {
+                self.notices.insert(index, notice);
+                true
+            }
+        }
+    }
+
+    /// Returns the newest notices, at most `limit`.
+    pub fn get_newest(&self, limit: usize) -> Vec<TargetNotice> {
+        let mut newest = self.notices.clone();
+        newest.sort_by_key(|notice| std::cmp::Reverse(notice.at));
+        newest.truncate(limit);
+        newest
+    }
+
+    /// Forgets targets that came back long before `now`.
+    pub fn expire(&mut self, now: HybridTime) {
+        self.notices.retain(|notice| {
+            notice.is_leaving || notice.at.millis + Self::KEEP_BACK_MILLIS > now.millis
+        });
+    }
+
+    fn find(&self, service: &str, target: &str) -> Result<usize, usize> {
+        self.notices.binary_search_by(|known| {
+            (known.service.as_str(), known.target.as_str()).cmp(&(service, target))
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/revision/log.rs
@@ -0,0 +1,63 @@
+//! The revision in force on one VM.
+
+use super::RevisionRecord;
+
+/// What became of an offered revision.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Adoption {
+    /// The revision is newer and is now in force.
+    Adopted,
+    /// The revision is already in force.
+    Same,
+    /// The revision is older than the one in force and is ignored.
+    Older,
+    /// The number is in force with another submission, which must never happen.
+    Conflicting,
+}
+
+/// The revision in force, which only ever grows.
+#[derive(Debug, Default)]
+pub struct RevisionLog {
+    current: Option<RevisionRecord>,
+}
+
+impl RevisionLog {
+    /// Creates a log with no revision in force.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the revision in force.
+    pub fn get_current(&self) -> Option<&RevisionRecord> {
+        self.current.as_ref()
+    }
+
+    /// Returns the number of the revision in force, 0 if there is none.
+    pub fn get_number(&self) -> u64 {
+        self.current.as_ref().map_or(0, |record| record.number)
+    }
+
+    /// Offers a revision from the store or from a peer.
+    ///
+    /// A stale read, a resumed VM or an old peer can offer anything, so only a
+    /// larger number is taken.
+    pub fn offer(&mut self, record: RevisionRecord) -> Adoption {
+        let number = self.get_number();
+        if record.number < number {
+            return Adoption::Older;
+        }
+        if record.number > number {
+            self.current = Some(record);
+            return Adoption::Adopted;
+        }
+        let is_same = self
+            .current
+            .as_ref()
+            .is_some_and(|current| current.submission == record.submission);
+        if is_same {
+            Adoption::Same
+        } else {
+            Adoption::Conflicting
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/service/ejection.rs
@@ -0,0 +1,155 @@
+//! Passive detection of failing and slow targets.
+
+use std::time::{Duration, Instant};
+
+/// Why a target was ejected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum EjectCause {
+    Failures,
+    Slow,
+}
+
+impl EjectCause {
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Failures => "consecutive failures",
+            Self::Slow => "answer times far above the service's",
+        }
+    }
+}
+
+/// Where a target stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Active,
+    Ejected { until: Instant },
+    Trial,
+}
+
+/// Health of one target, judged only by the work it was given.
+///
+/// Health endpoints mislead, so a target comes back through single trial
+/// requests. docs/decisions/0005-ejection.md gives the thresholds' reasons.
+#[derive(Debug)]
+pub(crate) struct Health {
+    state: State,
+    failures: u16,
+    slowness: f32,
+    samples: u16,
+    step: u32,
+    trial_answers: u16,
+    returned_at: Option<Instant>,
+}
+
+impl Health {
+    const MAX_FAILURES: u16 = 3;
+    const SLOW_RATIO: f32 = 3.0;
+    const SLOW_SAMPLES: u16 = 4;
+    /// Cap on one sample, so that one straggler does not eject a target.
+    const MAX_SAMPLE_RATIO: f32 = 6.0;
+    const SAMPLE_WEIGHT: f32 = 0.2;
+    const BASE_EJECTION: Duration = Duration::from_secs(1);
+    const MAX_STEP: u32 = 5;
+    const TRIAL_ANSWERS: u16 = 2;
+    /// Time after a return from which a new ejection starts at the base again.
+    const FORGET: Duration = Duration::from_secs(60);
+
+    pub(crate) fn new() -> Self {
+        Self {
+            state: State::Active,
+            failures: 0,
+            slowness: 1.0,
+            samples: 0,
+            step: 0,
+            trial_answers: 0,
+            returned_at: None,
+        }
+    }
+
+    pub(crate) fn is_active(&self) -> bool {
+        self.state == State::Active
+    }
+
+    pub(crate) fn is_trial_due(&self, now: Instant) -> bool {
+        matches!(self.state, State::Ejected { until } if until <= now)
+    }
+
+    pub(crate) fn get_slowness(&self) -> f32 {
+        self.slowness
+    }
+
+    pub(crate) fn start_trial(&mut self) {
+        self.state = State::Trial;
+    }
+
+    /// Takes in one answer time as a ratio to the class's usual time.
+    pub(crate) fn record_time(&mut self, ratio: f32) {
+        let sample = ratio.min(Self::MAX_SAMPLE_RATIO);
+        self.slowness += Self::SAMPLE_WEIGHT * (sample - self.slowness);
+        self.samples = self.samples.saturating_add(1);
+    }
+
+    /// Takes in a good answer; returns true if an ejected target came back.
+    pub(crate) fn record_success(&mut self, now: Instant, ratio: f32) -> bool {
+        self.failures = 0;
+        if self.is_active() {
+            return false;
+        }
+        if ratio > Self::SLOW_RATIO {
+            self.extend(now);
+            return false;
+        }
+        self.trial_answers += 1;
+        if self.trial_answers < Self::TRIAL_ANSWERS {
+            self.state = State::Ejected { until: now };
+            return false;
+        }
+        self.state = State::Active;
+        self.slowness = 1.0;
+        self.samples = 0;
+        self.returned_at = Some(now);
+        true
+    }
+
+    /// Takes in a failure and says whether the target is to be ejected.
+    pub(crate) fn record_failure(&mut self, now: Instant) -> Option<EjectCause> {
+        self.failures = self.failures.saturating_add(1);
+        if !self.is_active() {
+            self.extend(now);
+            return None;
+        }
+        (self.failures >= Self::MAX_FAILURES).then_some(EjectCause::Failures)
+    }
+
+    /// Says whether the answer times alone call for an ejection.
+    pub(crate) fn judge_times(&self) -> Option<EjectCause> {
+        let is_slow = self.samples >= Self::SLOW_SAMPLES && self.slowness > Self::SLOW_RATIO;
+        (self.is_active() && is_slow).then_some(EjectCause::Slow)
+    }
+
+    pub(crate) fn eject(&mut self, now: Instant) {
+        let is_fresh = self
+            .returned_at
+            .is_none_or(|at| now.saturating_duration_since(at) > Self::FORGET);
+        if is_fresh {
+            self.step = 0;
+        }
+        self.extend(now);
+    }
+
+    /// Ends a trial that gave neither an answer nor a failure.
+    pub(crate) fn abandon_trial(&mut self, now: Instant) {
+        if self.state == State::Trial {
+            self.state = State::Ejected { until: now };
+        }
+    }
+
+    fn extend(&mut self, now: Instant) {
+        let factor = 1 << self.step.min(Self::MAX_STEP);
+        self.step += 1;
+        self.trial_answers = 0;
+        self.state = State::Ejected {
+            until: now + Self::BASE_EJECTION * factor,
+        };
+    }
+}
--- /dev/null
+++ b/crates/core/src/service/mod.rs
@@ -0,0 +1,27 @@
+//! Routing of one service: queues, limits, target choice, retries and hedges.
+//!
+//! Each service is a machine of its own, so a process can guard each with its
+//! own lock. The design is explained in docs/decisions/0002-routing.md.
+
+mod budget;
+mod class;
+mod counters;
+mod ejection;
+mod input;
+mod key;
+mod limit;
+mod long_slots;
+mod machine;
+mod output;
+mod pick;
+mod records;
+mod status;
+mod target;
+mod usual;
+
+pub use counters::Counters;
+pub use input::{Arrival, LoadReport, Outcome};
+pub use key::{AttemptKey, CallKey, ClassKey, TargetKey};
+pub use machine::Service;
+pub use output::{AttemptKind, Output};
+pub use status::{TargetCondition, TargetStatus};
--- /dev/null
+++ b/crates/core/src/service/records.rs
@@ -0,0 +1,88 @@
+//! Calls and attempts of a service.
+
+use super::{AttemptKey, AttemptKind, CallKey, ClassKey, TargetKey};
+use std::time::Instant;
+
+/// Attempts that one call may make.
+pub(crate) const MAX_ATTEMPTS: usize = 4;
+
+/// Where a call stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CallState {
+    Waiting,
+    Running,
+}
+
+/// One call from its arrival until it is answered.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) class: ClassKey,
+    pub(crate) deadline: Instant,
+    pub(crate) is_replayable: bool,
+    pub(crate) state: CallState,
+    pub(crate) may_have_run: bool,
+    pub(crate) running: [Option<AttemptKey>; 2],
+    tried: [Option<TargetKey>; MAX_ATTEMPTS],
+}
+
+impl Call {
+    pub(crate) fn new(class: ClassKey, deadline: Instant, is_replayable: bool) -> Self {
+        Self {
+            class,
+            deadline,
+            is_replayable,
+            state: CallState::Waiting,
+            may_have_run: false,
+            running: [None; 2],
+            tried: [None; MAX_ATTEMPTS],
+        }
+    }
+
+    pub(crate) fn has_tried(&self, target: TargetKey) -> bool {
+        self.tried.contains(&Some(target))
+    }
+
+    pub(crate) fn count_attempts(&self) -> usize {
+        self.tried.iter().flatten().count()
+    }
+
+    pub(crate) fn may_attempt(&self) -> bool {
+        self.count_attempts() < MAX_ATTEMPTS
+    }
+
+    pub(crate) fn count_running(&self) -> usize {
+        self.running.iter().flatten().count()
+    }
+
+    pub(crate) fn start(&mut self, attempt: AttemptKey, target: TargetKey) {
+        if let Some(slot) = self.tried.iter_mut().find(|slot| slot.is_none()) {
+            *slot = Some(target);
+        }
+        if let Some(slot) = self.running.iter_mut().find(|slot| slot.is_none()) {
+            *slot = Some(attempt);
+        }
+        self.state = CallState::Running;
+    }
+
+    pub(crate) fn stop(&mut self, attempt: AttemptKey) {
+        for slot in &mut self.running {
+            if *slot == Some(attempt) {
+                *slot = None;
+            }
+        }
+    }
+}
+
+/// One attempt of a call on one target.
+#[derive(Debug)]
+pub(crate) struct Attempt {
+    pub(crate) call: CallKey,
+    pub(crate) class: ClassKey,
+    pub(crate) target: TargetKey,
+    pub(crate) kind: AttemptKind,
+    pub(crate) started: Instant,
+    /// True from the time at which the answer was handed on.
+    pub(crate) is_delivered: bool,
+    /// True if the attempt counts as background work on its target.
+    pub(crate) is_long: bool,
+}
--- /dev/null
+++ b/crates/core/src/service/target.rs
@@ -0,0 +1,148 @@
+//! State of one target as one VM sees it.
+
+use super::LoadReport;
+use super::ejection::Health;
+use super::limit::Limit;
+use crate::TargetSpec;
+use std::time::{Duration, Instant};
+
+/// Everything a VM knows about one target.
+#[derive(Debug)]
+pub(crate) struct Target {
+    pub(crate) spec: TargetSpec,
+    pub(crate) limit: Limit,
+    pub(crate) health: Health,
+    /// Attempts of this VM in flight.
+    pub(crate) own: u16,
+    /// Attempts of this VM in flight that are background work.
+    pub(crate) own_long: u16,
+    /// Background slots that this VM may use.
+    pub(crate) long_share: u16,
+    /// True from the time the target said that it is going to stop.
+    pub(crate) is_leaving: bool,
+    /// True if the file in force no longer names the target.
+    pub(crate) is_removed: bool,
+    /// Time from which the target is warmed up with a rising share of work.
+    warming_since: Option<Instant>,
+    others: OthersView,
+}
+
+impl Target {
+    /// Time over which a new or returning target is given its full share.
+    pub(crate) const WARM_UP: Duration = Duration::from_secs(5);
+    const WARM_UP_START: f32 = 0.34;
+
+    pub(crate) fn new(spec: TargetSpec, warming_since: Option<Instant>) -> Self {
+        Self {
+            limit: Limit::new(spec.slots, spec.get_slots()),
+            health: Health::new(),
+            own: 0,
+            own_long: 0,
+            long_share: 0,
+            is_leaving: false,
+            is_removed: false,
+            warming_since,
+            others: OthersView::new(),
+            spec,
+        }
+    }
+
+    pub(crate) fn start_warming(&mut self, now: Instant) {
+        self.warming_since = Some(now);
+    }
+
+    /// Returns true if the target may get work, ejection left aside.
+    pub(crate) fn is_usable(&self) -> bool {
+        !self.is_removed && !self.is_leaving && !self.spec.drain && self.spec.weight > 0
+    }
+
+    /// Slots that the fleet should use now.
+    pub(crate) fn get_slots(&self, now: Instant) -> f32 {
+        let weighted = self.limit.get() * f32::from(self.spec.weight) / 100.0;
+        (weighted * self.warmth(now)).max(1.0)
+    }
+
+    /// Requests believed to be in flight from the whole fleet.
+    pub(crate) fn get_occupancy(&self, now: Instant, hold: Duration, fallback: f32) -> f32 {
+        f32::from(self.own) + self.others.estimate(now, hold, fallback)
+    }
+
+    pub(crate) fn get_others_mean(&self) -> f32 {
+        self.others.mean
+    }
+
+    pub(crate) fn get_report_age(&self, now: Instant) -> Option<Duration> {
+        self.others.at.map(|at| now.saturating_duration_since(at))
+    }
+
+    pub(crate) fn take_report(&mut self, now: Instant, report: LoadReport) {
+        self.others.take(now, report.in_flight, self.own);
+    }
+
+    /// Notes that the target refused work for lack of room without a report.
+    pub(crate) fn assume_full(&mut self, now: Instant) {
+        let slots = self.get_slots(now).round() as u16;
+        self.others.take(now, slots.max(self.own), self.own);
+    }
+
+    fn warmth(&self, now: Instant) -> f32 {
+        let Some(since) = self.warming_since else {
+            return 1.0;
+        };
+        let age = now.saturating_duration_since(since).as_secs_f32();
+        let progress = (age / Self::WARM_UP.as_secs_f32()).min(1.0);
+        Self::WARM_UP_START + (1.0 - Self::WARM_UP_START) * progress
+    }
+}
+
+/// Requests of other VMs on a target, from the target's own reports.
+#[derive(Debug)]
+struct OthersView {
+    last: f32,
+    mean: f32,
+    /// Trust in the reports, from 0 to 1.
+    credit: f32,
+    at: Option<Instant>,
+}
+
+impl OthersView {
+    const MEAN_WEIGHT: f32 = 0.1;
+    const CREDIT_LOSS: f32 = 0.7;
+    const CREDIT_GAIN: f32 = 0.02;
+
+    fn new() -> Self {
+        Self {
+            last: 0.0,
+            mean: 0.0,
+            credit: 1.0,
+            at: None,
+        }
+    }
+
+    fn take(&mut self, now: Instant, in_flight: u16, own: u16) {
+        self.weigh(in_flight, own);
+        self.last = f32::from(in_flight.saturating_sub(own));
+        self.mean += Self::MEAN_WEIGHT * (self.last - self.mean);
+        self.at = Some(now);
+    }
+
+    /// A report below half of what this VM alone has in flight is wrong.
+    fn weigh(&mut self, in_flight: u16, own: u16) {
+        if own >= 2 && in_flight * 2 <= own {
+            self.credit *= Self::CREDIT_LOSS;
+        } else {
+            self.credit = (self.credit + Self::CREDIT_GAIN).min(1.0);
+        }
+    }
+
+    /// The last report fades into the mean within about one hold time.
+    fn estimate(&self, now: Instant, hold: Duration, fallback: f32) -> f32 {
+        let Some(at) = self.at else {
+            return fallback;
+        };
+        let age = now.saturating_duration_since(at).as_secs_f32();
+        let weight = 1.0 / (1.0 + age / hold.as_secs_f32());
+        let reported = self.mean + (self.last - self.mean) * weight;
+        self.credit * reported + (1.0 - self.credit) * fallback.max(reported)
+    }
+}
--- /dev/null
+++ b/crates/core/src/spec/mod.rs
@@ -0,0 +1,13 @@
+//! What operators declare, as plain values.
+//!
+//! The crate `gentianridge-config` builds these from the operators' file.
+
+mod class;
+mod fleet;
+mod service;
+mod target;
+
+pub use class::{ClassKind, ClassSpec, MethodSet, RouteMatch};
+pub use fleet::{FleetSpec, VmName};
+pub use service::ServiceSpec;
+pub use target::{DomainName, Note, TargetSpec};
--- /dev/null
+++ b/crates/core/src/spec/target.rs
@@ -0,0 +1,47 @@
+//! Targets, the backend servers of a service.
+
+use smol_str::SmolStr;
+use std::net::SocketAddr;
+
+/// Name of a failure domain.
+pub type DomainName = SmolStr;
+
+/// Why an operator made a choice, and who it was.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Note {
+    /// Reason in the operator's words.
+    pub reason: SmolStr,
+    /// Author of the choice.
+    pub author: Option<SmolStr>,
+}
+
+/// One target of a service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TargetSpec {
+    /// Name, unique within the service.
+    pub name: SmolStr,
+    /// IP address and port.
+    pub addr: SocketAddr,
+    /// Failure domain that the target runs in.
+    pub domain: DomainName,
+    /// Requests that the target runs at the same time, if known.
+    pub slots: Option<u16>,
+    /// Connections that one VM may hold open to the target.
+    pub connections: u16,
+    /// Share of the slots to use, in percent.
+    pub weight: u8,
+    /// True if the target gets no new work.
+    pub drain: bool,
+    /// Reason for the weight or the drain.
+    pub note: Option<Note>,
+}
+
+impl TargetSpec {
+    /// Slots assumed for a target whose number of slots is not declared.
+    pub const DEFAULT_SLOTS: u16 = 8;
+
+    /// Returns the declared slots, or the starting limit when none is declared.
+    pub fn get_slots(&self) -> u16 {
+        self.slots.unwrap_or(Self::DEFAULT_SLOTS)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/caller/call.rs
@@ -0,0 +1,256 @@
+//! One call from its arrival in a service until its answer.
+
+use super::forward::{AttemptEnd, AttemptPlan};
+use super::headers::{self, RETRIED};
+use super::incoming::IncomingRequest;
+use super::read_report;
+use crate::fleet::Fleet;
+use crate::service::{Command, CommandReceiver, ServiceHandle};
+use crate::telemetry::TraceBuilder;
+use futures_util::StreamExt;
+use futures_util::future::BoxFuture;
+use futures_util::stream::FuturesUnordered;
+use gentianridge_core::{
+    Arrival, AttemptKey, AttemptKind, CallKey, ClassKey, ClassKind, LoadReport, Outcome,
+    ResultCode, TargetKey, TargetNotice,
+};
+use http::{HeaderMap, StatusCode};
+use reqwest::Response;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// What the path of a call shares over its attempts.
+#[derive(Clone)]
+pub(crate) struct CallContext {
+    pub(crate) fleet: Arc<Fleet>,
+    pub(crate) service: Arc<ServiceHandle>,
+    pub(crate) class: ClassKey,
+    pub(crate) kind: ClassKind,
+    pub(crate) deadline: Instant,
+    pub(crate) silence: Duration,
+    pub(crate) request: Arc<IncomingRequest>,
+}
+
+/// A slot on a target that the service granted.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Grant {
+    pub(crate) attempt: AttemptKey,
+    pub(crate) target: TargetKey,
+    pub(crate) kind: AttemptKind,
+}
+
+/// The answer that is handed on, with the slot that it still occupies.
+pub(crate) struct Delivered {
+    pub(crate) response: Response,
+    pub(crate) slot: SlotGuard,
+}
+
+/// Frees the slot of a delivered attempt when the answer ends.
+pub(crate) struct SlotGuard {
+    service: Arc<ServiceHandle>,
+    attempt: AttemptKey,
+}
+
+impl Drop for SlotGuard {
+    fn drop(&mut self) {
+        self.service.finished(self.attempt);
+    }
+}
+
+/// A call that waits or runs; dropping it cancels it.
+pub(crate) struct Call {
+    cx: CallContext,
+    key: CallKey,
+    rx: CommandReceiver,
+    is_over: bool,
+    attempts: FuturesUnordered<BoxFuture<'static, AttemptEnd>>,
+    ready: Vec<(AttemptKey, Response)>,
+}
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        if !self.is_over {
+            self.cx.service.cancel(self.key);
+        }
+    }
+}
+
+impl Call {
+    /// Hands the call to its service.
+    pub(crate) fn open(cx: &CallContext) -> Self {
+        let arrival = Arrival {
+            class: cx.class,
+            deadline: cx.deadline,
+            is_replayable: cx.request.is_replayable(),
+        };
+        let (key, rx) = cx.service.arrive(arrival);
+        Self {
+            cx: cx.clone(),
+            key,
+            rx,
+            is_over: false,
+            attempts: FuturesUnordered::new(),
+            ready: Vec::new(),
+        }
+    }
+
+    /// Waits until the service grants the first slot.
+    pub(crate) async fn wait_grant(&mut self) -> Result<Grant, ResultCode> {
+        match self.rx.recv().await {
+            Some(Command::Dispatch {
+                attempt,
+                target,
+                kind,
+            }) => Ok(Grant {
+                attempt,
+                target,
+                kind,
+            }),
+            Some(Command::Refuse(code)) => {
+                self.is_over = true;
+                Err(code)
+            }
+            Some(Command::Deliver { .. }) | None => Err(ResultCode::NoTarget),
+        }
+    }
+
+    /// Sends the request to the granted target and sees the call through.
+    pub(crate) async fn run(
+        mut self,
+        grant: Grant,
+        trace: &mut TraceBuilder,
+    ) -> Result<Delivered, ResultCode> {
+        self.launch(grant, trace);
+        loop {
+            tokio::select! {
+                biased;
+                Some(end) = self.attempts.next(), if !self.attempts.is_empty() => {
+                    self.take_end(end, trace);
+                }
+                command = self.rx.recv() => match command {
+                    Some(Command::Dispatch { attempt, target, kind }) => {
+                        self.launch(Grant { attempt, target, kind }, trace);
+                    }
+                    Some(Command::Deliver { attempt }) => {
+                        self.is_over = true;
+                        return self.deliver(attempt);
+                    }
+                    Some(Command::Refuse(code)) => {
+                        self.is_over = true;
+                        return Err(code);
+                    }
+                    None => return Err(ResultCode::AttemptFailed),
+                },
+            }
+        }
+    }
+
+    fn launch(&mut self, grant: Grant, trace: &mut TraceBuilder) {
+        let cx = &self.cx;
+        let now = cx.fleet.clock.now();
+        let name = cx
+            .service
+            .read(|machine, _| machine.get_target(grant.target).map(|t| t.name.clone()));
+        let index = trace.start(now, &name.unwrap_or_default(), grant.kind);
+        let plan = AttemptPlan {
+            fleet: cx.fleet.clone(),
+            service: cx.service.clone(),
+            request: cx.request.clone(),
+            attempt: grant.attempt,
+            target: grant.target,
+            index,
+            deadline: cx.deadline,
+            silent_at: silent_at(cx, now),
+        };
+        self.attempts.push(Box::pin(plan.run()));
+    }
+
+    fn take_end(&mut self, end: AttemptEnd, trace: &mut TraceBuilder) {
+        let now = self.cx.fleet.clock.now();
+        let response = match end.result {
+            Ok(response) => response,
+            Err(outcome) => {
+                trace.end(now, end.index, outcome.as_str());
+                self.cx.service.failed(end.attempt, outcome);
+                return;
+            }
+        };
+        self.take_report(end.target, response.headers());
+        if headers::is_not_run(response.headers()) {
+            trace.end(now, end.index, Outcome::Shed.as_str());
+            self.cx.service.failed(end.attempt, Outcome::Shed);
+            return;
+        }
+        trace.end(now, end.index, response.status().as_str());
+        let is_error = is_server_error(response.status()) && self.cx.kind.is_idempotent();
+        let is_retried_below = response.headers().contains_key(RETRIED);
+        if !is_error {
+            self.note_success();
+        }
+        self.ready.push((end.attempt, response));
+        self.cx
+            .service
+            .answered(end.attempt, is_error, is_retried_below);
+    }
+
+    fn take_report(&self, target: TargetKey, headers: &HeaderMap) {
+        if let Some(report) = read_report(headers) {
+            note_report(&self.cx, target, report);
+        }
+    }
+
+    fn note_success(&self) {
+        let fingerprint = self.cx.request.get_fingerprint();
+        let me = &self.cx.fleet.me;
+        self.cx
+            .fleet
+            .quarantine
+            .lock()
+            .record_success(me, fingerprint);
+    }
+
+    fn deliver(&mut self, attempt: AttemptKey) -> Result<Delivered, ResultCode> {
+        let slot = SlotGuard {
+            service: self.cx.service.clone(),
+            attempt,
+        };
+        let index = self.ready.iter().position(|(key, _)| *key == attempt);
+        match index {
+            Some(index) => Ok(Delivered {
+                response: self.ready.swap_remove(index).1,
+                slot,
+            }),
+            None => Err(ResultCode::AttemptFailed),
+        }
+    }
+}
+
+/// Work of kind once is given its whole deadline, since it cannot be repeated.
+fn silent_at(cx: &CallContext, now: Instant) -> Instant {
+    match cx.kind {
+        ClassKind::Once => cx.deadline,
+        ClassKind::Interactive | ClassKind::Background => now + cx.silence,
+    }
+}
+
+fn is_server_error(status: StatusCode) -> bool {
+    status.is_server_error()
+}
+
+/// Tells the service, and the fleet if the target's word on leaving changed.
+fn note_report(cx: &CallContext, target: TargetKey, report: LoadReport) {
+    let changed = cx.service.read(|machine, _| {
+        let is_change = machine.is_leaving(target) != report.is_leaving;
+        let name = machine.get_target(target).map(|t| t.name.clone());
+        name.filter(|_| is_change)
+    });
+    if let Some(name) = changed {
+        cx.fleet.notice(&TargetNotice {
+            service: cx.service.name.clone(),
+            target: name,
+            is_leaving: report.is_leaving,
+            at: cx.fleet.journal.tick(),
+        });
+    }
+    cx.service.report(target, report);
+}
--- /dev/null
+++ b/crates/daemon/src/caller/endpoint.rs
@@ -0,0 +1,173 @@
+//! The HTTP endpoint for callers.
+
+use super::answer::{AnswerMarks, replay_answer, stream_answer};
+use super::call::{Call, CallContext};
+use super::headers::{self, REPLAYED};
+use super::incoming::{IncomingRequest, RequestHead};
+use super::once::{OnceEnd, run_once};
+use super::refusal::refuse;
+use crate::fleet::Fleet;
+use crate::telemetry::{CallMetric, TraceBuilder};
+use gentianridge_core::{ClassKind, ResultCode};
+use http::HeaderValue;
+use poem::{Endpoint, Request, Response};
+use smol_str::SmolStr;
+use std::sync::Arc;
+
+/// Takes every request of callers.
+#[derive(Debug)]
+pub(crate) struct CallerEndpoint {
+    fleet: Arc<Fleet>,
+}
+
+impl CallerEndpoint {
+    pub(crate) fn new(fleet: Arc<Fleet>) -> Self {
+        Self { fleet }
+    }
+}
+
+impl Endpoint for CallerEndpoint {
+    type Output = Response;
+
+    async fn call(&self, mut request: Request) -> poem::Result<Response> {
+        let head = RequestHead::new(&request);
+        let body = request.take_body();
+        let clock = &self.fleet.clock;
+        let mut trace = TraceBuilder::new(
+            head.id.clone(),
+            self.fleet.me.clone(),
+            clock.now(),
+            clock.wall(),
+        );
+        match prepare(&self.fleet, head, body, &mut trace).await {
+            Ok(cx) if cx.kind == ClassKind::Once => Ok(call_once(cx, trace).await),
+            Ok(cx) => Ok(call_idempotent(cx, trace).await),
+            Err(code) => Ok(finish_refused(&self.fleet, code, trace)),
+        }
+    }
+}
+
+/// Finds the class of a request and reads its body.
+async fn prepare(
+    fleet: &Arc<Fleet>,
+    head: RequestHead,
+    body: poem::Body,
+    trace: &mut TraceBuilder,
+) -> Result<CallContext, ResultCode> {
+    let arrived = fleet.clock.now();
+    let routes = fleet.get_routes().ok_or(ResultCode::NoConfiguration)?;
+    head.check(fleet.settings.max_body)?;
+    let method = head.method.as_str();
+    let index = routes
+        .spec
+        .find_service(method, &head.path)
+        .ok_or(ResultCode::NoService)?;
+    let service = routes.services[index].clone();
+    let found = service.read(|machine, _| {
+        let class = machine.find_class(method, &head.path)?;
+        let spec = machine.get_class(class);
+        trace.route(&service.name, &spec.name);
+        Some((class, spec.kind, spec.deadline, machine.get_spec().silence))
+    });
+    let (class, kind, class_deadline, silence) = found.ok_or(ResultCode::NoService)?;
+    let allowed = headers::get_timeout(&head.headers)
+        .map_or(class_deadline, |timeout| timeout.min(class_deadline));
+    let request = IncomingRequest::read(head, body, fleet).await?;
+    if kind == ClassKind::Once && !request.is_replayable() {
+        return Err(ResultCode::BadRequest);
+    }
+    if fleet
+        .quarantine
+        .lock()
+        .is_quarantined(request.get_fingerprint())
+    {
+        return Err(ResultCode::Quarantined);
+    }
+    Ok(CallContext {
+        fleet: fleet.clone(),
+        service,
+        class,
+        kind,
+        deadline: arrived + allowed,
+        silence,
+        request: Arc::new(request),
+    })
+}
+
+/// Runs a call that may be repeated; it is cancelled if the caller goes.
+async fn call_idempotent(cx: CallContext, mut trace: TraceBuilder) -> Response {
+    let mut call = Call::open(&cx);
+    let result = match call.wait_grant().await {
+        Ok(grant) => call.run(grant, &mut trace).await,
+        Err(code) => Err(code),
+    };
+    match result {
+        Ok(delivered) => {
+            let marks = marks_of(&cx, &trace);
+            let response = stream_answer(delivered, cx.silence, &marks);
+            finish(&cx.fleet, &response, None, trace);
+            response
+        }
+        Err(code) => finish_refused(&cx.fleet, code, trace),
+    }
+}
+
+/// Runs a call of kind once in a task of its own.
+///
+/// A caller that goes away must not cancel work that has been dispatched.
+async fn call_once(cx: CallContext, trace: TraceBuilder) -> Response {
+    let fleet = cx.fleet.clone();
+    let request = cx.request.head.id.clone();
+    let task = tokio::spawn(finish_once(cx, trace));
+    task.await
+        .unwrap_or_else(|_| refuse(ResultCode::OutcomeUnknown, &request, &fleet.me))
+}
+
+async fn finish_once(cx: CallContext, mut trace: TraceBuilder) -> Response {
+    let end = run_once(cx.clone(), &mut trace).await;
+    let (answer, is_replay) = match end {
+        OnceEnd::Answered(answer) => (answer, false),
+        OnceEnd::Replayed(answer) => (answer, true),
+        OnceEnd::Refused(code) => return finish_refused(&cx.fleet, code, trace),
+    };
+    let mut response = replay_answer(&answer, &marks_of(&cx, &trace));
+    if is_replay {
+        response
+            .headers_mut()
+            .insert(REPLAYED, HeaderValue::from_static("1"));
+    }
+    finish(&cx.fleet, &response, None, trace);
+    response
+}
+
+fn marks_of<'a>(cx: &'a CallContext, trace: &TraceBuilder) -> AnswerMarks<'a> {
+    AnswerMarks {
+        request: &cx.request.head.id,
+        vm: &cx.fleet.me,
+        is_repeated: trace.is_repeated(),
+    }
+}
+
+fn finish_refused(fleet: &Fleet, code: ResultCode, trace: TraceBuilder) -> Response {
+    fleet.metrics.record_refusal(code);
+    let request: SmolStr = trace.get_request().clone();
+    let response = refuse(code, &request, &fleet.me);
+    finish(fleet, &response, Some(code), trace);
+    response
+}
+
+fn finish(fleet: &Fleet, response: &Response, code: Option<ResultCode>, trace: TraceBuilder) {
+    let now = fleet.clock.now();
+    let queued = trace.get_queued();
+    let trace = trace.finish(now, response.status().as_u16(), code);
+    if let (Some(service), Some(class)) = (&trace.service, &trace.class) {
+        fleet.metrics.record_call(&CallMetric {
+            service,
+            class,
+            status: trace.status,
+            elapsed: std::time::Duration::from_micros(trace.elapsed_us),
+            queued,
+        });
+    }
+    fleet.traces.add(trace);
+}
--- /dev/null
+++ b/crates/daemon/src/caller/forward.rs
@@ -0,0 +1,131 @@
+//! One attempt on one target.
+
+use super::headers::{self, REQUEST_ID};
+use super::incoming::IncomingRequest;
+use crate::fleet::Fleet;
+use crate::service::{Link, ServiceHandle};
+use gentianridge_core::{AttemptKey, EventKind, Outcome, TargetKey};
+use http::header;
+use reqwest::{Request, Response, Url};
+use std::sync::Arc;
+use std::time::Instant;
+
+/// How one attempt ended.
+#[derive(Debug)]
+pub(crate) struct AttemptEnd {
+    pub(crate) attempt: AttemptKey,
+    pub(crate) target: TargetKey,
+    /// Position in the trace of the call.
+    pub(crate) index: usize,
+    pub(crate) result: Result<Response, Outcome>,
+}
+
+/// What an attempt needs to know.
+#[derive(Clone)]
+pub(crate) struct AttemptPlan {
+    pub(crate) fleet: Arc<Fleet>,
+    pub(crate) service: Arc<ServiceHandle>,
+    pub(crate) request: Arc<IncomingRequest>,
+    pub(crate) attempt: AttemptKey,
+    pub(crate) target: TargetKey,
+    pub(crate) index: usize,
+    pub(crate) deadline: Instant,
+    /// Time by which a byte has to come, or the connection counts as silent.
+    pub(crate) silent_at: Instant,
+}
+
+impl AttemptPlan {
+    /// Sends the request and waits for the head of the answer.
+    pub(crate) async fn run(self) -> AttemptEnd {
+        let result = self.send().await;
+        if matches!(result, Err(Outcome::Broken)) {
+            self.fleet.record_crash(self.request.get_fingerprint());
+        }
+        AttemptEnd {
+            attempt: self.attempt,
+            target: self.target,
+            index: self.index,
+            result,
+        }
+    }
+
+    async fn send(&self) -> Result<Response, Outcome> {
+        let (link, request) = self.prepare().ok_or(Outcome::Withdrawn)?;
+        let limit = self.deadline.min(self.silent_at);
+        let sending = link.client.execute(request);
+        match tokio::time::timeout_at(limit.into(), sending).await {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(error)) => Err(outcome_of(&error)),
+            Err(_) if self.silent_at < self.deadline => {
+                self.give_up(&link);
+                Err(Outcome::Silent)
+            }
+            Err(_) => Err(Outcome::TimedOut),
+        }
+    }
+
+    fn prepare(&self) -> Option<(Arc<Link>, Request)> {
+        let (addr, connections) = self.service.read(|machine, _| {
+            machine
+                .get_target(self.target)
+                .map(|t| (t.addr, t.connections))
+        })?;
+        let link = self
+            .service
+            .links
+            .get(self.target.get_index(), addr, connections)
+            .ok()?;
+        let head = &self.request.head;
+        let url: Url = format!("http://{addr}{}", head.target).parse().ok()?;
+        let mut request = Request::new(head.method.clone(), url);
+        self.set_headers(&mut request);
+        let body = self.request.get_body()?;
+        if !is_empty(&body) {
+            *request.body_mut() = Some(body);
+        }
+        Some((link, request))
+    }
+
+    fn set_headers(&self, request: &mut Request) {
+        let head = &self.request.head;
+        let to = request.headers_mut();
+        headers::copy_end_to_end(&head.headers, to);
+        if self.request.is_replayable() {
+            to.remove(header::CONTENT_LENGTH);
+        }
+        headers::add_forwarded(to, head.caller);
+        headers::set_text(to, REQUEST_ID, &head.id);
+        let remaining = self
+            .deadline
+            .saturating_duration_since(self.fleet.clock.now());
+        headers::set_timeout(to, remaining);
+    }
+
+    fn give_up(&self, link: &Arc<Link>) {
+        if !self.service.links.give_up(self.target.get_index(), link) {
+            return;
+        }
+        let target = self
+            .service
+            .read(|machine, _| machine.get_target(self.target).map(|t| t.name.clone()));
+        self.fleet.journal.record(EventKind::ConnectionsReplaced {
+            service: self.service.name.clone(),
+            target: target.unwrap_or_default(),
+        });
+    }
+}
+
+fn is_empty(body: &reqwest::Body) -> bool {
+    body.as_bytes().is_some_and(<[u8]>::is_empty)
+}
+
+fn outcome_of(error: &reqwest::Error) -> Outcome {
+    if error.is_connect() {
+        Outcome::Refused
+    } else if error.is_body() {
+        // The caller's body failed, which says nothing about the target.
+        Outcome::TimedOut
+    } else {
+        Outcome::Broken
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/caller/headers.rs
@@ -0,0 +1,122 @@
+//! Headers between callers and targets.
+
+use http::{HeaderMap, HeaderName, HeaderValue, header};
+use smol_str::SmolStr;
+use std::net::IpAddr;
+use std::time::Duration;
+
+/// Names a request through all levels.
+pub(crate) const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+/// Time that remains for the answer, in milliseconds.
+pub(crate) const TIMEOUT_MS: HeaderName = HeaderName::from_static("gentianridge-timeout-ms");
+/// Says that a lower level has already repeated the request.
+pub(crate) const RETRIED: HeaderName = HeaderName::from_static("gentianridge-retried");
+/// Says whether a refused request has run.
+pub(crate) const RUN: HeaderName = HeaderName::from_static("gentianridge-run");
+/// Numbered result code of a refusal.
+pub(crate) const CODE: HeaderName = HeaderName::from_static("gentianridge-code");
+/// VM that handled the call.
+pub(crate) const VM: HeaderName = HeaderName::from_static("gentianridge-vm");
+/// Says that the answer is a recorded one.
+pub(crate) const REPLAYED: HeaderName = HeaderName::from_static("gentianridge-replayed");
+/// Key that makes a request run at most once.
+pub(crate) const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+const FORWARDED_FOR: HeaderName = HeaderName::from_static("x-forwarded-for");
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
+
+/// Returns true for headers that concern one connection only.
+fn is_hop_by_hop(name: &HeaderName) -> bool {
+    [
+        header::CONNECTION,
+        header::PROXY_AUTHENTICATE,
+        header::PROXY_AUTHORIZATION,
+        header::TE,
+        header::TRAILER,
+        header::TRANSFER_ENCODING,
+        header::UPGRADE,
+        KEEP_ALIVE,
+        PROXY_CONNECTION,
+    ]
+    .contains(name)
+}
+
+/// Copies the headers that go from end to end.
+pub(crate) fn copy_end_to_end(from: &HeaderMap, to: &mut HeaderMap) {
+    let named = connection_names(from);
+    for (name, value) in from {
+        if !is_hop_by_hop(name) && !named.contains(name) {
+            to.append(name.clone(), value.clone());
+        }
+    }
+}
+
+/// Headers that the `Connection` header declares to be hop-by-hop.
+fn connection_names(headers: &HeaderMap) -> Vec<HeaderName> {
+    headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|text| text.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect()
+}
+
+/// Adds the caller's address to the forwarding headers.
+pub(crate) fn add_forwarded(headers: &mut HeaderMap, caller: Option<IpAddr>) {
+    let Some(caller) = caller else {
+        return;
+    };
+    append_listed(headers, FORWARDED_FOR, &caller.to_string());
+    let node = match caller {
+        IpAddr::V4(ip) => format!("for={ip}"),
+        IpAddr::V6(ip) => format!("for=\"[{ip}]\""),
+    };
+    append_listed(headers, header::FORWARDED, &node);
+}
+
+fn append_listed(headers: &mut HeaderMap, name: HeaderName, value: &str) {
+    let before: Vec<&str> = headers
+        .get_all(&name)
+        .iter()
+        .filter_map(|known| known.to_str().ok())
+        .collect();
+    let mut joined = before.join(", ");
+    if !joined.is_empty() {
+        joined.push_str(", ");
+    }
+    joined.push_str(value);
+    if let Ok(value) = HeaderValue::from_str(&joined) {
+        headers.insert(name, value);
+    }
+}
+
+/// Returns the value of a header as text, if it is printable.
+pub(crate) fn get_text(headers: &HeaderMap, name: &HeaderName) -> Option<SmolStr> {
+    let text = headers.get(name)?.to_str().ok()?;
+    Some(text.into())
+}
+
+/// Returns the time that the caller leaves for the answer.
+pub(crate) fn get_timeout(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get(TIMEOUT_MS)?.to_str().ok()?;
+    text.parse().ok().map(Duration::from_millis)
+}
+
+/// Writes the time that remains.
+pub(crate) fn set_timeout(headers: &mut HeaderMap, remaining: Duration) {
+    headers.insert(TIMEOUT_MS, HeaderValue::from(remaining.as_millis() as u64));
+}
+
+/// Returns true if the answer says that the request was not run.
+pub(crate) fn is_not_run(headers: &HeaderMap) -> bool {
+    headers.get(RUN).is_some_and(|value| value == "not-run")
+}
+
+/// Sets a header to a text that is known to be printable.
+pub(crate) fn set_text(headers: &mut HeaderMap, name: HeaderName, text: &str) {
+    if let Ok(value) = HeaderValue::from_str(text) {
+        headers.insert(name, value);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/caller/incoming.rs
@@ -0,0 +1,210 @@
+//! Requests of callers.
+
+use super::headers::{self, REQUEST_ID};
+use crate::fleet::Fleet;
+use bytes::{Bytes, BytesMut};
+use futures_util::{Stream, StreamExt};
+use gentianridge_core::ResultCode;
+use http::{HeaderMap, Method, header};
+use parking_lot::Mutex;
+use poem::Request;
+use rand::Rng;
+use sha2::{Digest, Sha256};
+use smol_str::{SmolStr, format_smolstr};
+use std::io;
+use std::net::IpAddr;
+use std::pin::Pin;
+use std::time::Duration;
+
+/// Longest request target in bytes.
+const MAX_TARGET: usize = 8 * 1024;
+/// Longest name of a request that is taken over from a caller.
+const MAX_REQUEST_ID: usize = 128;
+
+type ByteStream = Pin<Box<dyn Stream<Item = io::Result<Bytes>> + Send>>;
+
+/// The body of a request.
+pub(crate) enum RequestBody {
+    /// Held in memory, so that it can be sent again.
+    Whole(Bytes),
+    /// Handed on as it arrives; it can be taken once.
+    Streaming(Mutex<Option<ByteStream>>),
+}
+
+/// The parts of a request that routing needs.
+#[derive(Debug)]
+pub(crate) struct RequestHead {
+    pub(crate) id: SmolStr,
+    pub(crate) method: Method,
+    pub(crate) path: SmolStr,
+    /// Path with its query, as the caller wrote it.
+    pub(crate) target: String,
+    pub(crate) headers: HeaderMap,
+    pub(crate) caller: Option<IpAddr>,
+}
+
+/// A request of a caller.
+pub(crate) struct IncomingRequest {
+    pub(crate) head: RequestHead,
+    pub(crate) body: RequestBody,
+    /// Digest of method, target and body.
+    pub(crate) digest: [u8; 32],
+}
+
+impl RequestHead {
+    /// Reads the head of a request.
+    pub(crate) fn new(request: &Request) -> Self {
+        let headers = request.headers().clone();
+        let id = headers::get_text(&headers, &REQUEST_ID)
+            .filter(|id| !id.is_empty() && id.len() <= MAX_REQUEST_ID)
+            .unwrap_or_else(|| format_smolstr!("{:016x}", rand::rng().next_u64()));
+        let uri = request.uri();
+        Self {
+            id,
+            method: request.method().clone(),
+            path: uri.path().into(),
+            target: uri
+                .path_and_query()
+                .map_or_else(|| "/".to_owned(), |target| target.as_str().to_owned()),
+            headers,
+            caller: request.remote_addr().as_socket_addr().map(|addr| addr.ip()),
+        }
+    }
+
+    /// Checks what the HTTP library lets through.
+    pub(crate) fn check(&self, max_body: usize) -> Result<(), ResultCode> {
+        let has_dots = self.path.split('/').any(is_dot_segment);
+        let is_too_large = self
+            .get_length()
+            .is_some_and(|length| length > max_body as u64);
+        if self.target.len() > MAX_TARGET || has_dots || is_too_large {
+            return Err(ResultCode::BadRequest);
+        }
+        Ok(())
+    }
+
+    fn get_length(&self) -> Option<u64> {
+        self.headers
+            .get(header::CONTENT_LENGTH)?
+            .to_str()
+            .ok()?
+            .parse()
+            .ok()
+    }
+}
+
+/// The URL library would resolve such segments and change what was routed.
+fn is_dot_segment(segment: &str) -> bool {
+    let plain = segment.to_ascii_lowercase().replace("%2e", ".");
+    plain == "." || plain == ".."
+}
+
+impl IncomingRequest {
+    /// Reads the body as far as it is to be kept for a repeat.
+    pub(crate) async fn read(
+        head: RequestHead,
+        body: poem::Body,
+        fleet: &Fleet,
+    ) -> Result<Self, ResultCode> {
+        let settings = &fleet.settings;
+        let mut stream: ByteStream = Box::pin(body.into_bytes_stream());
+        let mut buf = BytesMut::new();
+        let is_long = head
+            .get_length()
+            .is_some_and(|length| length > settings.max_replay as u64);
+        while !is_long && buf.len() <= settings.max_replay {
+            match read_chunk(&mut stream, settings.caller_idle).await? {
+                Some(chunk) => buf.extend_from_slice(&chunk),
+                None => return Ok(Self::whole(head, buf.freeze())),
+            }
+        }
+        let digest = digest_of(&head, &buf);
+        let rest = limit(
+            stream,
+            buf.freeze(),
+            settings.max_body,
+            settings.caller_idle,
+        );
+        Ok(Self {
+            head,
+            body: RequestBody::Streaming(Mutex::new(Some(rest))),
+            digest,
+        })
+    }
+
+    fn whole(head: RequestHead, body: Bytes) -> Self {
+        let digest = digest_of(&head, &body);
+        Self {
+            head,
+            body: RequestBody::Whole(body),
+            digest,
+        }
+    }
+
+    pub(crate) fn is_replayable(&self) -> bool {
+        matches!(self.body, RequestBody::Whole(_))
+    }
+
+    /// Short form of the digest, by which crashes are counted.
+    pub(crate) fn get_fingerprint(&self) -> u64 {
+        let (head, _) = self
+            .digest
+            .split_first_chunk::<8>()
+            .unwrap_or((&[0; 8], &[]));
+        u64::from_be_bytes(*head)
+    }
+
+    /// Returns the body for an attempt; none if it was taken before.
+    pub(crate) fn get_body(&self) -> Option<reqwest::Body> {
+        match &self.body {
+            RequestBody::Whole(bytes) => Some(bytes.clone().into()),
+            RequestBody::Streaming(stream) => stream.lock().take().map(reqwest::Body::wrap_stream),
+        }
+    }
+}
+
+fn digest_of(head: &RequestHead, body: &[u8]) -> [u8; 32] {
+    let mut hasher = Sha256::new();
+    for part in [
+        head.method.as_str().as_bytes(),
+        head.target.as_bytes(),
+        body,
+    ] {
+        hasher.update((part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    hasher.finalize().into()
+}
+
+async fn read_chunk(stream: &mut ByteStream, idle: Duration) -> Result<Option<Bytes>, ResultCode> {
+    match tokio::time::timeout(idle, stream.next()).await {
+        Ok(Some(Ok(chunk))) => Ok(Some(chunk)),
+        Ok(None) => Ok(None),
+        Ok(Some(Err(_))) => Err(ResultCode::BadRequest),
+        Err(_) => Err(ResultCode::SlowCaller),
+    }
+}
+
+/// Hands on the rest of a body within its limits of size and time.
+fn limit(stream: ByteStream, prefix: Bytes, max: usize, idle: Duration) -> ByteStream {
+    let state = (stream, Some(prefix), 0_usize);
+    Box::pin(futures_util::stream::try_unfold(
+        state,
+        move |(mut stream, prefix, sent)| async move {
+            let chunk = match prefix {
+                Some(prefix) if !prefix.is_empty() => Some(prefix),
+                _ => read_chunk(&mut stream, idle)
+                    .await
+                    .map_err(|code| io::Error::other(code.text()))?,
+            };
+            let Some(chunk) = chunk else {
+                return Ok(None);
+            };
+            let sent = sent + chunk.len();
+            if sent > max {
+                return Err(io::Error::other(ResultCode::BadRequest.text()));
+            }
+            Ok(Some((chunk, (stream, None, sent))))
+        },
+    ))
+}
--- /dev/null
+++ b/crates/daemon/src/caller/mod.rs
@@ -0,0 +1,14 @@
+//! The path of callers.
+
+mod answer;
+mod call;
+mod endpoint;
+mod forward;
+mod headers;
+mod incoming;
+mod once;
+mod refusal;
+mod report;
+
+pub(crate) use endpoint::CallerEndpoint;
+pub(crate) use report::read_report;
--- /dev/null
+++ b/crates/daemon/src/fleet/control.rs
@@ -0,0 +1,280 @@
+//! Accepting files and learning of accepted ones.
+
+use super::Fleet;
+use super::shared::wall_millis;
+use crate::store::jittered;
+use gentianridge_api::{SubmitAnswer, SubmitRequest, SubmitVerdict};
+use gentianridge_config::{compare_fleets, parse_fleet};
+use gentianridge_core::{
+    Adoption, EventKind, RevisionRecord, Submission, SubmissionAction, SubmissionInput, Verdict,
+};
+use gentianridge_platform::{
+    Condition, StoreError, StoreErrorKind, Written, decode_revision, encode_revision,
+};
+use std::sync::Arc;
+use std::time::Duration;
+
+const TABLE: &str = "revision";
+/// Row that names the newest revision; it may lag, never lead.
+const NEWEST_KEY: &str = "newest";
+/// Longest time for settling a submission before it is reported as unknown.
+const SUBMIT_TIME: Duration = Duration::from_secs(5);
+/// Accepted files kept in the store.
+const KEPT_REVISIONS: u64 = 200;
+/// Time for which a dropped revision stays readable.
+const DROP_AFTER: Duration = Duration::from_secs(60);
+/// Changed lines shown to an operator who was overtaken.
+const SHOWN_LINES: usize = 20;
+
+/// Checks a submitted file as a whole and offers it to the store.
+pub(crate) async fn submit(fleet: &Arc<Fleet>, request: SubmitRequest) -> SubmitAnswer {
+    let spec = match parse_fleet(&request.text) {
+        Ok(spec) => spec,
+        Err(report) => {
+            let details = report
+                .get_faults()
+                .iter()
+                .map(ToString::to_string)
+                .collect();
+            return reject(fleet, &request, SubmitVerdict::Faulty, details);
+        }
+    };
+    catch_up(fleet).await;
+    let routes = fleet.get_routes();
+    let warnings = compare_fleets(routes.as_deref().map(|routes| &routes.spec), &spec);
+    if !warnings.is_empty() && !request.force {
+        let details = warnings.iter().map(ToString::to_string).collect();
+        return reject(fleet, &request, SubmitVerdict::NeedsForce, details);
+    }
+    if let Some(answer) = find_earlier(fleet, &request) {
+        return answer;
+    }
+    let verdict = settle(fleet, &request).await;
+    answer_of(fleet, &request, verdict)
+}
+
+/// A submission that is sent again after it was accepted is accepted.
+fn find_earlier(fleet: &Fleet, request: &SubmitRequest) -> Option<SubmitAnswer> {
+    let current = fleet.get_in_force()?;
+    let is_same = current.record.submission == request.submission;
+    is_same.then(|| SubmitAnswer {
+        verdict: SubmitVerdict::Accepted,
+        submission: request.submission.clone(),
+        revision: current.record.number,
+        details: Vec::new(),
+    })
+}
+
+fn reject(
+    fleet: &Fleet,
+    request: &SubmitRequest,
+    verdict: SubmitVerdict,
+    details: Vec<String>,
+) -> SubmitAnswer {
+    fleet.journal.record(EventKind::RevisionRejected {
+        submission: request.submission.clone(),
+        author: request.author.clone(),
+        reason: details
+            .first()
+            .map(String::as_str)
+            .unwrap_or_default()
+            .into(),
+    });
+    SubmitAnswer {
+        verdict,
+        submission: request.submission.clone(),
+        revision: fleet.get_revision(),
+        details,
+    }
+}
+
+/// Runs the submission's steps until its fate is known or the time is up.
+async fn settle(fleet: &Arc<Fleet>, request: &SubmitRequest) -> Verdict {
+    let base = request.base.unwrap_or_else(|| fleet.get_revision());
+    let record = RevisionRecord {
+        number: base + 1,
+        submission: request.submission.clone(),
+        author: request.author.clone(),
+        submitted_ms: wall_millis(&*fleet.clock),
+        text: request.text.clone(),
+    };
+    let number = record.number;
+    let mut submission = Submission::new(record, fleet.clock.now() + SUBMIT_TIME);
+    let mut input = SubmissionInput::Begin;
+    loop {
+        input = match submission.step(fleet.clock.now(), input) {
+            SubmissionAction::Insert(record) => insert(fleet, &record).await,
+            SubmissionAction::Read => match read_revision(fleet, number).await {
+                Ok(found) => SubmissionInput::Read(found),
+                Err(_) => SubmissionInput::StoreFailed { is_open: false },
+            },
+            SubmissionAction::Wait(pause) => {
+                tokio::time::sleep(jittered(pause)).await;
+                SubmissionInput::Timer
+            }
+            SubmissionAction::Finish(verdict) => return verdict,
+        };
+    }
+}
+
+async fn insert(fleet: &Fleet, record: &RevisionRecord) -> SubmissionInput {
+    let write = Written {
+        condition: Condition::Absent,
+        value: encode_revision(record),
+        keep: None,
+    };
+    match fleet
+        .store
+        .write(TABLE, &key_of(record.number), write)
+        .await
+    {
+        Ok(_) => SubmissionInput::Written,
+        Err(error) if error.get_kind() == StoreErrorKind::Conflict => SubmissionInput::Conflict,
+        Err(error) => SubmissionInput::StoreFailed {
+            is_open: error.is_open(),
+        },
+    }
+}
+
+fn answer_of(fleet: &Arc<Fleet>, request: &SubmitRequest, verdict: Verdict) -> SubmitAnswer {
+    let (verdict, revision, details) = match verdict {
+        Verdict::Accepted(record) => {
+            let number = record.number;
+            accept(fleet, record);
+            (SubmitVerdict::Accepted, number, Vec::new())
+        }
+        Verdict::Overtaken(record) => {
+            let details = describe_overtaking(&record, &request.text);
+            fleet.refresh.notify_one();
+            (SubmitVerdict::Overtaken, record.number, details)
+        }
+        Verdict::StoreUnavailable => (
+            SubmitVerdict::StoreUnavailable,
+            fleet.get_revision(),
+            Vec::new(),
+        ),
+        Verdict::Unknown => (SubmitVerdict::Unknown, fleet.get_revision(), Vec::new()),
+    };
+    SubmitAnswer {
+        verdict,
+        submission: request.submission.clone(),
+        revision,
+        details,
+    }
+}
+
+/// Puts an accepted file in force here and tidies the store behind it.
+fn accept(fleet: &Arc<Fleet>, record: RevisionRecord) {
+    let number = record.number;
+    fleet.journal.record(EventKind::RevisionAccepted {
+        revision: number,
+        submission: record.submission.clone(),
+        author: record.author.clone(),
+    });
+    fleet.adopt(record, "submission");
+    let fleet = fleet.clone();
+    tokio::spawn(async move {
+        if let Err(error) = tidy(&fleet, number).await {
+            log::debug!("store not tidied after revision {number}: {error}");
+        }
+    });
+}
+
+async fn tidy(fleet: &Fleet, number: u64) -> Result<(), StoreError> {
+    let newest = Written {
+        condition: Condition::Always,
+        value: number.to_string().into_bytes(),
+        keep: None,
+    };
+    fleet.store.write(TABLE, NEWEST_KEY, newest).await?;
+    if number > KEPT_REVISIONS {
+        let dropped = Written {
+            condition: Condition::Always,
+            value: Vec::new(),
+            keep: Some(DROP_AFTER),
+        };
+        let key = key_of(number - KEPT_REVISIONS);
+        fleet.store.write(TABLE, &key, dropped).await?;
+    }
+    Ok(())
+}
+
+/// Looks for newer revisions in the store until the task is dropped.
+pub(crate) async fn run_poller(fleet: Arc<Fleet>) {
+    loop {
+        catch_up(&fleet).await;
+        tokio::select! {
+            () = tokio::time::sleep(jittered(fleet.settings.store_poll)) => {}
+            () = fleet.refresh.notified() => {}
+        }
+    }
+}
+
+/// Adopts every revision in the store that is newer than the one in force.
+async fn catch_up(fleet: &Fleet) {
+    if let Err(error) = try_catch_up(fleet).await {
+        log::debug!("no look at the store's revisions: {error}");
+    }
+}
+
+async fn try_catch_up(fleet: &Fleet) -> Result<(), StoreError> {
+    if fleet.get_revision() == 0 {
+        skip_to_newest(fleet).await?;
+    }
+    loop {
+        let next = fleet.get_revision() + 1;
+        let Some(record) = read_revision(fleet, next).await? else {
+            return Ok(());
+        };
+        if fleet.adopt(record, "store") != Adoption::Adopted {
+            return Ok(());
+        }
+    }
+}
+
+async fn skip_to_newest(fleet: &Fleet) -> Result<(), StoreError> {
+    let Some(row) = fleet.store.read(TABLE, NEWEST_KEY).await? else {
+        return Ok(());
+    };
+    let number = std::str::from_utf8(&row.value)
+        .ok()
+        .and_then(|text| text.parse().ok());
+    let Some(number) = number else {
+        return Ok(());
+    };
+    if let Some(record) = read_revision(fleet, number).await? {
+        fleet.adopt(record, "store");
+    }
+    Ok(())
+}
+
+async fn read_revision(fleet: &Fleet, number: u64) -> Result<Option<RevisionRecord>, StoreError> {
+    match fleet.store.read(TABLE, &key_of(number)).await? {
+        Some(row) => decode_revision(&row.value).map(Some),
+        None => Ok(None),
+    }
+}
+
+fn key_of(number: u64) -> String {
+    format!("{number:012}")
+}
+
+/// Says who came first and which lines differ.
+fn describe_overtaking(winner: &RevisionRecord, text: &str) -> Vec<String> {
+    let mut details = vec![format!(
+        "revision {} of {} was accepted first (submission {})",
+        winner.number, winner.author, winner.submission
+    )];
+    let only_in = |a: &str, b: &str, sign: &str| -> Vec<String> {
+        let others: Vec<&str> = b.lines().map(str::trim).collect();
+        a.lines()
+            .map(str::trim)
+            .filter(|line| !line.is_empty() && !others.contains(line))
+            .map(|line| format!("{sign} {line}"))
+            .take(SHOWN_LINES)
+            .collect()
+    };
+    details.extend(only_in(&winner.text, text, "theirs:"));
+    details.extend(only_in(text, &winner.text, "yours: "));
+    details
+}
--- /dev/null
+++ b/crates/daemon/src/fleet/members.rs
@@ -0,0 +1,37 @@
+//! The platform's list of VMs.
+
+use super::Fleet;
+use crate::store::jittered;
+use gentianridge_core::PlatformState;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time between two looks at the platform's list, before jitter.
+const INTERVAL: Duration = Duration::from_secs(2);
+
+/// Reads the platform's list until the task is dropped.
+///
+/// The list gives addresses of VMs that were never heard, and announces VMs
+/// that the platform is going to stop. It lags, so heartbeats decide the rest.
+pub(crate) async fn run_members(fleet: Arc<Fleet>) {
+    loop {
+        if let Ok(members) = fleet.store.members().await {
+            let mut membership = fleet.membership.lock();
+            for member in &members {
+                let state = if member.leaving {
+                    PlatformState::Leaving
+                } else {
+                    PlatformState::Live
+                };
+                membership.hear_platform(&member.vm, state);
+            }
+            drop(membership);
+            *fleet.bootstrap.lock() = members
+                .into_iter()
+                .filter(|member| member.vm != fleet.me)
+                .map(|member| member.addr)
+                .collect();
+        }
+        tokio::time::sleep(jittered(INTERVAL)).await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/fleet/mod.rs
@@ -0,0 +1,11 @@
+//! What the tasks of a daemon share.
+
+mod control;
+mod exchange;
+mod members;
+mod shared;
+
+pub(crate) use control::{run_poller, submit};
+pub(crate) use exchange::{run_exchange, run_peer_listener};
+pub(crate) use members::run_members;
+pub(crate) use shared::{Fleet, Routes};
--- /dev/null
+++ b/crates/daemon/src/fleet/shared.rs
@@ -0,0 +1,308 @@
+//! The shared state of one daemon.
+
+use crate::service::ServiceHandle;
+use crate::store::Store;
+use crate::telemetry::{Journal, Metrics, TraceBook};
+use gentianridge_config::{Settings, parse_fleet};
+use gentianridge_core::{
+    Adoption, Clock, EventKind, FleetSpec, Membership, Quarantine, QuarantineChange, RevisionLog,
+    RevisionRecord, TargetNotice, TargetNotices, VmName,
+};
+use gentianridge_platform::Platform;
+use parking_lot::{Mutex, RwLock};
+use rand::Rng;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::time::{Duration, UNIX_EPOCH};
+use tokio::sync::Notify;
+
+/// The services of the revision in force.
+#[derive(Debug)]
+pub(crate) struct Routes {
+    pub(crate) spec: FleetSpec,
+    /// Services in the order of `spec.services`.
+    pub(crate) services: Vec<Arc<ServiceHandle>>,
+}
+
+/// The revision in force and the time since which it is.
+#[derive(Debug, Clone)]
+pub(crate) struct InForce {
+    pub(crate) record: RevisionRecord,
+    pub(crate) since_ms: u64,
+}
+
+/// Everything that the tasks of one daemon share.
+#[derive(Debug)]
+pub(crate) struct Fleet {
+    pub(crate) me: VmName,
+    pub(crate) settings: Settings,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) journal: Arc<Journal>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) traces: TraceBook,
+    pub(crate) store: Store,
+    pub(crate) membership: Mutex<Membership>,
+    pub(crate) quarantine: Mutex<Quarantine>,
+    pub(crate) notices: Mutex<TargetNotices>,
+    /// Addresses from the platform's list that were not heard yet.
+    pub(crate) bootstrap: Mutex<Vec<SocketAddr>>,
+    /// Wakes the exchange when there is news that should not wait.
+    pub(crate) urgent: Notify,
+    /// Wakes the poller when the store may hold a newer revision.
+    pub(crate) refresh: Notify,
+    pub(crate) incarnation: u64,
+    pub(crate) seq: AtomicU64,
+    /// Claims that still have to be closed in the store.
+    pub(crate) open_claims: AtomicUsize,
+    routes: Arc<RwLock<Option<Arc<Routes>>>>,
+    revisions: Mutex<RevisionState>,
+    stopping: AtomicBool,
+}
+
+#[derive(Debug, Default)]
+struct RevisionState {
+    log: RevisionLog,
+    since_ms: u64,
+}
+
+impl Fleet {
+    /// Quarantine period until a file declares another one.
+    const DEFAULT_QUARANTINE: Duration = Duration::from_secs(600);
+
+    pub(crate) fn new(
+        settings: Settings,
+        platform: Platform,
+        clock: Arc<dyn Clock>,
+    ) -> anyhow::Result<Arc<Self>> {
+        let routes = Arc::new(RwLock::new(None));
+        let journal = Arc::new(Journal::new(settings.vm.clone(), clock.clone()));
+        let metrics = Arc::new(Metrics::new(&routes)?);
+        let store = Store::new(platform, clock.clone(), journal.clone(), metrics.clone());
+        let incarnation = wall_millis(&*clock);
+        Ok(Arc::new(Self {
+            me: settings.vm.clone(),
+            membership: Mutex::new(Membership::new(settings.vm.clone())),
+            quarantine: Mutex::new(Quarantine::new(Self::DEFAULT_QUARANTINE)),
+            notices: Mutex::new(TargetNotices::new()),
+            bootstrap: Mutex::new(Vec::new()),
+            urgent: Notify::new(),
+            refresh: Notify::new(),
+            incarnation,
+            seq: AtomicU64::new(0),
+            open_claims: AtomicUsize::new(0),
+            revisions: Mutex::new(RevisionState::default()),
+            stopping: AtomicBool::new(false),
+            traces: TraceBook::new(),
+            settings,
+            clock,
+            journal,
+            metrics,
+            store,
+            routes,
+        }))
+    }
+}
+
+/// The revision in force.
+impl Fleet {
+    pub(crate) fn get_routes(&self) -> Option<Arc<Routes>> {
+        self.routes.read().clone()
+    }
+
+    pub(crate) fn get_revision(&self) -> u64 {
+        self.revisions.lock().log.get_number()
+    }
+
+    pub(crate) fn get_in_force(&self) -> Option<InForce> {
+        let revisions = self.revisions.lock();
+        let record = revisions.log.get_current()?.clone();
+        Some(InForce {
+            record,
+            since_ms: revisions.since_ms,
+        })
+    }
+
+    /// Puts a revision in force if it is newer than the one in force.
+    pub(crate) fn adopt(&self, record: RevisionRecord, source: &str) -> Adoption {
+        let spec = match parse_fleet(&record.text) {
+            Ok(spec) => spec,
+            Err(report) => {
+                log::error!(
+                    "revision {} from {source} is faulty: {report}",
+                    record.number
+                );
+                return Adoption::Conflicting;
+            }
+        };
+        let event = EventKind::RevisionInForce {
+            revision: record.number,
+            author: record.author.clone(),
+            source: source.into(),
+        };
+        // The lock is held over both steps, so that routes never go back.
+        let mut revisions = self.revisions.lock();
+        let adoption = revisions.log.offer(record);
+        if adoption == Adoption::Adopted {
+            revisions.since_ms = wall_millis(&*self.clock);
+            self.apply(spec);
+            drop(revisions);
+            self.journal.record(event);
+            self.urgent.notify_one();
+        } else if adoption == Adoption::Conflicting {
+            log::error!("revision from {source} has a number that another submission holds");
+        }
+        adoption
+    }
+
+    fn apply(&self, spec: FleetSpec) {
+        let old = self.get_routes();
+        let services = spec
+            .services
+            .iter()
+            .map(|service| self.apply_service(old.as_deref(), service, spec.max_vms))
+            .collect();
+        retire_services(old.as_deref(), &spec);
+        self.apply_quarantine(&spec);
+        *self.routes.write() = Some(Arc::new(Routes { spec, services }));
+        self.share_live();
+        self.apply_notices();
+    }
+
+    fn apply_service(
+        &self,
+        old: Option<&Routes>,
+        spec: &gentianridge_core::ServiceSpec,
+        max_vms: u16,
+    ) -> Arc<ServiceHandle> {
+        let known = old.and_then(|routes| routes.services.iter().find(|s| s.name == spec.name));
+        if let Some(handle) = known {
+            handle.apply(spec.clone(), max_vms);
+            return handle.clone();
+        }
+        let seed = rand::rng().next_u64();
+        let handle = Arc::new(ServiceHandle::new(
+            spec.clone(),
+            max_vms,
+            seed,
+            self.clock.clone(),
+            self.journal.clone(),
+        ));
+        tokio::spawn(handle.clone().run_timer());
+        handle
+    }
+
+    fn apply_quarantine(&self, spec: &FleetSpec) {
+        let mut quarantine = self.quarantine.lock();
+        quarantine.set_period(spec.quarantine);
+        let lifted: Vec<QuarantineChange> = spec
+            .release
+            .iter()
+            .filter_map(|&fingerprint| quarantine.release(fingerprint))
+            .collect();
+        drop(quarantine);
+        self.record_quarantine(lifted);
+    }
+}
+
+/// The state of the fleet.
+impl Fleet {
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn start_stopping(&self) {
+        if !self.stopping.swap(true, Ordering::AcqRel) {
+            self.journal.record(EventKind::VmStopping);
+            self.urgent.notify_one();
+        }
+    }
+
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.get_revision() > 0
+    }
+
+    pub(crate) fn get_live(&self) -> Vec<VmName> {
+        self.membership.lock().get_live(self.clock.now())
+    }
+
+    /// Tells the services how many VMs share the work.
+    pub(crate) fn share_live(&self) {
+        let live = self.get_live();
+        let rank = live.binary_search(&self.me).unwrap_or(0);
+        let Some(routes) = self.get_routes() else {
+            return;
+        };
+        for service in &routes.services {
+            service.set_fleet(live.len() as u16, rank as u16);
+        }
+    }
+
+    /// Takes in what a target said about its leaving, directly or through a peer.
+    pub(crate) fn notice(&self, notice: &TargetNotice) {
+        let is_news = self.notices.lock().merge(notice.clone());
+        if !is_news {
+            return;
+        }
+        self.urgent.notify_one();
+        if let Some(service) = self.find_service(&notice.service) {
+            service.set_leaving(&notice.target, notice.is_leaving);
+        }
+    }
+
+    /// Puts known notices in force for services that came with a new revision.
+    fn apply_notices(&self) {
+        let notices = self.notices.lock().get_newest(usize::MAX);
+        for notice in notices.iter().filter(|notice| notice.is_leaving) {
+            if let Some(service) = self.find_service(&notice.service) {
+                service.set_leaving(&notice.target, true);
+            }
+        }
+    }
+
+    fn find_service(&self, name: &str) -> Option<Arc<ServiceHandle>> {
+        let routes = self.get_routes()?;
+        routes.services.iter().find(|s| s.name == name).cloned()
+    }
+
+    pub(crate) fn record_crash(&self, fingerprint: u64) {
+        let now = self.clock.now();
+        let change = self
+            .quarantine
+            .lock()
+            .record_crash(now, &self.me, fingerprint);
+        self.urgent.notify_one();
+        self.record_quarantine(change);
+    }
+
+    pub(crate) fn record_quarantine(&self, changes: impl IntoIterator<Item = QuarantineChange>) {
+        for change in changes {
+            let kind = match change {
+                QuarantineChange::Quarantined(fingerprint) => {
+                    EventKind::Quarantined { fingerprint }
+                }
+                QuarantineChange::Lifted(fingerprint) => {
+                    EventKind::QuarantineLifted { fingerprint }
+                }
+            };
+            self.journal.record(kind);
+        }
+    }
+}
+
+fn retire_services(old: Option<&Routes>, spec: &FleetSpec) {
+    let is_gone = |name: &str| spec.services.iter().all(|service| service.name != name);
+    for service in old.into_iter().flat_map(|routes| &routes.services) {
+        if is_gone(&service.name) {
+            service.retire();
+        }
+    }
+}
+
+/// Returns the wall time in milliseconds since the Unix epoch.
+pub(crate) fn wall_millis(clock: &dyn Clock) -> u64 {
+    clock
+        .wall()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/daemon/src/service/mod.rs
@@ -0,0 +1,11 @@
+//! Services of the daemon: the core's machine with its timers and connections.
+
+mod command;
+mod handle;
+mod links;
+mod prober;
+
+pub(crate) use command::Command;
+pub(crate) use handle::{CommandReceiver, ServiceHandle};
+pub(crate) use links::{Link, Links};
+pub(crate) use prober::run_prober;
--- /dev/null
+++ b/crates/daemon/src/store/gate.rs
@@ -0,0 +1,156 @@
+//! Operations of the store, counted and guarded.
+
+use crate::telemetry::{Journal, Metrics};
+use gentianridge_core::{Clock, EventKind, Version};
+use gentianridge_platform::{Member, Platform, Row, StoreError, StoreErrorKind, Written};
+use parking_lot::Mutex;
+use rand::RngExt;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Failures in a row after which the store counts as down.
+const MAX_FAILURES: u32 = 3;
+/// Shortest pause before the store is tried again.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// The platform's store as the tasks of a daemon use it.
+///
+/// While the store is down, operations fail at once, and one operation per
+/// pause finds out whether it is back. The jitter keeps the VMs of a fleet
+/// from coming back together.
+#[derive(Debug)]
+pub(crate) struct Store {
+    platform: Platform,
+    breaker: Mutex<Breaker>,
+    clock: Arc<dyn Clock>,
+    journal: Arc<Journal>,
+    metrics: Arc<Metrics>,
+}
+
+#[derive(Debug, Default)]
+struct Breaker {
+    failures: u32,
+    closed_until: Option<Instant>,
+}
+
+impl Store {
+    pub(crate) fn new(
+        platform: Platform,
+        clock: Arc<dyn Clock>,
+        journal: Arc<Journal>,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        Self {
+            platform,
+            breaker: Mutex::new(Breaker::default()),
+            clock,
+            journal,
+            metrics,
+        }
+    }
+
+    pub(crate) fn is_up(&self) -> bool {
+        self.breaker.lock().failures < MAX_FAILURES
+    }
+
+    pub(crate) async fn read(&self, table: &str, key: &str) -> Result<Option<Row>, StoreError> {
+        self.enter()?;
+        let result = self.platform.read(table, key).await;
+        self.leave("read", result)
+    }
+
+    pub(crate) async fn write(
+        &self,
+        table: &str,
+        key: &str,
+        write: Written,
+    ) -> Result<Version, StoreError> {
+        self.enter()?;
+        let result = self.platform.write(table, key, write).await;
+        self.leave("write", result)
+    }
+
+    pub(crate) async fn put_object(&self, name: &str, bytes: Vec<u8>) -> Result<(), StoreError> {
+        self.enter()?;
+        let result = self.platform.put_object(name, bytes).await;
+        self.leave("put-object", result)
+    }
+
+    pub(crate) async fn get_object(&self, name: &str) -> Result<Option<Vec<u8>>, StoreError> {
+        self.enter()?;
+        let result = self.platform.get_object(name).await;
+        self.leave("get-object", result)
+    }
+
+    pub(crate) async fn members(&self) -> Result<Vec<Member>, StoreError> {
+        self.enter()?;
+        let result = self.platform.members().await;
+        self.leave("members", result)
+    }
+
+    fn enter(&self) -> Result<(), StoreError> {
+        let now = self.clock.now();
+        let mut breaker = self.breaker.lock();
+        if breaker.failures < MAX_FAILURES {
+            return Ok(());
+        }
+        if breaker.closed_until.is_some_and(|until| now < until) {
+            return Err(StoreError::new(
+                StoreErrorKind::Refused,
+                "the store is down",
+            ));
+        }
+        breaker.closed_until = Some(now + jittered(PAUSE));
+        Ok(())
+    }
+
+    fn leave<T>(
+        &self,
+        operation: &'static str,
+        result: Result<T, StoreError>,
+    ) -> Result<T, StoreError> {
+        let kind = result.as_ref().err().map(StoreError::get_kind);
+        let (outcome, is_failure) = match kind {
+            None => ("ok", false),
+            Some(StoreErrorKind::Conflict) => ("conflict", false),
+            Some(StoreErrorKind::Malformed) => ("malformed", false),
+            Some(StoreErrorKind::Refused) => ("refused", true),
+            Some(StoreErrorKind::Open) => ("open", true),
+        };
+        self.metrics.record_store(operation, outcome);
+        if is_failure {
+            self.note_failure();
+        } else {
+            self.note_success();
+        }
+        result
+    }
+
+    fn note_failure(&self) {
+        let now = self.clock.now();
+        let mut breaker = self.breaker.lock();
+        breaker.failures = breaker.failures.saturating_add(1);
+        if breaker.failures == MAX_FAILURES {
+            breaker.closed_until = Some(now + jittered(PAUSE));
+            drop(breaker);
+            self.journal.record(EventKind::StoreDown);
+        }
+    }
+
+    fn note_success(&self) {
+        let was_down = {
+            let mut breaker = self.breaker.lock();
+            let was_down = breaker.failures >= MAX_FAILURES;
+            *breaker = Breaker::default();
+            was_down
+        };
+        if was_down {
+            self.journal.record(EventKind::StoreUp);
+        }
+    }
+}
+
+/// Returns a time between the given one and twice as much.
+pub(crate) fn jittered(time: Duration) -> Duration {
+    time.mul_f64(rand::rng().random_range(1.0..2.0))
+}
--- /dev/null
+++ b/crates/platform/src/client/mod.rs
@@ -0,0 +1,5 @@
+//! Client of the platform's HTTP interface.
+
+mod http;
+
+pub use http::HttpPlatform;
--- /dev/null
+++ b/crates/platform/src/error.rs
@@ -0,0 +1,49 @@
+//! Errors of the platform.
+
+/// What went wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreErrorKind {
+    /// The condition of a write did not hold.
+    Conflict,
+    /// The service refused the operation, which certainly took no effect.
+    Refused,
+    /// No answer came; the operation may have taken effect.
+    Open,
+    /// A row or object cannot be read as what it should be.
+    Malformed,
+}
+
+/// An error of the platform with its context.
+#[derive(Debug, Clone)]
+pub struct StoreError {
+    kind: StoreErrorKind,
+    context: String,
+}
+
+impl StoreError {
+    /// Creates an error.
+    pub fn new(kind: StoreErrorKind, context: impl Into<String>) -> Self {
+        Self {
+            kind,
+            context: context.into(),
+        }
+    }
+
+    /// Returns what went wrong.
+    pub fn get_kind(&self) -> StoreErrorKind {
+        self.kind
+    }
+
+    /// Returns true if the operation may have taken effect.
+    pub fn is_open(&self) -> bool {
+        self.kind == StoreErrorKind::Open
+    }
+}
+
+impl std::fmt::Display for StoreError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "platform ({:?}): {}", self.kind, self.context)
+    }
+}
+
+impl std::error::Error for StoreError {}
--- /dev/null
+++ b/crates/testkit/src/deployment/mod.rs
@@ -0,0 +1,5 @@
+//! The two deployments at their sizes of today.
+
+mod sizes;
+
+pub use sizes::{Deployment, DeploymentClass, DeploymentService};
--- /dev/null
+++ b/crates/testkit/src/fleet/mod.rs
@@ -0,0 +1,7 @@
+//! A whole fleet on loopback sockets.
+
+mod local;
+mod vm;
+
+pub use local::{FleetOptions, LocalFleet};
+pub use vm::LocalVm;
--- /dev/null
+++ b/crates/testkit/src/lib.rs
@@ -0,0 +1,16 @@
+//! Stand-ins for backend servers, the platform and callers.
+//!
+//! They speak the same HTTP as the real ones and can be slow, down or
+//! misleading on demand. Nothing of this crate is shipped.
+
+mod deployment;
+mod fleet;
+mod load;
+mod platform;
+mod target;
+
+pub use deployment::{Deployment, DeploymentClass, DeploymentService};
+pub use fleet::{FleetOptions, LocalFleet, LocalVm};
+pub use load::{CallPlan, CallResult, LoadReportTable, RunState, run_calls};
+pub use platform::{PlatformFaults, PlatformStandIn};
+pub use target::{Runs, ServiceTime, TargetFaults, TargetOptions, TargetStandIn};
--- /dev/null
+++ b/crates/testkit/src/load/report.rs
@@ -0,0 +1,144 @@
+//! Tables of what callers saw.
+
+use super::{CallResult, RunState};
+use hdrhistogram::Histogram;
+use std::fmt;
+
+/// Longest time that a histogram tells apart, in microseconds.
+const MAX_MICROS: u64 = 120_000_000;
+
+/// One line for each group of calls.
+#[derive(Debug)]
+pub struct LoadReportTable {
+    groups: Vec<Group>,
+}
+
+#[derive(Debug)]
+struct Group {
+    name: &'static str,
+    calls: u64,
+    answered: u64,
+    not_run: u64,
+    unknown: u64,
+    wrong: u64,
+    times: Histogram<u64>,
+    codes: Vec<(u16, u64)>,
+}
+
+impl LoadReportTable {
+    /// Counts the results by group.
+    pub fn new(results: &[CallResult]) -> Self {
+        let mut table = Self { groups: Vec::new() };
+        for result in results {
+            table.add(result);
+        }
+        table.groups.sort_by_key(|group| group.name);
+        table
+    }
+
+    /// Returns a quantile of the answer times of a group in milliseconds.
+    pub fn get_quantile(&self, group: &str, quantile: f64) -> Option<f64> {
+        let group = self.groups.iter().find(|g| g.name == group)?;
+        Some(group.times.value_at_quantile(quantile) as f64 / 1000.0)
+    }
+
+    /// Returns the share of calls of a group that were answered.
+    pub fn get_answered_share(&self, group: &str) -> Option<f64> {
+        let group = self.groups.iter().find(|g| g.name == group)?;
+        Some(group.answered as f64 / group.calls as f64)
+    }
+
+    /// Returns the number of answers that were cut or belong to another call.
+    pub fn count_wrong(&self) -> u64 {
+        self.groups.iter().map(|group| group.wrong).sum()
+    }
+
+    fn add(&mut self, result: &CallResult) {
+        let index = match self.groups.iter().position(|g| g.name == result.group) {
+            Some(index) => index,
+            None => {
+                self.groups.push(Group::new(result.group));
+                self.groups.len() - 1
+            }
+        };
+        self.groups[index].add(result);
+    }
+}
+
+impl Group {
+    fn new(name: &'static str) -> Self {
+        let times = Histogram::new_with_max(MAX_MICROS, 3)
+            .expect("constant bounds are valid for a histogram");
+        Self {
+            name,
+            calls: 0,
+            answered: 0,
+            not_run: 0,
+            unknown: 0,
+            wrong: 0,
+            times,
+            codes: Vec::new(),
+        }
+    }
+
+    fn add(&mut self, result: &CallResult) {
+        self.calls += 1;
+        match result.run {
+            RunState::Answered => {
+                self.answered += 1;
+                self.times
+                    .saturating_record(result.elapsed.as_micros() as u64);
+            }
+            RunState::NotRun => self.not_run += 1,
+            RunState::Unknown => self.unknown += 1,
+            RunState::Wrong => self.wrong += 1,
+        }
+        if let Some(code) = result.code {
+            match self.codes.binary_search_by_key(&code, |(known, _)| *known) {
+                Ok(index) => self.codes[index].1 += 1,
+                Err(index) => self.codes.insert(index, (code, 1)),
+            }
+        }
+    }
+}
+
+impl fmt::Display for LoadReportTable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{:<12} {:>7} {:>8} {:>8} {:>8} {:>6} {:>9} {:>9} {:>9}  refused by code",
+            "class",
+            "calls",
+            "answered",
+            "not-run",
+            "unknown",
+            "wrong",
+            "p50 ms",
+            "p99 ms",
+            "p99.9 ms"
+        )?;
+        for group in &self.groups {
+            let at = |quantile| group.times.value_at_quantile(quantile) as f64 / 1000.0;
+            let codes: Vec<String> = group
+                .codes
+                .iter()
+                .map(|(code, count)| format!("{code}: {count}"))
+                .collect();
+            writeln!(
+                f,
+                "{:<12} {:>7} {:>8} {:>8} {:>8} {:>6} {:>9.2} {:>9.2} {:>9.2}  {}",
+                group.name,
+                group.calls,
+                group.answered,
+                group.not_run,
+                group.unknown,
+                group.wrong,
+                at(0.5),
+                at(0.99),
+                at(0.999),
+                codes.join(", ")
+            )?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/load/runner.rs
@@ -0,0 +1,97 @@
+//! Making calls at their times, whether or not earlier ones are answered.
+
+use super::{CallPlan, CallResult, RunState};
+use reqwest::{Client, Method, Response};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+use tokio::sync::Semaphore;
+use tokio::task::JoinSet;
+
+/// Longest time that a caller waits.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// Most calls open at the same time, which bounds the load.
+const MAX_OPEN: usize = 4096;
+
+/// Makes the calls of a plan, spread over the addresses as a balancer does.
+///
+/// The plan is open-loop: a slow answer does not delay later calls.
+pub async fn run_calls(plan: Vec<CallPlan>, addrs: Arc<Vec<SocketAddr>>) -> Vec<CallResult> {
+    let client = Client::builder()
+        .timeout(PATIENCE)
+        .tcp_nodelay(true)
+        .no_proxy()
+        .retry(reqwest::retry::never())
+        .build()
+        .unwrap_or_default();
+    let started = Instant::now();
+    let turn = AtomicUsize::new(0);
+    let open = Arc::new(Semaphore::new(MAX_OPEN));
+    let mut calls = JoinSet::new();
+    for call in plan {
+        tokio::time::sleep_until((started + call.at).into()).await;
+        let addr = addrs[turn.fetch_add(1, Ordering::Relaxed) % addrs.len()];
+        let client = client.clone();
+        let permit = open.clone().acquire_owned().await;
+        calls.spawn(async move {
+            let result = make_call(&client, addr, call).await;
+            drop(permit);
+            result
+        });
+    }
+    calls.join_all().await
+}
+
+async fn make_call(client: &Client, addr: SocketAddr, call: CallPlan) -> CallResult {
+    let url = format!("http://{addr}{}", call.path);
+    let method = Method::from_bytes(call.method.as_bytes()).unwrap_or(Method::GET);
+    let mut request = client.request(method, url);
+    if let Some(key) = &call.key {
+        request = request.header("idempotency-key", key);
+    }
+    if let Some(body) = &call.body {
+        request = request.body(body.clone());
+    }
+    let started = Instant::now();
+    let sent = request.send().await;
+    let mut result = CallResult {
+        group: call.group,
+        path: call.path,
+        key: call.key,
+        at: call.at,
+        elapsed: Duration::ZERO,
+        status: 0,
+        code: None,
+        run: RunState::Unknown,
+        vm: None,
+    };
+    if let Ok(response) = sent {
+        read_response(response, &mut result).await;
+    }
+    result.elapsed = started.elapsed();
+    result
+}
+
+async fn read_response(response: Response, result: &mut CallResult) {
+    result.status = response.status().as_u16();
+    result.code = text_of(&response, "gentianridge-code").and_then(|text| text.parse().ok());
+    result.vm = text_of(&response, "gentianridge-vm");
+    let run = text_of(&response, "gentianridge-run");
+    let is_success = response.status().is_success();
+    let Ok(body) = response.bytes().await else {
+        return;
+    };
+    result.run = match run.as_deref() {
+        Some("not-run") => RunState::NotRun,
+        Some(_) => RunState::Unknown,
+        None if !is_success => RunState::Unknown,
+        None if body.starts_with(result.path.as_bytes()) => RunState::Answered,
+        None => RunState::Wrong,
+    };
+}
+
+fn text_of(response: &Response, name: &str) -> Option<String> {
+    let value = response.headers().get(name)?;
+    value.to_str().ok().map(ToOwned::to_owned)
+}
--- /dev/null
+++ b/crates/testkit/src/platform/mod.rs
@@ -0,0 +1,7 @@
+//! Stand-in for the platform's services.
+
+mod faults;
+mod server;
+
+pub use faults::PlatformFaults;
+pub use server::PlatformStandIn;
--- /dev/null
+++ b/crates/testkit/src/platform/server.rs
@@ -0,0 +1,211 @@
+//! The HTTP server of the platform's stand-in.
+
+use super::PlatformFaults;
+use super::faults::Fate;
+use gentianridge_core::Version;
+use gentianridge_platform::{Condition, Member, MemoryPlatform, Row, Written};
+use parking_lot::Mutex;
+use poem::http::{HeaderMap, HeaderValue, Method, StatusCode};
+use poem::listener::TcpAcceptor;
+use poem::{Body, Endpoint, Request, Response, Server};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+/// The platform on a loopback socket.
+#[derive(Debug)]
+pub struct PlatformStandIn {
+    shared: Arc<Shared>,
+    addr: SocketAddr,
+    server: JoinHandle<()>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    store: MemoryPlatform,
+    members: Mutex<Vec<Member>>,
+    faults: PlatformFaults,
+    writes: AtomicU64,
+    reads: AtomicU64,
+}
+
+impl PlatformStandIn {
+    /// Starts the platform on a free port of the loopback address.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no socket can be bound.
+    pub async fn start(seed: u64) -> io::Result<Self> {
+        let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        let addr = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            store: MemoryPlatform::new(),
+            members: Mutex::new(Vec::new()),
+            faults: PlatformFaults::new(seed),
+            writes: AtomicU64::new(0),
+            reads: AtomicU64::new(0),
+        });
+        let acceptor = TcpAcceptor::from_tokio(listener)?;
+        let endpoint = PlatformEndpoint {
+            shared: shared.clone(),
+        };
+        let server = tokio::spawn(async move {
+            // The server runs until the task is aborted.
+            let _ = Server::new_with_acceptor(acceptor).run(endpoint).await;
+        });
+        Ok(Self {
+            shared,
+            addr,
+            server,
+        })
+    }
+
+    /// Returns the address.
+    pub fn get_addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Returns the switches of the faults.
+    pub fn get_faults(&self) -> &PlatformFaults {
+        &self.shared.faults
+    }
+
+    /// Returns the contents behind the service.
+    pub fn get_store(&self) -> &MemoryPlatform {
+        &self.shared.store
+    }
+
+    /// Sets the list of VMs, which the real platform updates late.
+    pub fn set_members(&self, members: Vec<Member>) {
+        *self.shared.members.lock() = members;
+    }
+
+    /// Returns the number of writes asked for.
+    pub fn count_writes(&self) -> u64 {
+        self.shared.writes.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of reads asked for.
+    pub fn count_reads(&self) -> u64 {
+        self.shared.reads.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for PlatformStandIn {
+    fn drop(&mut self) {
+        self.server.abort();
+    }
+}
+
+struct PlatformEndpoint {
+    shared: Arc<Shared>,
+}
+
+impl Endpoint for PlatformEndpoint {
+    type Output = Response;
+
+    async fn call(&self, mut request: Request) -> poem::Result<Response> {
+        let is_write = request.method() == Method::PUT;
+        let counter = if is_write {
+            &self.shared.writes
+        } else {
+            &self.shared.reads
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
+        let body = request.take_body().into_bytes().await.unwrap_or_default();
+        match self.shared.faults.judge(is_write) {
+            Fate::Refused => return Ok(status(StatusCode::SERVICE_UNAVAILABLE)),
+            Fate::Silent => std::future::pending::<()>().await,
+            Fate::Lost => {
+                self.shared.perform(&request, body.to_vec());
+                // Longer than any client waits, and bounded.
+                tokio::time::sleep(Duration::from_secs(30)).await;
+            }
+            Fate::Answered(latency) => tokio::time::sleep(latency).await,
+        }
+        Ok(self.shared.perform(&request, body.to_vec()))
+    }
+}
+
+impl Shared {
+    fn perform(&self, request: &Request, body: Vec<u8>) -> Response {
+        let path = request.uri().path();
+        let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+        match (request.method(), parts.as_slice()) {
+            (&Method::GET, ["tables", table, key]) => row_response(self.store.read(table, key)),
+            (&Method::PUT, ["tables", table, key]) => {
+                self.write(table, key, request.headers(), body)
+            }
+            (&Method::GET, ["objects", name]) => object_response(self.store.get_object(name)),
+            (&Method::PUT, ["objects", name]) => {
+                self.store.put_object(name, body);
+                status(StatusCode::OK)
+            }
+            (&Method::GET, ["members"]) => self.list_members(),
+            _ => status(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn write(&self, table: &str, key: &str, headers: &HeaderMap, value: Vec<u8>) -> Response {
+        let keep = number_of(headers, "x-keep-seconds").map(Duration::from_secs);
+        let condition = if headers.contains_key("if-none-match") {
+            Condition::Absent
+        } else {
+            number_of(headers, "if-match")
+                .map_or(Condition::Always, |v| Condition::Matches(Version(v)))
+        };
+        match self.store.write(
+            table,
+            key,
+            Written {
+                condition,
+                value,
+                keep,
+            },
+        ) {
+            Ok(version) => versioned(status(StatusCode::OK), version),
+            Err(_) => status(StatusCode::PRECONDITION_FAILED),
+        }
+    }
+
+    fn list_members(&self) -> Response {
+        let members = self.members.lock().clone();
+        match Body::from_json(&members) {
+            Ok(body) => Response::builder().body(body),
+            Err(_) => status(StatusCode::INTERNAL_SERVER_ERROR),
+        }
+    }
+}
+
+fn row_response(row: Option<Row>) -> Response {
+    match row {
+        Some(row) => versioned(Response::builder().body(row.value), row.version),
+        None => status(StatusCode::NOT_FOUND),
+    }
+}
+
+fn object_response(object: Option<Vec<u8>>) -> Response {
+    match object {
+        Some(bytes) => Response::builder().body(bytes),
+        None => status(StatusCode::NOT_FOUND),
+    }
+}
+
+fn versioned(mut response: Response, version: Version) -> Response {
+    response
+        .headers_mut()
+        .insert("etag", HeaderValue::from(version.0));
+    response
+}
+
+fn status(code: StatusCode) -> Response {
+    Response::builder().status(code).finish()
+}
+
+fn number_of(headers: &HeaderMap, name: &str) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
--- /dev/null
+++ b/crates/testkit/src/target/mod.rs
@@ -0,0 +1,12 @@
+//! Stand-in for a backend server.
+
+mod faults;
+mod gate;
+mod runs;
+mod server;
+mod time;
+
+pub use faults::TargetFaults;
+pub use runs::Runs;
+pub use server::{TargetOptions, TargetStandIn};
+pub use time::ServiceTime;
--- /dev/null
+++ b/crates/testkit/src/target/runs.rs
@@ -0,0 +1,67 @@
+//! What a stand-in has run.
+
+use parking_lot::Mutex;
+use std::time::Instant;
+
+/// One request that was started on a target.
+#[derive(Debug, Clone)]
+struct Run {
+    key: String,
+    at: Instant,
+}
+
+/// Every keyed request that the targets of a service have started.
+///
+/// Shared by the targets of a service, so that a test can count how often a
+/// confirmation has run anywhere.
+#[derive(Debug, Default)]
+pub struct Runs {
+    runs: Mutex<Vec<Run>>,
+}
+
+impl Runs {
+    /// Creates an empty list.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    pub(super) fn add(&self, key: String) {
+        self.runs.lock().push(Run {
+            key,
+            at: Instant::now(),
+        });
+    }
+
+    /// Returns how often the key was started.
+    pub fn count(&self, key: &str) -> usize {
+        self.runs.lock().iter().filter(|run| run.key == key).count()
+    }
+
+    /// Returns the number of keys that were started more than once.
+    pub fn count_doubled(&self) -> usize {
+        let mut keys: Vec<String> = self.runs.lock().iter().map(|run| run.key.clone()).collect();
+        keys.sort();
+        let mut doubled: Vec<&String> = keys
+            .windows(2)
+            .filter(|pair| pair[0] == pair[1])
+            .map(|pair| &pair[0])
+            .collect();
+        doubled.dedup();
+        doubled.len()
+    }
+
+    /// Returns the number of starts.
+    pub fn len(&self) -> usize {
+        self.runs.lock().len()
+    }
+
+    /// Returns true if nothing was started.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Returns the time of the last start.
+    pub fn get_last(&self) -> Option<Instant> {
+        self.runs.lock().iter().map(|run| run.at).max()
+    }
+}
