--- a/crates/core/src/service/ejection.rs
+++ b/crates/core/src/service/ejection.rs
@@ -35,7 +35,8 @@
     state: State,
     failures: u16,
     slowness: f32,
-    samples: u16,
+    slowness_at: Option<Instant>,
+    lateness: f32,
     step: u32,
     trial_answers: u16,
     returned_at: Option<Instant>,
@@ -43,11 +44,16 @@
 
 impl Health {
     const MAX_FAILURES: u16 = 3;
-    const SLOW_RATIO: f32 = 3.0;
-    const SLOW_SAMPLES: u16 = 4;
-    /// Cap on one sample, so that one straggler does not eject a target.
-    const MAX_SAMPLE_RATIO: f32 = 6.0;
+    /// Cap on one sample, so that one straggler does not mark a target as slow.
+    const MAX_SAMPLE_RATIO: f32 = 3.0;
     const SAMPLE_WEIGHT: f32 = 0.2;
+    /// Time within which an old slowness is half forgotten.
+    const FADE: Duration = Duration::from_secs(1);
+    const LATE_WEIGHT: f32 = 0.25;
+    /// Reached by five late attempts in a row, which one in twenty is by chance.
+    const MAX_LATENESS: f32 = 0.76;
+    /// Multiple of the usual time above which a trial has failed.
+    const TRIAL_RATIO: f32 = 3.0;
     const BASE_EJECTION: Duration = Duration::from_secs(1);
     const MAX_STEP: u32 = 5;
     const TRIAL_ANSWERS: u16 = 2;
@@ -59,7 +65,8 @@
             state: State::Active,
             failures: 0,
             slowness: 1.0,
-            samples: 0,
+            slowness_at: None,
+            lateness: 0.0,
             step: 0,
             trial_answers: 0,
             returned_at: None,
@@ -74,8 +81,13 @@
         matches!(self.state, State::Ejected { until } if until <= now)
     }
 
-    pub(crate) fn get_slowness(&self) -> f32 {
-        self.slowness
+    /// Returns the recent answer times as a ratio to the usual ones.
+    pub(crate) fn get_slowness(&self, now: Instant) -> f32 {
+        let Some(at) = self.slowness_at else {
+            return 1.0;
+        };
+        let age = now.saturating_duration_since(at).as_secs_f32();
+        1.0 + (self.slowness - 1.0) / (1.0 + age / Self::FADE.as_secs_f32())
     }
 
     pub(crate) fn start_trial(&mut self) {
@@ -83,10 +95,17 @@
     }
 
     /// Takes in one answer time as a ratio to the class's usual time.
-    pub(crate) fn record_time(&mut self, ratio: f32) {
+    pub(crate) fn record_time(&mut self, now: Instant, ratio: f32) {
         let sample = ratio.min(Self::MAX_SAMPLE_RATIO);
+        self.slowness = self.get_slowness(now);
         self.slowness += Self::SAMPLE_WEIGHT * (sample - self.slowness);
-        self.samples = self.samples.saturating_add(1);
+        self.slowness_at = Some(now);
+    }
+
+    /// Takes in whether an attempt was answered within the class's high time.
+    pub(crate) fn record_lateness(&mut self, is_late: bool) {
+        let sample = f32::from(u8::from(is_late));
+        self.lateness += Self::LATE_WEIGHT * (sample - self.lateness);
     }
 
     /// Takes in a good answer; returns true if an ejected target came back.
@@ -95,7 +114,7 @@
         if self.is_active() {
             return false;
         }
-        if ratio > Self::SLOW_RATIO {
+        if ratio > Self::TRIAL_RATIO {
             self.extend(now);
             return false;
         }
@@ -106,7 +125,7 @@
         }
         self.state = State::Active;
         self.slowness = 1.0;
-        self.samples = 0;
+        self.lateness = 0.0;
         self.returned_at = Some(now);
         true
     }
@@ -123,7 +142,7 @@
 
     /// Says whether the answer times alone call for an ejection.
     pub(crate) fn judge_times(&self) -> Option<EjectCause> {
-        let is_slow = self.samples >= Self::SLOW_SAMPLES && self.slowness > Self::SLOW_RATIO;
+        let is_slow = self.lateness > Self::MAX_LATENESS;
         (self.is_active() && is_slow).then_some(EjectCause::Slow)
     }
 
--- a/crates/core/src/service/machine.rs
+++ b/crates/core/src/service/machine.rs
@@ -2,6 +2,7 @@
 
 use super::budget::Budget;
 use super::class::{Class, HedgeCheck, Waiting};
+use super::demand::ShortDemand;
 use super::long_slots::{LongRoom, deal, reserve_of};
 use super::records::{Attempt, Call, CallState};
 use super::target::Target;
@@ -59,6 +60,8 @@
     pub(super) vms: u16,
     pub(super) rank: u16,
     pub(super) own_total: u32,
+    pub(super) own_short: u32,
+    pub(super) short_demand: ShortDemand,
     pub(super) reserved_seen: Option<Instant>,
 }
 
@@ -82,6 +85,8 @@
             vms: 1,
             rank: 0,
             own_total: 0,
+            own_short: 0,
+            short_demand: ShortDemand::new(),
             reserved_seen: None,
             spec,
         };
@@ -191,8 +196,9 @@
         self.pump(now, out);
     }
 
-    fn deal_long_slots(&mut self) {
-        let reserve = self.classes.iter().map(|c| c.spec.reserve).sum::<u16>();
+    pub(super) fn deal_long_slots(&mut self) {
+        let declared = self.classes.iter().map(|c| c.spec.reserve).sum::<u16>();
+        let reserve = declared.max(self.short_demand.get_slots(self.vms));
         let total: u32 = self
             .targets
             .iter()
@@ -251,7 +257,7 @@
             return Some(ResultCode::QueueFull);
         }
         let wait = self.estimate_wait(class);
-        let finish = now + wait + class.usual.get_median();
+        let finish = now + wait + class.usual.get_high();
         (finish > arrival.deadline).then_some(ResultCode::DeadlineUnreachable)
     }
 
@@ -334,7 +340,7 @@
 
     fn expire(&mut self, now: Instant, out: &mut Vec<Output>) {
         for index in 0..self.classes.len() {
-            let margin = self.classes[index].usual.get_median();
+            let margin = self.classes[index].usual.get_high();
             while let Some(front) = self.classes[index].front() {
                 if front.deadline > now + margin {
                     break;
@@ -372,11 +378,18 @@
     /// Dispatches waiting calls for as long as there is room.
     pub(super) fn pump(&mut self, now: Instant, out: &mut Vec<Output>) {
         self.expire(now, out);
+        if self.short_demand.observe(now, self.own_short) {
+            self.deal_long_slots();
+        }
         while let Some(index) = self.find_next_class(false) {
             if !self.dispatch_front(now, index, out) {
                 break;
             }
         }
+        // Background work gives way as long as short work waits.
+        if self.find_next_class(false).is_some() {
+            return;
+        }
         while let Some(index) = self.find_next_class(true) {
             if !self.dispatch_front(now, index, out) {
                 break;
@@ -427,7 +440,7 @@
             is_long,
         });
         self.calls[key].start(attempt, target);
-        self.occupy(target, is_long);
+        self.occupy(target, attempt, is_long);
         self.count_start(kind);
         if kind == AttemptKind::Trial {
             self.targets[target.get_index()].health.start_trial();
@@ -461,11 +474,10 @@
         }
     }
 
-    fn occupy(&mut self, target: TargetKey, is_long: bool) {
-        let target = &mut self.targets[target.get_index()];
-        target.own += 1;
-        target.own_long += u16::from(is_long);
+    fn occupy(&mut self, target: TargetKey, attempt: AttemptKey, is_long: bool) {
+        self.targets[target.get_index()].occupy(attempt, is_long);
         self.own_total += 1;
+        self.own_short += u32::from(!is_long);
     }
 
     fn next_hedge(&self, class: &Class) -> Option<Instant> {
@@ -530,7 +542,9 @@
             return;
         }
         let ratio = ratio_of(now.saturating_duration_since(started), usual.get_median());
-        self.targets[target.get_index()].health.record_time(ratio);
+        let health = &mut self.targets[target.get_index()].health;
+        health.record_time(now, ratio);
+        health.record_lateness(true);
         self.eject_if_slow(now, target, out);
     }
 }
@@ -573,13 +587,18 @@
         let usual = &mut self.classes[attempt.class.get_index()].usual;
         let ratio = ratio_of(elapsed, usual.get_median());
         let is_known = usual.is_known();
+        let is_late = elapsed >= usual.get_high();
         usual.record_answer(elapsed);
         if kind == AttemptKind::Hedge {
             self.counters.hedge_wins += 1;
         }
         let state = &mut self.targets[target.get_index()];
         if is_known {
-            state.health.record_time(ratio);
+            state.health.record_time(now, ratio);
+        }
+        if is_known && !is_late {
+            // A late attempt was counted when its high time had passed.
+            state.health.record_lateness(false);
         }
         state.limit.on_answer(now, state.own, ratio);
         if state.health.record_success(now, ratio) {
@@ -761,10 +780,9 @@
     /// Frees the slot of an attempt.
     fn release(&mut self, key: AttemptKey) -> Option<Attempt> {
         let attempt = self.attempts.remove(key)?;
-        let target = &mut self.targets[attempt.target.get_index()];
-        target.own -= 1;
-        target.own_long -= u16::from(attempt.is_long);
+        self.targets[attempt.target.get_index()].release(key, attempt.is_long);
         self.own_total -= 1;
+        self.own_short -= u32::from(!attempt.is_long);
         if let Some(call) = self.calls.get_mut(attempt.call) {
             call.stop(key);
         }
@@ -783,16 +801,23 @@
 /// Inputs about targets.
 impl Service {
     /// Takes in what a target says about itself.
+    ///
+    /// `attempt` is the one whose answer carried the report, none for a probe.
+    /// It has to be given before the attempt ends.
     pub fn report(
         &mut self,
         now: Instant,
         key: TargetKey,
+        attempt: Option<AttemptKey>,
         report: LoadReport,
         out: &mut Vec<Output>,
     ) {
         let Some(target) = self.targets.get_mut(key.get_index()) else {
             return;
         };
+        if let Some(attempt) = attempt {
+            target.weigh_report(report, attempt);
+        }
         target.take_report(now, report);
         if target.is_leaving != report.is_leaving {
             self.set_leaving(now, key, report.is_leaving, out);
@@ -1003,7 +1028,7 @@
         own: target.own,
         occupancy: target.get_occupancy(now, hold, fallback),
         slots: target.get_slots(now),
-        slowness: target.health.get_slowness(),
+        slowness: target.health.get_slowness(now),
         report_age_ms: target.get_report_age(now).map(|age| age.as_millis() as u64),
         reason: note.map(|note| note.reason.clone()),
         author: note.and_then(|note| note.author.clone()),
--- a/crates/core/src/service/mod.rs
+++ b/crates/core/src/service/mod.rs
@@ -6,6 +6,7 @@
 mod budget;
 mod class;
 mod counters;
+mod demand;
 mod ejection;
 mod input;
 mod key;
--- a/crates/core/src/service/pick.rs
+++ b/crates/core/src/service/pick.rs
@@ -36,16 +36,26 @@
     hold: Duration,
     fallback: f32,
     ignores_ejection: bool,
+    slowness: f32,
 }
 
 impl Service {
     /// Slack by which the believed occupancy may exceed the slots for a VM
     /// that is below its fair share.
     const SHARE_SLACK: f32 = 1.0;
+    /// Multiple of the fair share that a VM may have in flight.
+    ///
+    /// A slot would otherwise be idle while the news that it is free and the
+    /// next request travel.
+    const SHARE_FACTOR: f32 = 1.8;
     /// Fraction of a slot that has to be believed free.
     const FREE_FRACTION: f32 = 0.5;
     /// Weight of the share of slots taken, against herding on equal targets.
     const LOAD_WEIGHT: f32 = 0.3;
+    /// Sum of credits below which no report is used.
+    const MIN_CREDIT: f32 = 0.5;
+    /// Slowness above the service's mean from which a target counts as full.
+    const FULL_SLOWNESS: f32 = 1.6;
     /// Span of the random part of a score, which parts VMs with equal views.
     const JITTER: f32 = 0.1;
     /// Time without short work after which reserved room is lent.
@@ -77,7 +87,8 @@
         if let Some(target) = self.scan(now, key, Room::Free) {
             return Some(target);
         }
-        if self.own_total >= self.get_fair_share() {
+        let limit = self.get_fair_share() as f32 * Self::SHARE_FACTOR;
+        if self.own_total as f32 >= limit {
             return None;
         }
         self.scan(now, key, Room::Share)
@@ -123,13 +134,21 @@
     }
 
     /// Mean requests of other VMs on a target, for targets that say nothing.
+    ///
+    /// Targets whose reports are trusted decide; without any, the other VMs
+    /// are taken to use their fair share of an average target.
     pub(super) fn get_mean_others(&self) -> f32 {
-        let (mut sum, mut count) = (0.0, 0.0);
+        let (mut sum, mut weight) = (0.0, 0.0);
         for target in self.targets.iter().filter(|t| t.is_usable()) {
-            sum += target.get_others_mean();
-            count += 1.0;
+            let (mean, credit) = target.get_others();
+            sum += mean * credit * credit;
+            weight += credit * credit;
+        }
+        if weight < Self::MIN_CREDIT {
+            0.0
+        } else {
+            sum / weight
         }
-        if count == 0.0 { 0.0 } else { sum / count }
     }
 
     /// Mean hold time of the short classes, the time within which reports fade.
@@ -173,6 +192,7 @@
             hold: self.get_hold(),
             fallback: self.get_mean_others(),
             ignores_ejection: !self.has_healthy_half(),
+            slowness: self.get_mean_slowness(now),
         };
         let jitter = self.rng.next_u32();
         let call = &self.calls[key];
@@ -192,6 +212,19 @@
         best.map(|(_, index)| TargetKey(index as u16))
     }
 
+    fn get_mean_slowness(&self, now: Instant) -> f32 {
+        let (mut sum, mut count) = (0.0, 0.0);
+        for target in self
+            .targets
+            .iter()
+            .filter(|t| t.is_usable() && t.health.is_active())
+        {
+            sum += target.health.get_slowness(now);
+            count += 1.0;
+        }
+        if count == 0.0 { 1.0 } else { sum / count }
+    }
+
     /// Below half of the targets in health, ejection would only add load.
     fn has_healthy_half(&self) -> bool {
         let (mut total, mut active) = (0, 0);
@@ -210,12 +243,16 @@
             return None;
         }
         let slots = target.get_slots(self.now);
-        let occupancy = target.get_occupancy(self.now, self.hold, self.fallback);
+        let slowness = (target.health.get_slowness(self.now) / self.slowness).max(1.0);
+        let mut occupancy = target.get_occupancy(self.now, self.hold, self.fallback);
+        if slowness > Service::FULL_SLOWNESS {
+            // Answer times are believed before reports.
+            occupancy = occupancy.max(slots * (slowness - 0.5));
+        }
         if !has_room(target, room, slots, occupancy) {
             return None;
         }
         let excess = (occupancy + 1.0 - slots).max(0.0) / slots;
-        let slowness = target.health.get_slowness().max(1.0);
         Some(slowness * (1.0 + excess) + Service::LOAD_WEIGHT * occupancy / slots)
     }
 }
--- a/crates/core/src/service/target.rs
+++ b/crates/core/src/service/target.rs
@@ -1,8 +1,8 @@
 //! State of one target as one VM sees it.
 
-use super::LoadReport;
 use super::ejection::Health;
 use super::limit::Limit;
+use super::{AttemptKey, LoadReport};
 use crate::TargetSpec;
 use std::time::{Duration, Instant};
 
@@ -25,6 +25,8 @@
     /// Time from which the target is warmed up with a rising share of work.
     warming_since: Option<Instant>,
     others: OthersView,
+    /// Attempts of this VM in flight in the order of their start.
+    running: Vec<AttemptKey>,
 }
 
 impl Target {
@@ -43,10 +45,36 @@
             is_removed: false,
             warming_since,
             others: OthersView::new(),
+            running: Vec::new(),
             spec,
         }
     }
 
+    pub(crate) fn occupy(&mut self, attempt: AttemptKey, is_long: bool) {
+        self.own += 1;
+        self.own_long += u16::from(is_long);
+        self.running.push(attempt);
+    }
+
+    pub(crate) fn release(&mut self, attempt: AttemptKey, is_long: bool) {
+        debug_assert!(self.own > 0, "an attempt was released twice");
+        self.own -= 1;
+        self.own_long -= u16::from(is_long);
+        self.running.retain(|other| *other != attempt);
+    }
+
+    /// Compares a report with what this VM knows for certain.
+    ///
+    /// When an answer comes, every attempt that this VM started earlier on the
+    /// target and that has no answer is still held there. A report below that
+    /// number is old or wrong.
+    pub(crate) fn weigh_report(&mut self, report: LoadReport, attempt: AttemptKey) {
+        let earlier = self.running.iter().position(|other| *other == attempt);
+        if let Some(earlier) = earlier {
+            self.others.weigh(report.in_flight, earlier as u16 + 1);
+        }
+    }
+
     pub(crate) fn start_warming(&mut self, now: Instant) {
         self.warming_since = Some(now);
     }
@@ -67,8 +95,9 @@
         f32::from(self.own) + self.others.estimate(now, hold, fallback)
     }
 
-    pub(crate) fn get_others_mean(&self) -> f32 {
-        self.others.mean
+    /// Mean requests of other VMs and how far the reports are trusted.
+    pub(crate) fn get_others(&self) -> (f32, f32) {
+        (self.others.mean, self.others.credit)
     }
 
     pub(crate) fn get_report_age(&self, now: Instant) -> Option<Duration> {
@@ -107,8 +136,8 @@
 
 impl OthersView {
     const MEAN_WEIGHT: f32 = 0.1;
-    const CREDIT_LOSS: f32 = 0.7;
-    const CREDIT_GAIN: f32 = 0.02;
+    const CREDIT_LOSS: f32 = 0.5;
+    const CREDIT_GAIN: f32 = 0.002;
 
     fn new() -> Self {
         Self {
@@ -120,15 +149,13 @@
     }
 
     fn take(&mut self, now: Instant, in_flight: u16, own: u16) {
-        self.weigh(in_flight, own);
         self.last = f32::from(in_flight.saturating_sub(own));
         self.mean += Self::MEAN_WEIGHT * (self.last - self.mean);
         self.at = Some(now);
     }
 
-    /// A report below half of what this VM alone has in flight is wrong.
-    fn weigh(&mut self, in_flight: u16, own: u16) {
-        if own >= 2 && in_flight * 2 <= own {
+    fn weigh(&mut self, reported: u16, certain: u16) {
+        if reported < certain {
             self.credit *= Self::CREDIT_LOSS;
         } else {
             self.credit = (self.credit + Self::CREDIT_GAIN).min(1.0);
@@ -143,6 +170,6 @@
         let age = now.saturating_duration_since(at).as_secs_f32();
         let weight = 1.0 / (1.0 + age / hold.as_secs_f32());
         let reported = self.mean + (self.last - self.mean) * weight;
-        self.credit * reported + (1.0 - self.credit) * fallback.max(reported)
+        self.credit * reported + (1.0 - self.credit) * fallback
     }
 }
--- a/crates/daemon/src/caller/call.rs
+++ b/crates/daemon/src/caller/call.rs
@@ -175,7 +175,7 @@
                 return;
             }
         };
-        self.take_report(end.target, response.headers());
+        self.take_report(end.target, end.attempt, response.headers());
         if headers::is_not_run(response.headers()) {
             trace.end(now, end.index, Outcome::Shed.as_str());
             self.cx.service.failed(end.attempt, Outcome::Shed);
@@ -193,9 +193,9 @@
             .answered(end.attempt, is_error, is_retried_below);
     }
 
-    fn take_report(&self, target: TargetKey, headers: &HeaderMap) {
+    fn take_report(&self, target: TargetKey, attempt: AttemptKey, headers: &HeaderMap) {
         if let Some(report) = read_report(headers) {
-            note_report(&self.cx, target, report);
+            note_report(&self.cx, target, attempt, report);
         }
     }
 
@@ -238,7 +238,7 @@
 }
 
 /// Tells the service, and the fleet if the target's word on leaving changed.
-fn note_report(cx: &CallContext, target: TargetKey, report: LoadReport) {
+fn note_report(cx: &CallContext, target: TargetKey, attempt: AttemptKey, report: LoadReport) {
     let changed = cx.service.read(|machine, _| {
         let is_change = machine.is_leaving(target) != report.is_leaving;
         let name = machine.get_target(target).map(|t| t.name.clone());
@@ -252,5 +252,5 @@
             at: cx.fleet.journal.tick(),
         });
     }
-    cx.service.report(target, report);
+    cx.service.report(target, Some(attempt), report);
 }
--- a/crates/daemon/src/service/handle.rs
+++ b/crates/daemon/src/service/handle.rs
@@ -121,8 +121,13 @@
         self.with(|machine, now, out| machine.finished(now, attempt, out));
     }
 
-    pub(crate) fn report(&self, target: TargetKey, report: LoadReport) {
-        self.with(|machine, now, out| machine.report(now, target, report, out));
+    pub(crate) fn report(
+        &self,
+        target: TargetKey,
+        attempt: Option<AttemptKey>,
+        report: LoadReport,
+    ) {
+        self.with(|machine, now, out| machine.report(now, target, attempt, report, out));
     }
 
     pub(crate) fn set_leaving(&self, target: &str, is_leaving: bool) {
--- a/crates/daemon/src/service/prober.rs
+++ b/crates/daemon/src/service/prober.rs
@@ -71,7 +71,7 @@
     match request.send().await {
         Ok(response) => {
             if let Some(report) = read_report(response.headers()) {
-                service.report(key, report);
+                service.report(key, None, report);
             }
         }
         Err(error) if error.is_timeout() => {
