perf(core): choose a target in two passes instead of six

Cause: each choice scanned the targets for shares, reports, slowness and twice for room; delivering an answer tried to dispatch though no slot was free yet. Change: one pass collects an overview, one judges the targets.

--- a/crates/core/src/service/machine.rs
+++ b/crates/core/src/service/machine.rs
@@ -619,12 +619,19 @@
         };
         self.counters.delivered += 1;
         out.push(Output::Deliver { call, attempt: key });
-        for other in record.running.into_iter().flatten() {
-            if other != key {
-                self.abort(now, other, out);
-            }
+        let losers = record
+            .running
+            .into_iter()
+            .flatten()
+            .filter(|other| *other != key);
+        let mut is_freed = false;
+        for loser in losers {
+            self.abort(now, loser, out);
+            is_freed = true;
+        }
+        if is_freed {
+            self.pump(now, out);
         }
-        self.pump(now, out);
     }
 
     /// Takes in the end of an answer that was handed on.
--- a/crates/core/src/service/pick.rs
+++ b/crates/core/src/service/pick.rs
@@ -16,27 +16,37 @@
     pub(super) kind: AttemptKind,
 }
 
-/// How much room a target must have to be chosen.
+/// How much room a target has for a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Room {
     /// A slot is believed free over the whole fleet.
     Free,
     /// A slot may be taken by another VM, but this VM uses less than its share.
     Share,
-    /// A background slot dealt to this VM is free.
+}
+
+/// Which room a call may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Wanted {
+    /// A slot that is believed free.
+    Free,
+    /// A slot that is believed free, else one within the share of this VM.
+    Any,
+    /// A background slot dealt to this VM.
     Long,
-    /// A background slot or an idle reserved slot is free.
-    LentLong,
 }
 
-/// What a scan needs to know about the service.
+/// What the choice needs to know about all targets together.
 #[derive(Debug, Clone, Copy)]
-struct Scan {
+struct Overview {
     now: Instant,
     hold: Duration,
-    fallback: f32,
-    ignores_ejection: bool,
+    /// Mean requests of other VMs, for targets whose reports are not trusted.
+    others: f32,
+    /// Mean slowness of the active targets.
     slowness: f32,
+    ignores_ejection: bool,
+    fair_share: u32,
 }
 
 impl Service {
@@ -84,23 +94,24 @@
     }
 
     fn pick_short(&mut self, now: Instant, key: CallKey) -> Option<TargetKey> {
-        if let Some(target) = self.scan(now, key, Room::Free) {
-            return Some(target);
-        }
-        let limit = self.get_fair_share() as f32 * Self::SHARE_FACTOR;
-        if self.own_total as f32 >= limit {
-            return None;
-        }
-        self.scan(now, key, Room::Share)
+        let overview = self.make_overview(now);
+        let limit = overview.fair_share as f32 * Self::SHARE_FACTOR;
+        let wanted = if (self.own_total as f32) < limit {
+            Wanted::Any
+        } else {
+            Wanted::Free
+        };
+        self.scan(&overview, key, wanted)
     }
 
     fn pick_long(&mut self, now: Instant, key: CallKey) -> Option<TargetKey> {
-        let room = if self.is_reserve_idle(now) {
-            Room::LentLong
+        let overview = self.make_overview(now);
+        let wanted = if self.is_reserve_idle(now) {
+            Wanted::Free
         } else {
-            Room::Long
+            Wanted::Long
         };
-        self.scan(now, key, room)
+        self.scan(&overview, key, wanted)
     }
 
     /// Chooses a target for a repeat at once.
@@ -119,7 +130,8 @@
         if self.count_waiting() > 0 {
             return None;
         }
-        self.scan(now, key, Room::Free)
+        let overview = self.make_overview(now);
+        self.scan(&overview, key, Wanted::Free)
     }
 
     /// Slots of the service divided by the live VMs.
@@ -136,18 +148,41 @@
     /// Mean requests of other VMs on a target, for targets that say nothing.
     ///
     /// Targets whose reports are trusted decide; without any, the other VMs
-    /// are taken to use their fair share of an average target.
+    /// are left out, so that only own requests count.
     pub(super) fn get_mean_others(&self) -> f32 {
-        let (mut sum, mut weight) = (0.0, 0.0);
+        let mut others = WeightedMean::default();
         for target in self.targets.iter().filter(|t| t.is_usable()) {
-            let (mean, credit) = target.get_others();
-            sum += mean * credit * credit;
-            weight += credit * credit;
+            others.add_target(target);
         }
-        if weight < Self::MIN_CREDIT {
-            0.0
-        } else {
-            sum / weight
+        others.get()
+    }
+
+    /// Collects what one choice needs in one pass over the targets.
+    fn make_overview(&self, now: Instant) -> Overview {
+        let mut others = WeightedMean::default();
+        let (mut usable, mut active) = (0_u32, 0_u32);
+        let (mut slowness, mut slots) = (0.0, 0.0);
+        for target in self.targets.iter().filter(|t| t.is_usable()) {
+            usable += 1;
+            others.add_target(target);
+            if target.health.is_active() {
+                active += 1;
+                slowness += target.health.get_slowness(now);
+                slots += target.limit.get();
+            }
+        }
+        Overview {
+            now,
+            hold: self.get_hold(),
+            others: others.get(),
+            slowness: if active == 0 {
+                1.0
+            } else {
+                slowness / active as f32
+            },
+            // Below half of the targets in health, ejection would only add load.
+            ignores_ejection: active * 2 < usable,
+            fair_share: (slots / f32::from(self.vms)).ceil() as u32,
         }
     }
 
@@ -186,87 +221,92 @@
             .map(|index| TargetKey(index as u16))
     }
 
-    fn scan(&mut self, now: Instant, key: CallKey, room: Room) -> Option<TargetKey> {
-        let scan = Scan {
-            now,
-            hold: self.get_hold(),
-            fallback: self.get_mean_others(),
-            ignores_ejection: !self.has_healthy_half(),
-            slowness: self.get_mean_slowness(now),
-        };
+    fn scan(&mut self, overview: &Overview, key: CallKey, wanted: Wanted) -> Option<TargetKey> {
         let jitter = self.rng.next_u32();
         let call = &self.calls[key];
-        let mut best: Option<(f32, usize)> = None;
+        let mut best: Option<(Room, f32, usize)> = None;
         for (index, target) in self.targets.iter().enumerate() {
             if !target.is_usable() || call.has_tried(TargetKey(index as u16)) {
                 continue;
             }
-            let Some(score) = scan.score(target, room) else {
+            let Some((room, score)) = overview.judge(target, wanted) else {
                 continue;
             };
             let score = score + Self::JITTER * unit_of(jitter, index);
-            if best.is_none_or(|(lowest, _)| score < lowest) {
-                best = Some((score, index));
+            if best.is_none_or(|(held, lowest, _)| is_better(room, score, held, lowest)) {
+                best = Some((room, score, index));
             }
         }
-        best.map(|(_, index)| TargetKey(index as u16))
-    }
-
-    fn get_mean_slowness(&self, now: Instant) -> f32 {
-        let (mut sum, mut count) = (0.0, 0.0);
-        for target in self
-            .targets
-            .iter()
-            .filter(|t| t.is_usable() && t.health.is_active())
-        {
-            sum += target.health.get_slowness(now);
-            count += 1.0;
-        }
-        if count == 0.0 { 1.0 } else { sum / count }
-    }
-
-    /// Below half of the targets in health, ejection would only add load.
-    fn has_healthy_half(&self) -> bool {
-        let (mut total, mut active) = (0, 0);
-        for target in self.targets.iter().filter(|t| t.is_usable()) {
-            total += 1;
-            active += u32::from(target.health.is_active());
-        }
-        active * 2 >= total
+        best.map(|(_, _, index)| TargetKey(index as u16))
     }
 }
 
-impl Scan {
-    /// Returns the expected time on the target, or none if it has no room.
-    fn score(&self, target: &Target, room: Room) -> Option<f32> {
+impl Overview {
+    /// Returns the room on the target and the expected time, if it has room.
+    fn judge(&self, target: &Target, wanted: Wanted) -> Option<(Room, f32)> {
         if !target.health.is_active() && !self.ignores_ejection {
             return None;
         }
         let slots = target.get_slots(self.now);
+        let whole_slots = slots.ceil() as u16;
+        if target.own >= whole_slots.min(target.spec.connections) {
+            return None;
+        }
         let slowness = (target.health.get_slowness(self.now) / self.slowness).max(1.0);
-        let mut occupancy = target.get_occupancy(self.now, self.hold, self.fallback);
+        let mut occupancy = target.get_occupancy(self.now, self.hold, self.others);
         if slowness > Service::FULL_SLOWNESS {
             // Answer times are believed before reports.
             occupancy = occupancy.max(slots * (slowness - 0.5));
         }
-        if !has_room(target, room, slots, occupancy) {
-            return None;
-        }
+        let room = find_room(target, wanted, slots, occupancy)?;
         let excess = (occupancy + 1.0 - slots).max(0.0) / slots;
-        Some(slowness * (1.0 + excess) + Service::LOAD_WEIGHT * occupancy / slots)
+        Some((
+            room,
+            slowness * (1.0 + excess) + Service::LOAD_WEIGHT * occupancy / slots,
+        ))
     }
 }
 
-fn has_room(target: &Target, room: Room, slots: f32, occupancy: f32) -> bool {
-    let whole_slots = slots.ceil() as u16;
-    if target.own >= whole_slots.min(target.spec.connections) {
-        return false;
+/// Mean of the requests of other VMs, weighted by the trust in the reports.
+#[derive(Debug, Default)]
+struct WeightedMean {
+    sum: f32,
+    weight: f32,
+}
+
+impl WeightedMean {
+    fn add_target(&mut self, target: &Target) {
+        let (mean, credit) = target.get_others();
+        self.sum += mean * credit * credit;
+        self.weight += credit * credit;
+    }
+
+    fn get(&self) -> f32 {
+        if self.weight < Service::MIN_CREDIT {
+            0.0
+        } else {
+            self.sum / self.weight
+        }
     }
-    match room {
-        Room::Free => occupancy + Service::FREE_FRACTION <= slots,
-        Room::Share => occupancy <= slots + Service::SHARE_SLACK,
-        Room::Long => target.own_long < target.long_share,
-        Room::LentLong => occupancy + Service::FREE_FRACTION <= slots,
+}
+
+fn find_room(target: &Target, wanted: Wanted, slots: f32, occupancy: f32) -> Option<Room> {
+    if wanted == Wanted::Long {
+        return (target.own_long < target.long_share).then_some(Room::Free);
+    }
+    if occupancy + Service::FREE_FRACTION <= slots {
+        return Some(Room::Free);
+    }
+    let is_shared = wanted == Wanted::Any && occupancy <= slots + Service::SHARE_SLACK;
+    is_shared.then_some(Room::Share)
+}
+
+/// A slot that is believed free goes before any other.
+fn is_better(room: Room, score: f32, held: Room, lowest: f32) -> bool {
+    match (room, held) {
+        (Room::Free, Room::Share) => true,
+        (Room::Share, Room::Free) => false,
+        (Room::Free, Room::Free) | (Room::Share, Room::Share) => score < lowest,
     }
 }
 
