fix(core): three faults that the first tests found

Cause: (1) with no usable target an ejection underflowed its count; (2) a call that had tried every target waited in front of all others for ever; (3) retries multiplied over levels, since a level that was out of budget did not say so. Change: check the count; let a call from the queue try a target again; mark every failure and refusal that a level hands on, so that only the lowest level retries.

--- a/crates/core/benches/decision.rs
+++ b/crates/core/benches/decision.rs
@@ -113,13 +113,13 @@
     for targets in [10, 16, 64, 256] {
         let mut busy = Busy::new(targets, 1_000);
         group.bench_function(BenchmarkId::new("targets", targets), |b| {
-            b.iter(|| busy.turn())
+            b.iter(|| busy.turn());
         });
     }
     for waiting in [1, 100, 1_000, 10_000] {
         let mut busy = Busy::new(16, waiting);
         group.bench_function(BenchmarkId::new("waiting", waiting), |b| {
-            b.iter(|| busy.turn())
+            b.iter(|| busy.turn());
         });
     }
     group.finish();
--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -110,6 +110,15 @@
             .map(|index| Self::ALL[index])
     }
 
+    /// Returns true if a load balancer above must not retry the call.
+    ///
+    /// The service has no room or the attempts have failed, and this level has
+    /// retried as far as it may. A VM that is stopping or has no configuration
+    /// refuses what another VM can take.
+    pub fn is_final_for_levels_above(self) -> bool {
+        !matches!(self, Self::Stopping | Self::NoConfiguration)
+    }
+
     /// Returns true if the call may be sent again unchanged after a pause.
     pub fn is_retryable(self) -> bool {
         self.run_state() == RunState::NotRun && self.http_status() == 503
--- a/crates/core/src/service/input.rs
+++ b/crates/core/src/service/input.rs
@@ -19,6 +19,8 @@
 pub enum Outcome {
     /// The target answered that it did not take the request.
     Shed,
+    /// A level below refused the request unrun and retried as far as it may.
+    Declined,
     /// No connection could be opened, so nothing was sent.
     Refused,
     /// The connection ended after the request was sent.
@@ -34,7 +36,10 @@
 impl Outcome {
     /// Returns true if the target has certainly not run the request.
     pub fn is_not_run(self) -> bool {
-        matches!(self, Self::Shed | Self::Refused | Self::Withdrawn)
+        matches!(
+            self,
+            Self::Shed | Self::Declined | Self::Refused | Self::Withdrawn
+        )
     }
 
     /// Returns true if the outcome speaks against the target.
@@ -46,6 +51,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Shed => "shed",
+            Self::Declined => "declined",
             Self::Refused => "refused",
             Self::Broken => "broken",
             Self::Silent => "silent",
--- a/crates/core/src/service/machine.rs
+++ b/crates/core/src/service/machine.rs
@@ -702,7 +702,7 @@
         }
         let state = &mut self.targets[target.get_index()];
         state.health.abandon_trial(now);
-        if outcome == Outcome::Shed {
+        if matches!(outcome, Outcome::Shed | Outcome::Declined) {
             self.counters.sheds += 1;
             self.note_shed(now, target, out);
         }
@@ -750,7 +750,7 @@
         out: &mut Vec<Output>,
     ) -> bool {
         match outcome {
-            Outcome::Withdrawn | Outcome::TimedOut => false,
+            Outcome::Withdrawn | Outcome::TimedOut | Outcome::Declined => false,
             Outcome::Shed | Outcome::Refused | Outcome::Broken | Outcome::Silent => {
                 self.try_retry(now, key, out)
             }
@@ -901,7 +901,7 @@
             total += 1;
             active += u32::from(target.health.is_active());
         }
-        (active - 1) * 2 >= total
+        active > 0 && (active - 1) * 2 >= total
     }
 }
 
--- a/crates/core/src/service/pick.rs
+++ b/crates/core/src/service/pick.rs
@@ -3,6 +3,7 @@
 //! A full scan is affordable at the declared sizes, and it needs no luck to
 //! find the free slot. Ways weighed are in docs/decisions/0002-routing.md.
 
+use super::records::CallState;
 use super::target::Target;
 use super::{AttemptKind, CallKey, Service, TargetKey};
 use crate::ClassKind;
@@ -66,6 +67,8 @@
     const MIN_CREDIT: f32 = 0.5;
     /// Slowness above the service's mean from which a target counts as full.
     const FULL_SLOWNESS: f32 = 1.6;
+    /// Score added for a target that the call has tried before.
+    const TRIED_PENALTY: f32 = 1.0;
     /// Span of the random part of a score, which parts VMs with equal views.
     const JITTER: f32 = 0.1;
     /// Time without short work after which reserved room is lent.
@@ -221,18 +224,26 @@
             .map(|index| TargetKey(index as u16))
     }
 
+    /// Returns the best target with room.
+    ///
+    /// A repeat goes to a target that the call has not tried. A call that
+    /// comes back from the queue may try one again, or it would wait in front
+    /// of others for a target that it may never use.
     fn scan(&mut self, overview: &Overview, key: CallKey, wanted: Wanted) -> Option<TargetKey> {
         let jitter = self.rng.next_u32();
         let call = &self.calls[key];
+        let may_try_again = call.state == CallState::Waiting;
         let mut best: Option<(Room, f32, usize)> = None;
         for (index, target) in self.targets.iter().enumerate() {
-            if !target.is_usable() || call.has_tried(TargetKey(index as u16)) {
+            let is_tried = call.has_tried(TargetKey(index as u16));
+            if !target.is_usable() || (is_tried && !may_try_again) {
                 continue;
             }
             let Some((room, score)) = overview.judge(target, wanted) else {
                 continue;
             };
-            let score = score + Self::JITTER * unit_of(jitter, index);
+            let penalty = if is_tried { Self::TRIED_PENALTY } else { 0.0 };
+            let score = score + penalty + Self::JITTER * unit_of(jitter, index);
             if best.is_none_or(|(held, lowest, _)| is_better(room, score, held, lowest)) {
                 best = Some((room, score, index));
             }
--- /dev/null
+++ b/crates/core/tests/common/mod.rs
@@ -0,0 +1,249 @@
+//! A service of a few targets and one VM, driven by hand.
+
+#![allow(dead_code, unreachable_pub)]
+
+use gentianridge_core::{
+    Arrival, AttemptKey, AttemptKind, CallKey, ClassKey, ClassKind, ClassSpec, EventKind,
+    LoadReport, MethodSet, Outcome, Output, ResultCode, RouteMatch, Service, ServiceSpec,
+    TargetKey, TargetSpec,
+};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Class of interactive calls.
+pub const SHORT: ClassKey = ClassKey(0);
+/// Class of once-only calls.
+pub const ONCE: ClassKey = ClassKey(1);
+/// Class of background calls.
+pub const LONG: ClassKey = ClassKey(2);
+
+/// One attempt that was dispatched.
+#[derive(Debug, Clone, Copy)]
+pub struct Sent {
+    pub call: CallKey,
+    pub attempt: AttemptKey,
+    pub target: TargetKey,
+    pub kind: AttemptKind,
+}
+
+/// A service with its clock and what came out of it.
+#[derive(Debug)]
+pub struct Bench {
+    pub service: Service,
+    pub now: Instant,
+    pub sent: Vec<Sent>,
+    pub delivered: Vec<CallKey>,
+    pub refused: Vec<(CallKey, ResultCode)>,
+    pub cancelled: Vec<AttemptKey>,
+    pub events: Vec<EventKind>,
+    out: Vec<Output>,
+}
+
+/// Declares a service with the three kinds of class.
+pub fn make_spec(targets: usize, slots: u16) -> ServiceSpec {
+    let route = RouteMatch {
+        methods: MethodSet::default(),
+        prefix: "/".into(),
+    };
+    let class = |name: &str, kind, reserve| ClassSpec {
+        name: name.into(),
+        route: route.clone(),
+        kind,
+        deadline: Duration::from_secs(1),
+        reserve,
+        queue: 100,
+    };
+    ServiceSpec {
+        name: "service".into(),
+        route: route.clone(),
+        classes: vec![
+            class("short", ClassKind::Interactive, targets as u16),
+            class("once", ClassKind::Once, 0),
+            class("long", ClassKind::Background, 0),
+        ],
+        targets: (0..targets)
+            .map(|index| TargetSpec {
+                name: format!("t{index}").into(),
+                addr: SocketAddr::from(([10, 0, 0, index as u8], 80)),
+                domain: "d".into(),
+                slots: Some(slots),
+                connections: 200,
+                weight: 100,
+                drain: false,
+                note: None,
+            })
+            .collect(),
+        retry_percent: 10,
+        hedge_percent: 5,
+        silence: Duration::from_secs(1),
+        probes_per_second: 4,
+        probe_path: "/load".into(),
+        note: None,
+    }
+}
+
+impl Bench {
+    pub fn new(targets: usize, slots: u16) -> Self {
+        Self::with(make_spec(targets, slots))
+    }
+
+    pub fn with(spec: ServiceSpec) -> Self {
+        Self {
+            service: Service::new(spec, 7),
+            now: Instant::now(),
+            sent: Vec::new(),
+            delivered: Vec::new(),
+            refused: Vec::new(),
+            cancelled: Vec::new(),
+            events: Vec::new(),
+            out: Vec::new(),
+        }
+    }
+
+    pub fn pass(&mut self, millis: u64) {
+        self.now += Duration::from_millis(millis);
+        self.service.tick(self.now, &mut self.out);
+        self.take_out();
+    }
+
+    /// Lets time pass without a tick, as a paused process does.
+    pub fn pause(&mut self, millis: u64) {
+        self.now += Duration::from_millis(millis);
+    }
+
+    pub fn arrive(&mut self, class: ClassKey) -> CallKey {
+        self.arrive_within(class, 1_000)
+    }
+
+    pub fn arrive_within(&mut self, class: ClassKey, millis: u64) -> CallKey {
+        let arrival = Arrival {
+            class,
+            deadline: self.now + Duration::from_millis(millis),
+            is_replayable: true,
+        };
+        let call = self.service.arrive(self.now, arrival, &mut self.out);
+        self.take_out();
+        call
+    }
+
+    /// Arrives and returns the attempt that was dispatched at once.
+    pub fn send(&mut self, class: ClassKey) -> Sent {
+        let call = self.arrive(class);
+        self.last_of(call)
+    }
+
+    pub fn last_of(&self, call: CallKey) -> Sent {
+        *self
+            .sent
+            .iter()
+            .rev()
+            .find(|sent| sent.call == call)
+            .unwrap_or_else(|| panic!("the call was not dispatched: {:?}", self.code_of(call)))
+    }
+
+    pub fn is_sent(&self, call: CallKey) -> bool {
+        self.sent.iter().any(|sent| sent.call == call)
+    }
+
+    pub fn answer(&mut self, sent: Sent) {
+        self.service
+            .answered(self.now, sent.attempt, false, false, &mut self.out);
+        self.service.finished(self.now, sent.attempt, &mut self.out);
+        self.take_out();
+    }
+
+    pub fn answer_error(&mut self, sent: Sent, is_retried_below: bool) {
+        self.service.answered(
+            self.now,
+            sent.attempt,
+            true,
+            is_retried_below,
+            &mut self.out,
+        );
+        self.service.finished(self.now, sent.attempt, &mut self.out);
+        self.take_out();
+    }
+
+    pub fn fail(&mut self, sent: Sent, outcome: Outcome) {
+        self.service
+            .failed(self.now, sent.attempt, outcome, &mut self.out);
+        self.take_out();
+    }
+
+    pub fn report(&mut self, sent: Sent, in_flight: u16, is_leaving: bool) {
+        let report = LoadReport {
+            in_flight,
+            slots: None,
+            is_leaving,
+        };
+        self.service.report(
+            self.now,
+            sent.target,
+            Some(sent.attempt),
+            report,
+            &mut self.out,
+        );
+        self.take_out();
+    }
+
+    pub fn cancel(&mut self, call: CallKey) {
+        self.service.cancel(self.now, call, &mut self.out);
+        self.take_out();
+    }
+
+    pub fn set_leaving(&mut self, target: TargetKey, is_leaving: bool) {
+        self.service
+            .set_leaving(self.now, target, is_leaving, &mut self.out);
+        self.take_out();
+    }
+
+    pub fn set_fleet(&mut self, vms: u16, rank: u16) {
+        self.service.set_fleet(self.now, vms, rank, &mut self.out);
+        self.take_out();
+    }
+
+    pub fn apply(&mut self, spec: ServiceSpec) {
+        self.service.apply(self.now, spec, &mut self.out);
+        self.take_out();
+    }
+
+    /// Answers every attempt in flight after a time, until the service knows
+    /// its usual time.
+    pub fn warm_up(&mut self, rounds: usize, millis: u64) {
+        for _ in 0..rounds {
+            let sent = self.send(SHORT);
+            self.pass(millis);
+            self.answer(sent);
+        }
+    }
+
+    /// Returns the code with which the call was refused.
+    pub fn code_of(&self, call: CallKey) -> Option<ResultCode> {
+        self.refused
+            .iter()
+            .find(|(refused, _)| *refused == call)
+            .map(|(_, code)| *code)
+    }
+
+    fn take_out(&mut self) {
+        for output in self.out.drain(..) {
+            match output {
+                Output::Dispatch {
+                    call,
+                    attempt,
+                    target,
+                    kind,
+                } => self.sent.push(Sent {
+                    call,
+                    attempt,
+                    target,
+                    kind,
+                }),
+                Output::Deliver { call, .. } => self.delivered.push(call),
+                Output::Refuse { call, code } => self.refused.push((call, code)),
+                Output::Cancel { attempt } => self.cancelled.push(attempt),
+                Output::Event(event) => self.events.push(event),
+            }
+        }
+    }
+}
--- a/crates/daemon/src/caller/answer.rs
+++ b/crates/daemon/src/caller/answer.rs
@@ -14,14 +14,17 @@
 pub(crate) struct AnswerMarks<'a> {
     pub(crate) request: &'a str,
     pub(crate) vm: &'a str,
-    pub(crate) is_repeated: bool,
 }
 
 impl AnswerMarks<'_> {
-    fn write(&self, headers: &mut HeaderMap) {
+    fn write(&self, answer: &mut Response) {
+        let is_failure = answer.status().is_server_error();
+        let headers = answer.headers_mut();
         headers::set_text(headers, REQUEST_ID, self.request);
         headers::set_text(headers, VM, self.vm);
-        if self.is_repeated {
+        if is_failure {
+            // This level has retried as far as its budget allows, so a level
+            // above must not, or retries would multiply over the levels.
             headers.insert(RETRIED, HeaderValue::from_static("1"));
         }
     }
@@ -40,7 +43,7 @@
     let mut answer = Response::default();
     answer.set_status(response.status());
     headers::copy_end_to_end(response.headers(), answer.headers_mut());
-    marks.write(answer.headers_mut());
+    marks.write(&mut answer);
     let body = guard_stream(response.bytes_stream(), slot, silence);
     answer.set_body(Body::from_bytes_stream(body));
     answer
@@ -117,7 +120,7 @@
             answer.headers_mut().append(name, value);
         }
     }
-    marks.write(answer.headers_mut());
+    marks.write(&mut answer);
     answer.set_body(Body::from_vec(record.body.clone()));
     answer
 }
--- a/crates/daemon/src/caller/call.rs
+++ b/crates/daemon/src/caller/call.rs
@@ -176,14 +176,19 @@
             }
         };
         self.take_report(end.target, end.attempt, response.headers());
+        let is_retried_below = response.headers().contains_key(RETRIED);
         if headers::is_not_run(response.headers()) {
-            trace.end(now, end.index, Outcome::Shed.as_str());
-            self.cx.service.failed(end.attempt, Outcome::Shed);
+            let outcome = if is_retried_below {
+                Outcome::Declined
+            } else {
+                Outcome::Shed
+            };
+            trace.end(now, end.index, outcome.as_str());
+            self.cx.service.failed(end.attempt, outcome);
             return;
         }
         trace.end(now, end.index, response.status().as_str());
         let is_error = is_server_error(response.status()) && self.cx.kind.is_idempotent();
-        let is_retried_below = response.headers().contains_key(RETRIED);
         if !is_error {
             self.note_success();
         }
--- a/crates/daemon/src/caller/endpoint.rs
+++ b/crates/daemon/src/caller/endpoint.rs
@@ -103,7 +103,7 @@
     };
     match result {
         Ok(delivered) => {
-            let marks = marks_of(&cx, &trace);
+            let marks = marks_of(&cx);
             let response = stream_answer(delivered, cx.silence, &marks);
             finish(&cx.fleet, &response, None, trace);
             response
@@ -130,7 +130,7 @@
         OnceEnd::Replayed(answer) => (answer, true),
         OnceEnd::Refused(code) => return finish_refused(&cx.fleet, code, trace),
     };
-    let mut response = replay_answer(&answer, &marks_of(&cx, &trace));
+    let mut response = replay_answer(&answer, &marks_of(&cx));
     if is_replay {
         response
             .headers_mut()
@@ -140,11 +140,10 @@
     response
 }
 
-fn marks_of<'a>(cx: &'a CallContext, trace: &TraceBuilder) -> AnswerMarks<'a> {
+fn marks_of(cx: &CallContext) -> AnswerMarks<'_> {
     AnswerMarks {
         request: &cx.request.head.id,
         vm: &cx.fleet.me,
-        is_repeated: trace.is_repeated(),
     }
 }
 
--- a/crates/daemon/src/caller/refusal.rs
+++ b/crates/daemon/src/caller/refusal.rs
@@ -1,6 +1,6 @@
 //! Answers that the daemon gives itself.
 
-use super::headers::{CODE, REQUEST_ID, RUN, VM, set_text};
+use super::headers::{CODE, REQUEST_ID, RETRIED, RUN, VM, set_text};
 use gentianridge_core::ResultCode;
 use http::{HeaderValue, StatusCode, header};
 use poem::{Body, Response};
@@ -27,6 +27,9 @@
     headers.insert(RUN, HeaderValue::from_static(code.run_state().as_str()));
     set_text(headers, REQUEST_ID, request);
     set_text(headers, VM, vm);
+    if code.is_final_for_levels_above() {
+        headers.insert(RETRIED, HeaderValue::from_static("1"));
+    }
     if code.is_retryable() {
         let seconds = rand::rng().random_range(1..=MAX_RETRY_AFTER);
         headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
--- a/crates/daemon/src/telemetry/traces.rs
+++ b/crates/daemon/src/telemetry/traces.rs
@@ -119,10 +119,6 @@
         Duration::from_micros(self.trace.queued_us)
     }
 
-    pub(crate) fn is_repeated(&self) -> bool {
-        self.trace.attempts.len() > 1
-    }
-
     /// Notes an attempt and returns its position.
     pub(crate) fn start(&mut self, now: Instant, target: &SmolStr, kind: AttemptKind) -> usize {
         let started = self.get_elapsed(now).as_micros() as u64;
