feat: wire-level tests over loopback, callers that go are noticed

Cause: the HTTP server library goes on with a request after its caller has gone; a call of kind once that found no slot was refused as not run without a look whether an earlier call with its key had run.

--- a/crates/config/src/fleet/parse.rs
+++ b/crates/config/src/fleet/parse.rs
@@ -208,7 +208,12 @@
             report(FaultKind::Conflict, "at most 64 classes in a service");
         }
         let reserve: u32 = service.classes.iter().map(|c| u32::from(c.reserve)).sum();
-        if !service.targets.is_empty() && reserve > service.count_usable_slots() {
+        let slots: u32 = service
+            .targets
+            .iter()
+            .map(|t| u32::from(t.get_slots()))
+            .sum();
+        if !service.targets.is_empty() && reserve > slots {
             report(
                 FaultKind::Conflict,
                 "reserves that the slots of the targets can hold",
--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -71,6 +71,8 @@
     NoConfiguration = 1004, 503, NotRun, "no configuration is in force on this VM";
     /// The daemon is stopping and takes no new calls.
     Stopping = 1005, 503, NotRun, "this VM is stopping";
+    /// The caller closed its connection before the answer.
+    CallerGone = 1006, 499, Unknown, "the caller has gone";
     /// The queue of the class is full.
     QueueFull = 2001, 503, NotRun, "the queue of this class is full";
     /// The wait would exceed the deadline of the call.
--- a/crates/core/src/ledger/machine.rs
+++ b/crates/core/src/ledger/machine.rs
@@ -146,6 +146,25 @@
         }
     }
 
+    /// Decides what to answer when the call found no slot and made no claim.
+    ///
+    /// An earlier call with the key may have run, and a plain refusal as not
+    /// run would then mislead the caller.
+    pub fn refuse_unclaimed(&self, code: ResultCode, found: Option<Claim>) -> LedgerAction {
+        let Some(claim) = found else {
+            return LedgerAction::Refuse(code);
+        };
+        if claim.print != self.claim.print {
+            return LedgerAction::Refuse(ResultCode::KeyReused);
+        }
+        match claim.state {
+            ClaimState::Answered(answer) => LedgerAction::Replay(answer),
+            ClaimState::NotRun => LedgerAction::Refuse(code),
+            ClaimState::Unknown => LedgerAction::Refuse(ResultCode::OutcomeUnknown),
+            ClaimState::Running => LedgerAction::Refuse(ResultCode::KeyRunning),
+        }
+    }
+
     fn insert(&mut self) -> LedgerAction {
         self.state = State::Claiming;
         LedgerAction::Insert(self.claim.clone())
--- /dev/null
+++ b/crates/core/tests/revisions.rs
@@ -0,0 +1,103 @@
+//! Accepting files and staying with the newest.
+
+use gentianridge_core::{
+    Adoption, RevisionLog, RevisionRecord, Submission, SubmissionAction, SubmissionInput, Verdict,
+};
+use proptest::prelude::*;
+use std::time::{Duration, Instant};
+
+fn record(number: u64, submission: &str) -> RevisionRecord {
+    RevisionRecord {
+        number,
+        submission: submission.into(),
+        author: "ada".into(),
+        submitted_ms: 0,
+        text: String::new(),
+    }
+}
+
+#[test]
+fn never_back() {
+    let mut log = RevisionLog::new();
+    assert_eq!(log.offer(record(3, "c")), Adoption::Adopted);
+    assert_eq!(log.offer(record(2, "b")), Adoption::Older);
+    assert_eq!(log.offer(record(3, "c")), Adoption::Same);
+    assert_eq!(log.offer(record(3, "x")), Adoption::Conflicting);
+    assert_eq!(log.get_current(), Some(&record(3, "c")));
+}
+
+#[test]
+fn plain_acceptance() {
+    let now = Instant::now();
+    let mut submission = Submission::new(record(4, "mine"), now + Duration::from_secs(5));
+    let action = submission.step(now, SubmissionInput::Begin);
+    assert_eq!(action, SubmissionAction::Insert(record(4, "mine")));
+    let action = submission.step(now, SubmissionInput::Written);
+    assert_eq!(
+        action,
+        SubmissionAction::Finish(Verdict::Accepted(record(4, "mine")))
+    );
+}
+
+#[test]
+fn overtaken() {
+    let now = Instant::now();
+    let mut submission = Submission::new(record(4, "mine"), now + Duration::from_secs(5));
+    submission.step(now, SubmissionInput::Begin);
+    assert_eq!(
+        submission.step(now, SubmissionInput::Conflict),
+        SubmissionAction::Read
+    );
+    let action = submission.step(now, SubmissionInput::Read(Some(record(4, "theirs"))));
+    assert_eq!(
+        action,
+        SubmissionAction::Finish(Verdict::Overtaken(record(4, "theirs")))
+    );
+}
+
+#[test]
+fn lost_reply() {
+    let now = Instant::now();
+    let mut submission = Submission::new(record(4, "mine"), now + Duration::from_secs(5));
+    submission.step(now, SubmissionInput::Begin);
+    let action = submission.step(now, SubmissionInput::StoreFailed { is_open: true });
+    assert!(matches!(action, SubmissionAction::Wait(_)));
+    assert_eq!(
+        submission.step(now, SubmissionInput::Timer),
+        SubmissionAction::Read
+    );
+    let action = submission.step(now, SubmissionInput::Read(Some(record(4, "mine"))));
+    assert_eq!(
+        action,
+        SubmissionAction::Finish(Verdict::Accepted(record(4, "mine")))
+    );
+}
+
+#[test]
+fn open_fate() {
+    let now = Instant::now();
+    let late = now + Duration::from_secs(6);
+    let mut open = Submission::new(record(4, "mine"), now + Duration::from_secs(5));
+    open.step(now, SubmissionInput::Begin);
+    open.step(now, SubmissionInput::StoreFailed { is_open: true });
+    let action = open.step(late, SubmissionInput::StoreFailed { is_open: false });
+    assert_eq!(action, SubmissionAction::Finish(Verdict::Unknown));
+    let mut refused = Submission::new(record(4, "mine"), now + Duration::from_secs(5));
+    refused.step(now, SubmissionInput::Begin);
+    let action = refused.step(late, SubmissionInput::StoreFailed { is_open: false });
+    assert_eq!(action, SubmissionAction::Finish(Verdict::StoreUnavailable));
+}
+
+proptest! {
+    #[test]
+    fn only_grows(offers in prop::collection::vec((1_u64..20, "[a-c]"), 1..60)) {
+        let mut log = RevisionLog::new();
+        let mut highest = 0;
+        for (number, submission) in offers {
+            log.offer(record(number, &submission));
+            prop_assert!(log.get_number() >= highest);
+            highest = highest.max(number);
+            prop_assert_eq!(log.get_number(), highest);
+        }
+    }
+}
--- a/crates/daemon/src/caller/answer.rs
+++ b/crates/daemon/src/caller/answer.rs
@@ -5,10 +5,12 @@
 use bytes::Bytes;
 use futures_util::{Stream, StreamExt};
 use gentianridge_core::{RecordedAnswer, ResultCode};
+use gentianridge_serve::{breaking, until_gone};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use poem::{Body, Response};
 use std::io;
 use std::time::Duration;
+use tokio_util::sync::CancellationToken;
 
 /// What is added to every answer.
 pub(crate) struct AnswerMarks<'a> {
@@ -37,6 +39,7 @@
 pub(crate) fn stream_answer(
     delivered: Delivered,
     silence: Duration,
+    gone: CancellationToken,
     marks: &AnswerMarks<'_>,
 ) -> Response {
     let Delivered { response, slot } = delivered;
@@ -45,7 +48,7 @@
     headers::copy_end_to_end(response.headers(), answer.headers_mut());
     marks.write(&mut answer);
     let body = guard_stream(response.bytes_stream(), slot, silence);
-    answer.set_body(Body::from_bytes_stream(body));
+    answer.set_body(Body::from_bytes_stream(breaking(until_gone(body, gone))));
     answer
 }
 
@@ -54,7 +57,7 @@
     stream: S,
     slot: SlotGuard,
     silence: Duration,
-) -> impl Stream<Item = io::Result<Bytes>>
+) -> impl Stream<Item = io::Result<Bytes>> + Send + 'static
 where
     S: Stream<Item = reqwest::Result<Bytes>> + Send + 'static,
 {
--- a/crates/daemon/src/caller/endpoint.rs
+++ b/crates/daemon/src/caller/endpoint.rs
@@ -1,7 +1,7 @@
 //! The HTTP endpoint for callers.
 
 use super::answer::{AnswerMarks, replay_answer, stream_answer};
-use super::call::{Call, CallContext};
+use super::call::{Call, CallContext, Delivered};
 use super::headers::{self, REPLAYED};
 use super::incoming::{IncomingRequest, RequestHead};
 use super::once::{OnceEnd, run_once};
@@ -9,20 +9,23 @@
 use crate::fleet::Fleet;
 use crate::telemetry::{CallMetric, TraceBuilder};
 use gentianridge_core::{ClassKind, ResultCode};
+use gentianridge_serve::Connections;
 use http::HeaderValue;
 use poem::{Endpoint, Request, Response};
 use smol_str::SmolStr;
 use std::sync::Arc;
+use tokio_util::sync::CancellationToken;
 
 /// Takes every request of callers.
 #[derive(Debug)]
 pub(crate) struct CallerEndpoint {
     fleet: Arc<Fleet>,
+    connections: Arc<Connections>,
 }
 
 impl CallerEndpoint {
-    pub(crate) fn new(fleet: Arc<Fleet>) -> Self {
-        Self { fleet }
+    pub(crate) fn new(fleet: Arc<Fleet>, connections: Arc<Connections>) -> Self {
+        Self { fleet, connections }
     }
 }
 
@@ -32,6 +35,9 @@
     async fn call(&self, mut request: Request) -> poem::Result<Response> {
         let head = RequestHead::new(&request);
         let body = request.take_body();
+        let gone = self
+            .connections
+            .watch(request.remote_addr().as_socket_addr().copied());
         let clock = &self.fleet.clock;
         let mut trace = TraceBuilder::new(
             head.id.clone(),
@@ -41,7 +47,7 @@
         );
         match prepare(&self.fleet, head, body, &mut trace).await {
             Ok(cx) if cx.kind == ClassKind::Once => Ok(call_once(cx, trace).await),
-            Ok(cx) => Ok(call_idempotent(cx, trace).await),
+            Ok(cx) => Ok(call_idempotent(cx, gone, trace).await),
             Err(code) => Ok(finish_refused(&self.fleet, code, trace)),
         }
     }
@@ -95,16 +101,19 @@
 }
 
 /// Runs a call that may be repeated; it is cancelled if the caller goes.
-async fn call_idempotent(cx: CallContext, mut trace: TraceBuilder) -> Response {
-    let mut call = Call::open(&cx);
-    let result = match call.wait_grant().await {
-        Ok(grant) => call.run(grant, &mut trace).await,
-        Err(code) => Err(code),
+async fn call_idempotent(
+    cx: CallContext,
+    gone: CancellationToken,
+    mut trace: TraceBuilder,
+) -> Response {
+    let result = tokio::select! {
+        biased;
+        result = run_idempotent(&cx, &mut trace) => result,
+        () = gone.cancelled() => Err(ResultCode::CallerGone),
     };
     match result {
         Ok(delivered) => {
-            let marks = marks_of(&cx);
-            let response = stream_answer(delivered, cx.silence, &marks);
+            let response = stream_answer(delivered, cx.silence, gone, &marks_of(&cx));
             finish(&cx.fleet, &response, None, trace);
             response
         }
@@ -112,6 +121,15 @@
     }
 }
 
+async fn run_idempotent(
+    cx: &CallContext,
+    trace: &mut TraceBuilder,
+) -> Result<Delivered, ResultCode> {
+    let mut call = Call::open(cx);
+    let grant = call.wait_grant().await?;
+    call.run(grant, trace).await
+}
+
 /// Runs a call of kind once in a task of its own.
 ///
 /// A caller that goes away must not cancel work that has been dispatched.
--- a/crates/daemon/src/caller/once.rs
+++ b/crates/daemon/src/caller/once.rs
@@ -69,7 +69,7 @@
 impl OnceRun {
     async fn drive(&mut self, trace: &mut TraceBuilder) -> OnceEnd {
         if let Err(code) = self.ensure_slot().await {
-            return OnceEnd::Refused(code);
+            return self.refuse_unclaimed(code).await;
         }
         let mut input = LedgerInput::Begin;
         loop {
@@ -84,6 +84,24 @@
         }
     }
 
+    /// Looks for an earlier call with the key before a refusal.
+    async fn refuse_unclaimed(&mut self, code: ResultCode) -> OnceEnd {
+        let Ok(found) = try_read(&self.cx, &self.row).await else {
+            return OnceEnd::Refused(code);
+        };
+        match self
+            .ledger
+            .refuse_unclaimed(code, found.map(|(claim, _)| claim))
+        {
+            LedgerAction::Replay(answer) => self.replay(answer).await,
+            LedgerAction::Refuse(code) => OnceEnd::Refused(code),
+            other => {
+                debug_assert!(false, "{other:?} is no answer");
+                OnceEnd::Refused(code)
+            }
+        }
+    }
+
     fn step(&mut self, input: LedgerInput) -> LedgerAction {
         let clock = &self.cx.fleet.clock;
         self.ledger.step(clock.now(), clock.wall(), input)
--- a/crates/daemon/src/run/daemon.rs
+++ b/crates/daemon/src/run/daemon.rs
@@ -9,6 +9,7 @@
 use gentianridge_config::Settings;
 use gentianridge_core::{Adoption, EventKind, RevisionRecord};
 use gentianridge_platform::{HttpPlatform, MemoryPlatform, Platform};
+use gentianridge_serve::{Connections, WatchedAcceptor};
 use poem::Server;
 use poem::listener::TcpAcceptor;
 use std::net::SocketAddr;
@@ -77,9 +78,10 @@
         let close = self.close.clone();
         let grace = self.fleet.settings.stop_grace;
         let idle = self.fleet.settings.caller_idle.max(MIN_IDLE);
-        let caller_server =
-            Server::new_with_acceptor(TcpAcceptor::from_tokio(callers)?).idle_timeout(idle);
-        let endpoint = CallerEndpoint::new(self.fleet.clone());
+        let connections = Connections::new();
+        let acceptor = WatchedAcceptor::new(callers, connections.clone())?;
+        let caller_server = Server::new_with_acceptor(acceptor).idle_timeout(idle);
+        let endpoint = CallerEndpoint::new(self.fleet.clone(), connections);
         self.servers.spawn(async move {
             let signal = async move { close.notified().await };
             caller_server
--- a/crates/testkit/src/target/server.rs
+++ b/crates/testkit/src/target/server.rs
@@ -4,9 +4,10 @@
 use super::gate::Gate;
 use super::{Runs, ServiceTime, TargetFaults};
 use bytes::Bytes;
+use futures_util::StreamExt;
+use gentianridge_serve::{Connections, WatchedAcceptor, breaking};
 use parking_lot::Mutex;
 use poem::http::{HeaderMap, HeaderValue, StatusCode};
-use poem::listener::TcpAcceptor;
 use poem::{Body, Endpoint, Request, Response, Server};
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
@@ -19,6 +20,8 @@
 
 /// Path of the load endpoint.
 const LOAD_PATH: &str = "/load";
+/// Time between the first part of a cut answer and its break.
+const BREAK_PAUSE: Duration = Duration::from_millis(20);
 /// Part of a path that makes a request long.
 const LONG_WORD: &str = "history";
 
@@ -199,11 +202,15 @@
         return;
     };
     runtime.block_on(async move {
-        let Ok(acceptor) = TcpAcceptor::from_std(listener) else {
+        let connections = Connections::new();
+        let acceptor = tokio::net::TcpListener::from_std(listener)
+            .and_then(|listener| WatchedAcceptor::new(listener, connections.clone()));
+        let Ok(acceptor) = acceptor else {
             return;
         };
         let endpoint = TargetEndpoint {
             shared: shared.clone(),
+            connections,
         };
         tokio::select! {
             _ = Server::new_with_acceptor(acceptor).run(endpoint) => {}
@@ -214,6 +221,7 @@
 
 struct TargetEndpoint {
     shared: Arc<Shared>,
+    connections: Arc<Connections>,
 }
 
 impl Endpoint for TargetEndpoint {
@@ -231,7 +239,15 @@
         self.shared.requests.fetch_add(1, Ordering::Relaxed);
         *self.shared.last.lock() = Some(Instant::now());
         let body = request.take_body().into_bytes().await.unwrap_or_default();
-        Ok(self.shared.serve(&request, body, &faults).await)
+        let gone = self
+            .connections
+            .watch(request.remote_addr().as_socket_addr().copied());
+        tokio::select! {
+            biased;
+            response = self.shared.serve(&request, body, &faults) => Ok(response),
+            // The work is cancelled with the connection it came on.
+            () = gone.cancelled() => Ok(Response::default()),
+        }
     }
 }
 
@@ -291,7 +307,9 @@
         self.work(target, faults).await;
         tokio::time::sleep(faults.delay).await;
         let answer = self.answer_body(target, &body, faults);
-        self.reported(StatusCode::OK, answer)
+        let mut response = self.reported(StatusCode::OK, answer);
+        echo_headers(request.headers(), response.headers_mut());
+        response
     }
 
     fn note_run(&self, headers: &HeaderMap) {
@@ -324,8 +342,13 @@
             return Body::from_vec(text);
         }
         text.truncate(text.len() / 2);
-        let chunks = [Ok(Bytes::from(text)), Err(io::Error::other("broken off"))];
-        Body::from_bytes_stream(futures_util::stream::iter(chunks))
+        // The pause lets the head and the first part leave before the break.
+        let start = futures_util::stream::iter([Ok(Bytes::from(text))]);
+        let end = futures_util::stream::once(async {
+            tokio::time::sleep(BREAK_PAUSE).await;
+            Err(io::Error::other("broken off"))
+        });
+        Body::from_bytes_stream(breaking(start.chain(end)))
     }
 
     fn shed(&self) -> Response {
@@ -354,3 +377,20 @@
         response
     }
 }
+
+/// Headers whose received values the answer shows.
+const ECHOED: [(&str, &str); 5] = [
+    ("x-forwarded-for", "x-seen-forwarded-for"),
+    ("forwarded", "x-seen-forwarded"),
+    ("x-request-id", "x-seen-request"),
+    ("gentianridge-timeout-ms", "x-seen-timeout"),
+    ("x-hop", "x-seen-hop"),
+];
+
+fn echo_headers(from: &HeaderMap, to: &mut HeaderMap) {
+    for (name, seen) in ECHOED {
+        if let Some(value) = from.get(name) {
+            to.insert(seen, value.clone());
+        }
+    }
+}
--- /dev/null
+++ b/tests/once_only.rs
@@ -0,0 +1,193 @@
+//! Confirmations run at most once.
+
+mod common;
+
+use common::{addr, caller, code, confirm, header, start, wait_for};
+use std::time::{Duration, Instant};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn missing_key() {
+    let fleet = start(1).await;
+    let response = caller()
+        .post(format!("http://{}/draw/confirm", addr(&fleet, 0)))
+        .send()
+        .await
+        .expect("an answer");
+    assert_eq!((response.status().as_u16(), code(&response)), (400, 4001));
+    assert!(fleet.runs.is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn replayed_answer() {
+    let fleet = start(2).await;
+    let first = confirm(&fleet, 0, "k1", "group=1").await;
+    let first = first.bytes().await.expect("a whole body");
+    let again = confirm(&fleet, 1, "k1", "group=1").await;
+    assert_eq!(header(&again, "gentianridge-replayed"), "1");
+    assert_eq!(
+        again.bytes().await.expect("a whole body"),
+        first,
+        "byte for byte"
+    );
+    assert_eq!(fleet.runs.count("k1"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn reused_key() {
+    let fleet = start(1).await;
+    confirm(&fleet, 0, "k1", "group=1").await;
+    let other = confirm(&fleet, 0, "k1", "group=2").await;
+    assert_eq!((other.status().as_u16(), code(&other)), (422, 4002));
+    assert_eq!(fleet.runs.count("k1"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn other_caller() {
+    let fleet = start(1).await;
+    for token in ["ada", "ben"] {
+        let response = caller()
+            .post(format!("http://{}/draw/confirm", addr(&fleet, 0)))
+            .header("idempotency-key", "k1")
+            .bearer_auth(token)
+            .body(token)
+            .send()
+            .await
+            .expect("an answer");
+        assert_eq!(
+            response.status(),
+            200,
+            "keys of different callers are different"
+        );
+        assert_eq!(header(&response, "gentianridge-replayed"), "");
+    }
+    assert_eq!(fleet.runs.count("k1"), 2);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn repeats_at_once() {
+    let fleet = start(5).await;
+    let calls = (0..15).map(|index| confirm(&fleet, index % 5, "k1", "group=1"));
+    let answers = futures_util::future::join_all(calls).await;
+    assert_eq!(fleet.runs.count("k1"), 1);
+    let mut bodies = Vec::new();
+    for answer in answers {
+        assert_eq!(answer.status(), 200, "{answer:?}");
+        bodies.push(answer.bytes().await.expect("a whole body"));
+    }
+    assert!(bodies.iter().all(|body| *body == bodies[0]));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_gone() {
+    let fleet = start(1).await;
+    let url = format!("http://{}/draw/confirm", addr(&fleet, 0));
+    let sent = caller()
+        .post(url)
+        .header("idempotency-key", "k1")
+        .body("group=1")
+        .timeout(Duration::from_millis(8))
+        .send()
+        .await;
+    assert!(sent.is_err(), "the caller gave up");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let again = confirm(&fleet, 0, "k1", "group=1").await;
+    assert_eq!(again.status(), 200);
+    assert_eq!(
+        fleet.runs.count("k1"),
+        1,
+        "work that was dispatched goes on"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_reply() {
+    let fleet = start(1).await;
+    fleet.platform.get_faults().lose_next(1);
+    let response = confirm(&fleet, 0, "k1", "group=1").await;
+    assert_eq!(
+        response.status(),
+        200,
+        "the claim is settled by reading it back"
+    );
+    assert_eq!(fleet.runs.count("k1"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn store_down() {
+    let fleet = start(1).await;
+    fleet.platform.get_faults().down(true);
+    let mut slowest = Duration::ZERO;
+    for index in 0..20 {
+        let started = Instant::now();
+        let response = confirm(&fleet, 0, &format!("k{index}"), "group=1").await;
+        assert_eq!((response.status().as_u16(), code(&response)), (503, 4005));
+        assert_eq!(header(&response, "gentianridge-run"), "not-run");
+        slowest = slowest.max(started.elapsed());
+    }
+    assert!(
+        slowest < Duration::from_millis(250),
+        "refused at once, not after {slowest:?}"
+    );
+    assert!(fleet.runs.is_empty());
+    let open = common::get(&fleet, 0, "/recipient/open").await;
+    assert_eq!(open.status(), 200, "idempotent work goes on");
+    fleet.platform.get_faults().down(false);
+    wait_for(
+        "the return of the store",
+        Duration::from_secs(5),
+        async || confirm(&fleet, 0, "back", "group=1").await.status() == 200,
+    )
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_outcome() {
+    let fleet = start(2).await;
+    for target in &fleet.targets[1] {
+        target.get_faults().crash_on(Some("confirm"));
+    }
+    let first = confirm(&fleet, 0, "k1", "group=1").await;
+    assert_eq!((first.status().as_u16(), code(&first)), (504, 4004));
+    assert_eq!(header(&first, "gentianridge-run"), "unknown");
+    let requests: u64 = fleet.targets[1]
+        .iter()
+        .map(|target| target.count_requests())
+        .sum();
+    assert_eq!(
+        requests, 1,
+        "an attempt that may have run is never repeated"
+    );
+    for target in &fleet.targets[1] {
+        target.get_faults().crash_on(None);
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let again = confirm(&fleet, 1, "k1", "group=1").await;
+    assert_eq!(code(&again), 4004, "the outcome stays unknown at every VM");
+    assert!(fleet.runs.is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn holder_killed() {
+    let mut fleet = start(2).await;
+    for target in &fleet.targets[1] {
+        target.get_faults().slow(30);
+    }
+    let addr = addr(&fleet, 0);
+    let lost = tokio::spawn(async move {
+        caller()
+            .post(format!("http://{addr}/draw/confirm"))
+            .header("idempotency-key", "k1")
+            .body("group=1")
+            .send()
+            .await
+    });
+    wait_for("the start of the run", Duration::from_secs(2), async || {
+        fleet.runs.count("k1") == 1
+    })
+    .await;
+    fleet.vms.remove(0).kill();
+    assert!(lost.await.expect("the task ends").is_err());
+    let again = confirm(&fleet, 0, "k1", "group=1").await;
+    assert_eq!(header(&again, "gentianridge-run"), "unknown", "{again:?}");
+    assert_eq!(fleet.runs.count("k1"), 1);
+}
