fix(serve): a cut answer never looks whole

Cause: after a body fails, the server library polls its connection again and writes the last chunk, so a chunked answer that broke off at the target reached the caller as complete. Ruled out: the client (a raw socket shows the closing 0 chunk), repeating the error for ever (the body is dropped after the first error). Change: a failing body marks its connection, and every later write on it fails. Conclusion: stand-ins and daemon both break visibly.

--- a/crates/daemon/src/caller/answer.rs
+++ b/crates/daemon/src/caller/answer.rs
@@ -5,12 +5,11 @@
 use bytes::Bytes;
 use futures_util::{Stream, StreamExt};
 use gentianridge_core::{RecordedAnswer, ResultCode};
-use gentianridge_serve::{breaking, until_gone};
+use gentianridge_serve::{Connection, guard_body};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use poem::{Body, Response};
 use std::io;
 use std::time::Duration;
-use tokio_util::sync::CancellationToken;
 
 /// What is added to every answer.
 pub(crate) struct AnswerMarks<'a> {
@@ -39,7 +38,7 @@
 pub(crate) fn stream_answer(
     delivered: Delivered,
     silence: Duration,
-    gone: CancellationToken,
+    connection: Connection,
     marks: &AnswerMarks<'_>,
 ) -> Response {
     let Delivered { response, slot } = delivered;
@@ -48,7 +47,7 @@
     headers::copy_end_to_end(response.headers(), answer.headers_mut());
     marks.write(&mut answer);
     let body = guard_stream(response.bytes_stream(), slot, silence);
-    answer.set_body(Body::from_bytes_stream(breaking(until_gone(body, gone))));
+    answer.set_body(Body::from_bytes_stream(guard_body(body, connection)));
     answer
 }
 
--- a/crates/daemon/src/caller/endpoint.rs
+++ b/crates/daemon/src/caller/endpoint.rs
@@ -9,12 +9,11 @@
 use crate::fleet::Fleet;
 use crate::telemetry::{CallMetric, TraceBuilder};
 use gentianridge_core::{ClassKind, ResultCode};
-use gentianridge_serve::Connections;
+use gentianridge_serve::{Connection, Connections};
 use http::HeaderValue;
 use poem::{Endpoint, Request, Response};
 use smol_str::SmolStr;
 use std::sync::Arc;
-use tokio_util::sync::CancellationToken;
 
 /// Takes every request of callers.
 #[derive(Debug)]
@@ -35,7 +34,7 @@
     async fn call(&self, mut request: Request) -> poem::Result<Response> {
         let head = RequestHead::new(&request);
         let body = request.take_body();
-        let gone = self
+        let connection = self
             .connections
             .watch(request.remote_addr().as_socket_addr().copied());
         let clock = &self.fleet.clock;
@@ -47,7 +46,7 @@
         );
         match prepare(&self.fleet, head, body, &mut trace).await {
             Ok(cx) if cx.kind == ClassKind::Once => Ok(call_once(cx, trace).await),
-            Ok(cx) => Ok(call_idempotent(cx, gone, trace).await),
+            Ok(cx) => Ok(call_idempotent(cx, connection, trace).await),
             Err(code) => Ok(finish_refused(&self.fleet, code, trace)),
         }
     }
@@ -103,17 +102,17 @@
 /// Runs a call that may be repeated; it is cancelled if the caller goes.
 async fn call_idempotent(
     cx: CallContext,
-    gone: CancellationToken,
+    connection: Connection,
     mut trace: TraceBuilder,
 ) -> Response {
     let result = tokio::select! {
         biased;
         result = run_idempotent(&cx, &mut trace) => result,
-        () = gone.cancelled() => Err(ResultCode::CallerGone),
+        () = connection.get_gone().cancelled() => Err(ResultCode::CallerGone),
     };
     match result {
         Ok(delivered) => {
-            let response = stream_answer(delivered, cx.silence, gone, &marks_of(&cx));
+            let response = stream_answer(delivered, cx.silence, connection, &marks_of(&cx));
             finish(&cx.fleet, &response, None, trace);
             response
         }
--- a/crates/serve/src/acceptor.rs
+++ b/crates/serve/src/acceptor.rs
@@ -1,6 +1,6 @@
 //! Connections that tell when the other end goes.
 
-use crate::Connections;
+use crate::{Connection, Connections};
 use http::uri::Scheme;
 use poem::Addr;
 use poem::listener::Acceptor;
@@ -12,7 +12,6 @@
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio_util::sync::CancellationToken;
 
 /// Accepts TCP connections and enters them in [`Connections`].
 #[derive(Debug)]
@@ -50,7 +49,7 @@
         // Small answers must not wait for the acknowledgement of earlier ones.
         stream.set_nodelay(true)?;
         let watched = WatchedStream {
-            gone: self.connections.add(peer),
+            connection: self.connections.add(peer),
             connections: self.connections.clone(),
             stream,
             peer,
@@ -65,13 +64,22 @@
 pub struct WatchedStream {
     stream: TcpStream,
     peer: SocketAddr,
-    gone: CancellationToken,
+    connection: Connection,
     connections: Arc<Connections>,
 }
 
+impl WatchedStream {
+    fn check(&self) -> io::Result<()> {
+        if self.connection.is_broken() {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        Ok(())
+    }
+}
+
 impl Drop for WatchedStream {
     fn drop(&mut self) {
-        self.gone.cancel();
+        self.connection.get_gone().cancel();
         self.connections.remove(self.peer);
     }
 }
@@ -91,7 +99,7 @@
             Poll::Pending => false,
         };
         if is_end {
-            self.gone.cancel();
+            self.connection.get_gone().cancel();
         }
         result
     }
@@ -103,10 +111,12 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.check()?;
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.check()?;
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
@@ -119,6 +129,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.check()?;
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
--- a/crates/serve/src/connections.rs
+++ b/crates/serve/src/connections.rs
@@ -3,6 +3,7 @@
 use parking_lot::Mutex;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use tokio_util::sync::CancellationToken;
 
 /// The open connections of a server, by the address of the other end.
@@ -14,7 +15,30 @@
 #[derive(Debug)]
 struct Open {
     peer: SocketAddr,
+    connection: Connection,
+}
+
+/// What a request can learn of its connection and do to it.
+#[derive(Debug, Clone, Default)]
+pub struct Connection {
     gone: CancellationToken,
+    broken: Arc<AtomicBool>,
+}
+
+impl Connection {
+    /// Returns the token that is cancelled when the other end goes.
+    pub fn get_gone(&self) -> &CancellationToken {
+        &self.gone
+    }
+
+    /// Lets every later write fail, so that a cut answer is not finished.
+    pub fn break_off(&self) {
+        self.broken.store(true, Ordering::Release);
+    }
+
+    pub(crate) fn is_broken(&self) -> bool {
+        self.broken.load(Ordering::Acquire)
+    }
 }
 
 impl Connections {
@@ -23,13 +47,13 @@
         Arc::new(Self::default())
     }
 
-    /// Returns the token that is cancelled when the other end goes.
+    /// Returns the connection to the other end.
     ///
-    /// An address without a connection gives a token that nobody cancels.
-    pub fn watch(&self, peer: Option<SocketAddr>) -> CancellationToken {
+    /// An address without a connection gives one that never goes.
+    pub fn watch(&self, peer: Option<SocketAddr>) -> Connection {
         let open = self.open.lock();
         peer.and_then(|peer| find(&open, peer).ok())
-            .map_or_else(CancellationToken::new, |index| open[index].gone.clone())
+            .map_or_else(Connection::default, |index| open[index].connection.clone())
     }
 
     /// Returns the number of open connections.
@@ -42,18 +66,18 @@
         self.len() == 0
     }
 
-    pub(crate) fn add(&self, peer: SocketAddr) -> CancellationToken {
-        let gone = CancellationToken::new();
+    pub(crate) fn add(&self, peer: SocketAddr) -> Connection {
+        let connection = Connection::default();
         let entry = Open {
             peer,
-            gone: gone.clone(),
+            connection: connection.clone(),
         };
         let mut open = self.open.lock();
         match find(&open, peer) {
             Ok(index) => open[index] = entry,
             Err(index) => open.insert(index, entry),
         }
-        gone
+        connection
     }
 
     pub(crate) fn remove(&self, peer: SocketAddr) {
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -9,5 +9,5 @@
 mod connections;
 
 pub use acceptor::WatchedAcceptor;
-pub use body::{breaking, until_gone};
-pub use connections::Connections;
+pub use body::guard_body;
+pub use connections::{Connection, Connections};
--- a/crates/testkit/src/target/server.rs
+++ b/crates/testkit/src/target/server.rs
@@ -5,7 +5,7 @@
 use super::{Runs, ServiceTime, TargetFaults};
 use bytes::Bytes;
 use futures_util::StreamExt;
-use gentianridge_serve::{Connections, WatchedAcceptor, breaking};
+use gentianridge_serve::{Connection, Connections, WatchedAcceptor, guard_body};
 use parking_lot::Mutex;
 use poem::http::{HeaderMap, HeaderValue, StatusCode};
 use poem::{Body, Endpoint, Request, Response, Server};
@@ -239,14 +239,14 @@
         self.shared.requests.fetch_add(1, Ordering::Relaxed);
         *self.shared.last.lock() = Some(Instant::now());
         let body = request.take_body().into_bytes().await.unwrap_or_default();
-        let gone = self
+        let connection = self
             .connections
             .watch(request.remote_addr().as_socket_addr().copied());
         tokio::select! {
             biased;
-            response = self.shared.serve(&request, body, &faults) => Ok(response),
+            response = self.shared.serve(&request, body, &faults, &connection) => Ok(response),
             // The work is cancelled with the connection it came on.
-            () = gone.cancelled() => Ok(Response::default()),
+            () = connection.get_gone().cancelled() => Ok(Response::default()),
         }
     }
 }
@@ -280,7 +280,13 @@
         faults.silent_callers.contains(caller)
     }
 
-    async fn serve(&self, request: &Request, body: Bytes, faults: &FaultState) -> Response {
+    async fn serve(
+        &self,
+        request: &Request,
+        body: Bytes,
+        faults: &FaultState,
+        connection: &Connection,
+    ) -> Response {
         let target = request
             .uri()
             .path_and_query()
@@ -306,7 +312,7 @@
         self.note_run(request.headers());
         self.work(target, faults).await;
         tokio::time::sleep(faults.delay).await;
-        let answer = self.answer_body(target, &body, faults);
+        let answer = self.answer_body(target, &body, faults, connection);
         let mut response = self.reported(StatusCode::OK, answer);
         echo_headers(request.headers(), response.headers_mut());
         response
@@ -335,7 +341,13 @@
     }
 
     /// The answer names its request, so that a crossed answer can be told.
-    fn answer_body(&self, target: &str, body: &[u8], faults: &FaultState) -> Body {
+    fn answer_body(
+        &self,
+        target: &str,
+        body: &[u8],
+        faults: &FaultState,
+        connection: &Connection,
+    ) -> Body {
         let mut text = format!("{target} {} ", body.len()).into_bytes();
         text.resize(text.len() + self.options.body, b'.');
         if !faults.truncates {
@@ -348,7 +360,7 @@
             tokio::time::sleep(BREAK_PAUSE).await;
             Err(io::Error::other("broken off"))
         });
-        Body::from_bytes_stream(breaking(start.chain(end)))
+        Body::from_bytes_stream(guard_body(start.chain(end), connection.clone()))
     }
 
     fn shed(&self) -> Response {
