fix: crashes end with the second target, probes tell of leaving

Cause: (1) one call went on to retry while its crashes had it quarantined, and took four targets; (2) only answers, not probes, told the fleet that a target is leaving, so an idle service never learned. Change: an outcome for a quarantined crash that allows no retry; probes and answers share one way into the fleet.

--- a/crates/core/src/service/input.rs
+++ b/crates/core/src/service/input.rs
@@ -25,6 +25,8 @@
     Refused,
     /// The connection ended after the request was sent.
     Broken,
+    /// The connection ended and the request is quarantined for it by now.
+    Quarantined,
     /// The connection gave no byte for the silence time.
     Silent,
     /// The deadline of the call passed.
@@ -54,6 +56,7 @@
             Self::Declined => "declined",
             Self::Refused => "refused",
             Self::Broken => "broken",
+            Self::Quarantined => "quarantined",
             Self::Silent => "silent",
             Self::TimedOut => "timed-out",
             Self::Withdrawn => "withdrawn",
--- a/crates/core/src/service/machine.rs
+++ b/crates/core/src/service/machine.rs
@@ -750,7 +750,9 @@
         out: &mut Vec<Output>,
     ) -> bool {
         match outcome {
-            Outcome::Withdrawn | Outcome::TimedOut | Outcome::Declined => false,
+            Outcome::Withdrawn | Outcome::TimedOut | Outcome::Declined | Outcome::Quarantined => {
+                false
+            }
             Outcome::Shed | Outcome::Refused | Outcome::Broken | Outcome::Silent => {
                 self.try_retry(now, key, out)
             }
--- a/crates/daemon/src/caller/call.rs
+++ b/crates/daemon/src/caller/call.rs
@@ -11,8 +11,7 @@
 use futures_util::future::BoxFuture;
 use futures_util::stream::FuturesUnordered;
 use gentianridge_core::{
-    Arrival, AttemptKey, AttemptKind, CallKey, ClassKey, ClassKind, LoadReport, Outcome,
-    ResultCode, TargetKey, TargetNotice,
+    Arrival, AttemptKey, AttemptKind, CallKey, ClassKey, ClassKind, Outcome, ResultCode, TargetKey,
 };
 use http::{HeaderMap, StatusCode};
 use reqwest::Response;
@@ -170,6 +169,7 @@
         let response = match end.result {
             Ok(response) => response,
             Err(outcome) => {
+                let outcome = self.judge_crash(outcome);
                 trace.end(now, end.index, outcome.as_str());
                 self.cx.service.failed(end.attempt, outcome);
                 return;
@@ -198,9 +198,21 @@
             .answered(end.attempt, is_error, is_retried_below);
     }
 
+    /// A request that is quarantined by now must crash no further target.
+    fn judge_crash(&self, outcome: Outcome) -> Outcome {
+        let fingerprint = self.cx.request.get_fingerprint();
+        let is_quarantined = || self.cx.fleet.quarantine.lock().is_quarantined(fingerprint);
+        if outcome == Outcome::Broken && is_quarantined() {
+            return Outcome::Quarantined;
+        }
+        outcome
+    }
+
     fn take_report(&self, target: TargetKey, attempt: AttemptKey, headers: &HeaderMap) {
         if let Some(report) = read_report(headers) {
-            note_report(&self.cx, target, attempt, report);
+            self.cx
+                .fleet
+                .take_report(&self.cx.service, target, Some(attempt), report);
         }
     }
 
@@ -241,21 +253,3 @@
 fn is_server_error(status: StatusCode) -> bool {
     status.is_server_error()
 }
-
-/// Tells the service, and the fleet if the target's word on leaving changed.
-fn note_report(cx: &CallContext, target: TargetKey, attempt: AttemptKey, report: LoadReport) {
-    let changed = cx.service.read(|machine, _| {
-        let is_change = machine.is_leaving(target) != report.is_leaving;
-        let name = machine.get_target(target).map(|t| t.name.clone());
-        name.filter(|_| is_change)
-    });
-    if let Some(name) = changed {
-        cx.fleet.notice(&TargetNotice {
-            service: cx.service.name.clone(),
-            target: name,
-            is_leaving: report.is_leaving,
-            at: cx.fleet.journal.tick(),
-        });
-    }
-    cx.service.report(target, Some(attempt), report);
-}
--- a/crates/daemon/src/fleet/shared.rs
+++ b/crates/daemon/src/fleet/shared.rs
@@ -5,8 +5,8 @@
 use crate::telemetry::{Journal, Metrics, TraceBook};
 use gentianridge_config::{Settings, parse_fleet};
 use gentianridge_core::{
-    Adoption, Clock, EventKind, FleetSpec, Membership, Quarantine, QuarantineChange, RevisionLog,
-    RevisionRecord, TargetNotice, TargetNotices, VmName,
+    Adoption, AttemptKey, Clock, EventKind, FleetSpec, LoadReport, Membership, Quarantine,
+    QuarantineChange, RevisionLog, RevisionRecord, TargetKey, TargetNotice, TargetNotices, VmName,
 };
 use gentianridge_platform::Platform;
 use parking_lot::{Mutex, RwLock};
@@ -250,6 +250,31 @@
         }
     }
 
+    /// Takes in a load report, and tells the fleet if the target's word on
+    /// its leaving has changed.
+    pub(crate) fn take_report(
+        &self,
+        service: &ServiceHandle,
+        target: TargetKey,
+        attempt: Option<AttemptKey>,
+        report: LoadReport,
+    ) {
+        let changed = service.read(|machine, _| {
+            let is_change = machine.is_leaving(target) != report.is_leaving;
+            let name = machine.get_target(target).map(|t| t.name.clone());
+            name.filter(|_| is_change)
+        });
+        if let Some(name) = changed {
+            self.notice(&TargetNotice {
+                service: service.name.clone(),
+                target: name,
+                is_leaving: report.is_leaving,
+                at: self.journal.tick(),
+            });
+        }
+        service.report(target, attempt, report);
+    }
+
     /// Puts known notices in force for services that came with a new revision.
     fn apply_notices(&self) {
         let notices = self.notices.lock().get_newest(usize::MAX);
--- a/crates/daemon/src/service/prober.rs
+++ b/crates/daemon/src/service/prober.rs
@@ -24,7 +24,7 @@
         let live = fleet.get_live();
         for service in &routes.services {
             if let Some(target) = find_due(&fleet, service, &live) {
-                tokio::spawn(probe(service.clone(), target));
+                tokio::spawn(probe(fleet.clone(), service.clone(), target));
             }
         }
     }
@@ -53,7 +53,7 @@
     is_due.then_some(key)
 }
 
-async fn probe(service: Arc<ServiceHandle>, key: TargetKey) {
+async fn probe(fleet: Arc<Fleet>, service: Arc<ServiceHandle>, key: TargetKey) {
     let found = service.read(|machine, _| {
         let spec = machine.get_target(key)?;
         let path = machine.get_spec().probe_path.clone();
@@ -71,7 +71,7 @@
     match request.send().await {
         Ok(response) => {
             if let Some(report) = read_report(response.headers()) {
-                service.report(key, None, report);
+                fleet.take_report(&service, key, None, report);
             }
         }
         Err(error) if error.is_timeout() => {
--- /dev/null
+++ b/tests/hostile_input.rs
@@ -0,0 +1,146 @@
+//! Malformed input from callers, targets and peers.
+
+mod common;
+
+use common::{addr, get, start};
+use rand::{Rng, RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+const SEED: u64 = 11;
+
+async fn send_raw(addr: SocketAddr, bytes: &[u8]) -> Vec<u8> {
+    let mut answer = Vec::new();
+    let Ok(mut stream) = TcpStream::connect(addr).await else {
+        return answer;
+    };
+    if stream.write_all(bytes).await.is_ok() {
+        // An end of the connection is as good an answer as any.
+        let _ =
+            tokio::time::timeout(Duration::from_millis(200), stream.read_to_end(&mut answer)).await;
+    }
+    answer
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn random_callers() {
+    let fleet = start(1).await;
+    let mut rng = Pcg32::seed_from_u64(SEED);
+    let request = b"GET /recipient/open HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nab";
+    for _ in 0..60 {
+        let mut bytes = request.to_vec();
+        for _ in 0..rng.random_range(1..6) {
+            let at = rng.random_range(0..bytes.len());
+            bytes[at] = rng.next_u32() as u8;
+        }
+        bytes.truncate(rng.random_range(1..=bytes.len()));
+        send_raw(addr(&fleet, 0), &bytes).await;
+    }
+    assert_eq!(get(&fleet, 0, "/recipient/open").await.status(), 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn oversized_head() {
+    let fleet = start(1).await;
+    let long = format!(
+        "GET /recipient/{} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n",
+        "x".repeat(20_000)
+    );
+    let answer = send_raw(addr(&fleet, 0), long.as_bytes()).await;
+    assert!(
+        answer.starts_with(b"HTTP/1.1 4"),
+        "{}",
+        String::from_utf8_lossy(&answer)
+    );
+    let headers = "x-a: b\r\n".repeat(200_000);
+    let many = format!("GET /recipient/open HTTP/1.1\r\nhost: a\r\n{headers}\r\n");
+    send_raw(addr(&fleet, 0), many.as_bytes()).await;
+    assert_eq!(get(&fleet, 0, "/recipient/open").await.status(), 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn random_peers() {
+    let fleet = start(2).await;
+    let mut rng = Pcg32::seed_from_u64(SEED);
+    let peers = fleet.vms[0].get_peers();
+    for _ in 0..60 {
+        let length = rng.random_range(1..200_usize);
+        let mut bytes = (length as u32).to_be_bytes().to_vec();
+        bytes.extend((0..length).map(|_| rng.next_u32() as u8));
+        send_raw(peers, &bytes).await;
+    }
+    send_raw(peers, &u32::MAX.to_be_bytes()).await;
+    assert_eq!(get(&fleet, 0, "/recipient/open").await.status(), 200);
+    let url = format!("http://{}/metrics", fleet.vms[0].get_operators());
+    let metrics = common::caller()
+        .get(url)
+        .send()
+        .await
+        .expect("an answer")
+        .text()
+        .await
+        .expect("a text");
+    let line = metrics
+        .lines()
+        .find(|line| line.starts_with("gentianridge_peer_faults_total"));
+    let count: f64 = line
+        .and_then(|line| line.rsplit(' ').next())
+        .and_then(|number| number.parse().ok())
+        .unwrap_or(0.0);
+    assert!(count >= 50.0, "dropped messages are counted: {line:?}");
+}
+
+/// A backend server that answers every request with the same bytes.
+async fn odd_target(bytes: &'static [u8]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a socket");
+    let addr = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut buf = [0; 4096];
+                while stream.read(&mut buf).await.is_ok_and(|size| size > 0) {
+                    if stream.write_all(bytes).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    addr
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_targets() {
+    let fleet = start(1).await;
+    let answers: [&'static [u8]; 5] = [
+        b"nonsense\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\ncontent-length: 7\r\n\r\nhello",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
+        b"HTTP/1.1 999 Odd\r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nendpoint-load-metrics: TEXT named_metrics.in_flight=NaN,,==\r\ncontent-length: 2\r\n\r\nok",
+    ];
+    for (index, bytes) in answers.into_iter().enumerate() {
+        let odd = odd_target(bytes).await;
+        let text = format!(
+            "[fleet]\n[service odd]\npath = /odd\n[class odd.all]\npath = /odd\nkind = interactive\n\
+             deadline = 1s\n[target odd.o]\naddress = {odd}\ndomain = d\nslots = 1\n"
+        );
+        let answer = fleet.submit(&text, None).await.expect("an answer");
+        fleet
+            .wait_revision(answer.revision)
+            .await
+            .expect("in force");
+        let response = get(&fleet, 0, "/odd").await;
+        let status = response.status().as_u16();
+        let body = response.bytes().await;
+        println!("answer {index}: {status}, {body:?}");
+        let is_visible = status >= 400 || body.is_err() || status == 200 && index == 4;
+        assert!(
+            is_visible || index == 1,
+            "answer {index} became {status} {body:?}"
+        );
+    }
+}
--- /dev/null
+++ b/tests/leaving.rs
@@ -0,0 +1,244 @@
+//! Targets and VMs that leave, planned or not.
+
+mod common;
+
+use common::{addr, get, start, wait_for};
+use gentianridge_testkit::{CallPlan, CallResult, LocalFleet, RunState, run_calls};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Bound on the time until a leaving target gets no new work.
+const NO_NEW_WORK: Duration = Duration::from_secs(3);
+
+fn steady(seconds: u64, per_second: u64) -> Vec<CallPlan> {
+    (0..seconds * per_second)
+        .map(|index| CallPlan {
+            at: Duration::from_micros(index * 1_000_000 / per_second),
+            group: "open",
+            method: "GET",
+            path: format!("/recipient/open?n={index}"),
+            key: None,
+            body: None,
+        })
+        .collect()
+}
+
+fn failed(results: &[CallResult]) -> Vec<&CallResult> {
+    results
+        .iter()
+        .filter(|result| result.run != RunState::Answered)
+        .collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn target_announces() {
+    let fleet = start(5).await;
+    let load = tokio::spawn(run_calls(steady(6, 300), fleet.get_callers()));
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let leaving = &fleet.targets[0][0];
+    leaving.get_faults().leave(true);
+    let announced = Instant::now();
+    let results = load.await.expect("the load ends");
+    assert!(failed(&results).is_empty(), "{:?}", failed(&results));
+    let last = leaving.get_last_request().expect("the target was used");
+    let took = last.saturating_duration_since(announced);
+    println!("last new work {took:?} after the announcement");
+    assert!(took < NO_NEW_WORK);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_service_learns() {
+    let fleet = start(5).await;
+    let leaving = &fleet.targets[1][0];
+    leaving.get_faults().leave(true);
+    // No call tells the VMs, so a probe has to.
+    wait_for("the news on every VM", Duration::from_secs(8), async || {
+        let mut count = 0;
+        for vm in 0..5 {
+            let status = fleet
+                .client(vm)
+                .expect("a client")
+                .status()
+                .await
+                .expect("a status");
+            let target = &status.services[1].targets[0];
+            count += usize::from(target.condition == gentianridge_core::TargetCondition::Leaving);
+        }
+        count == 5
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn target_returns() {
+    let fleet = start(3).await;
+    let target = &fleet.targets[0][0];
+    target.get_faults().leave(true);
+    let load = tokio::spawn(run_calls(steady(12, 100), fleet.get_callers()));
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    target.get_faults().leave(false);
+    let before = target.count_requests();
+    load.await.expect("the load ends");
+    assert!(
+        target.count_requests() > before,
+        "a target that is back gets work again"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop() {
+    let mut fleet = start(3).await;
+    let stopping = addr(&fleet, 0);
+    let pulls: Vec<_> = (0..3)
+        .map(|index| {
+            let url = format!("http://{stopping}/past/history?n={index}");
+            tokio::spawn(async move { common::caller().get(url).send().await?.text().await })
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let vm = fleet.vms.remove(0);
+    vm.stop().await.expect("the stop ends");
+    for pull in pulls {
+        let text = pull.await.expect("the task ends").expect("a whole pull");
+        assert!(text.starts_with("/past/history"));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_keeps_claims() {
+    let mut fleet = start(2).await;
+    fleet
+        .platform
+        .get_faults()
+        .latency(Duration::from_millis(100));
+    let first = common::confirm(&fleet, 0, "k1", "group=1").await;
+    assert_eq!(first.status(), 200);
+    fleet.vms.remove(0).stop().await.expect("the stop ends");
+    let again = common::confirm(&fleet, 0, "k1", "group=1").await;
+    assert_eq!(
+        common::header(&again, "gentianridge-replayed"),
+        "1",
+        "the claim was closed before the end"
+    );
+}
+
+/// Sends calls to the VMs that the balancer takes for ready.
+async fn balanced_load(
+    addrs: Arc<parking_lot::RwLock<Vec<SocketAddr>>>,
+    seconds: u64,
+) -> (u64, Vec<String>) {
+    let client = common::caller();
+    let started = Instant::now();
+    let mut calls = tokio::task::JoinSet::new();
+    let mut index = 0_u64;
+    while started.elapsed() < Duration::from_secs(seconds) {
+        let addr = {
+            let addrs = addrs.read();
+            addrs[index as usize % addrs.len()]
+        };
+        let client = client.clone();
+        let path = format!("/recipient/open?n={index}");
+        calls.spawn(async move {
+            let sent = client.get(format!("http://{addr}{path}")).send().await;
+            match sent {
+                Ok(response) if response.status() == 200 => match response.text().await {
+                    Ok(text) if text.starts_with(&path) => None,
+                    other => Some(format!("{path}: {other:?}")),
+                },
+                other => Some(format!("{path}: {other:?}")),
+            }
+        });
+        index += 1;
+        tokio::time::sleep(Duration::from_millis(4)).await;
+    }
+    let failures = calls.join_all().await.into_iter().flatten().collect();
+    (index, failures)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn rolling_replacement() {
+    let mut fleet = start(5).await;
+    let addrs = Arc::new(parking_lot::RwLock::new(fleet.get_callers().to_vec()));
+    let load = tokio::spawn(balanced_load(addrs.clone(), 9));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    for _ in 0..5 {
+        fleet.add_vm().await.expect("a new VM");
+        fleet
+            .wait_revision(1)
+            .await
+            .expect("the new VM has the file");
+        let old = fleet.vms.remove(0);
+        let gone = old.get_callers();
+        let stop = tokio::spawn(old.stop());
+        // The balancer sees that the VM is not ready within the notice time.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        *addrs.write() = fleet.get_callers().to_vec();
+        assert!(!addrs.read().contains(&gone));
+        stop.await.expect("the task ends").expect("the stop ends");
+        fleet.update_members();
+    }
+    let (calls, failures) = load.await.expect("the load ends");
+    println!(
+        "{calls} calls while 5 VMs were replaced, {} failed",
+        failures.len()
+    );
+    assert!(failures.is_empty(), "{failures:?}");
+}
+
+async fn live_peers(fleet: &LocalFleet, vm: usize) -> usize {
+    let status = fleet
+        .client(vm)
+        .expect("a client")
+        .status()
+        .await
+        .expect("a status");
+    status
+        .peers
+        .iter()
+        .filter(|peer| peer.state == "live")
+        .count()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_vms() {
+    let mut fleet = start(5).await;
+    wait_for("a full view", Duration::from_secs(3), async || {
+        live_peers(&fleet, 4).await == 4
+    })
+    .await;
+    for _ in 0..2 {
+        fleet.vms.remove(0).kill();
+    }
+    let lost = Instant::now();
+    let response = get(&fleet, 0, "/recipient/open").await;
+    assert_eq!(response.status(), 200);
+    wait_for("the loss to be known", Duration::from_secs(2), async || {
+        live_peers(&fleet, 0).await == 2
+    })
+    .await;
+    println!("loss of two VMs known after {:?}", lost.elapsed());
+    assert!(lost.elapsed() < Duration::from_millis(1_500));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_targets() {
+    let fleet = start(3).await;
+    let load = tokio::spawn(run_calls(steady(6, 300), fleet.get_callers()));
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    for target in fleet.targets[0].iter().step_by(3) {
+        target.kill();
+    }
+    let results = load.await.expect("the load ends");
+    let late: Vec<_> = failed(&results)
+        .into_iter()
+        .filter(|result| result.at > Duration::from_millis(2_500))
+        .collect();
+    println!(
+        "{} of {} calls failed, {} after 500 ms",
+        failed(&results).len(),
+        results.len(),
+        late.len()
+    );
+    assert!(late.len() * 1_000 < results.len(), "{late:?}");
+}
--- /dev/null
+++ b/tests/silence.rs
@@ -0,0 +1,88 @@
+//! Connections that fall silent while new ones work.
+
+mod common;
+
+use common::{confirm, get, start, wait_for};
+use gentianridge_testkit::{CallPlan, RunState, run_calls};
+use std::time::{Duration, Instant};
+
+/// Silence time in the deployments' file.
+const SILENCE: Duration = Duration::from_secs(2);
+
+fn lookups(count: u64) -> Vec<CallPlan> {
+    (0..count)
+        .map(|index| CallPlan {
+            at: Duration::from_millis(index * 5),
+            group: "open",
+            method: "GET",
+            path: format!("/recipient/open?n={index}"),
+            key: None,
+            body: None,
+        })
+        .collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_targets() {
+    let fleet = start(1).await;
+    run_calls(lookups(400), fleet.get_callers()).await;
+    for target in &fleet.targets[0] {
+        target.silence_connections();
+    }
+    let results = run_calls(lookups(400), fleet.get_callers()).await;
+    let late = results
+        .iter()
+        .filter(|result| result.run != RunState::Answered && result.at > Duration::from_secs(1));
+    assert_eq!(late.count(), 0, "fresh connections after one timeout");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_timeout() {
+    let fleet = start(1).await;
+    for _ in 0..30 {
+        get(&fleet, 0, "/past/list").await;
+    }
+    for target in &fleet.targets[2] {
+        target.silence_connections();
+    }
+    let started = Instant::now();
+    let response = get(&fleet, 0, "/past/history?n=1").await;
+    assert_eq!(response.status(), 200);
+    assert!(
+        started.elapsed() < SILENCE + Duration::from_secs(1),
+        "{:?}",
+        started.elapsed()
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_store() {
+    let fleet = start(2).await;
+    confirm(&fleet, 0, "k0", "group=0").await;
+    fleet.platform.get_faults().silence(true);
+    let started = Instant::now();
+    let response = confirm(&fleet, 0, "k1", "group=1").await;
+    assert_eq!(
+        common::header(&response, "gentianridge-run"),
+        "not-run",
+        "{response:?}"
+    );
+    assert!(
+        started.elapsed() < Duration::from_millis(2_200),
+        "within the deadline: {:?}",
+        started.elapsed()
+    );
+    assert_eq!(get(&fleet, 0, "/recipient/open").await.status(), 200);
+    fleet.platform.get_faults().silence(false);
+    wait_for(
+        "the return of the store",
+        Duration::from_secs(5),
+        async || confirm(&fleet, 0, "k2", "group=2").await.status() == 200,
+    )
+    .await;
+    assert_eq!(
+        fleet.runs.count("k1"),
+        0,
+        "a refusal as not run is never followed by a run"
+    );
+}
