--- /dev/null
+++ b/crates/testkit/src/history/mod.rs
@@ -0,0 +1,9 @@
+//! History checking of concurrent runs with seeded faults.
+
+mod check;
+mod record;
+mod run;
+
+pub use check::{Violation, check_history};
+pub use record::{History, Leave, RevisionSeen, Submitted};
+pub use run::run_history;
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -5,12 +5,14 @@
 
 mod deployment;
 mod fleet;
+mod history;
 mod load;
 mod platform;
 mod target;
 
 pub use deployment::{Deployment, DeploymentClass, DeploymentService};
 pub use fleet::{FleetOptions, LocalFleet, LocalVm};
+pub use history::{History, Leave, RevisionSeen, Submitted, Violation, check_history, run_history};
 pub use load::{CallPlan, CallResult, LoadReportTable, RunState, run_calls};
 pub use platform::{PlatformFaults, PlatformStandIn};
 pub use target::{Runs, ServiceTime, TargetFaults, TargetOptions, TargetStandIn};
--- a/crates/testkit/src/target/runs.rs
+++ b/crates/testkit/src/target/runs.rs
@@ -37,17 +37,23 @@
         self.runs.lock().iter().filter(|run| run.key == key).count()
     }
 
-    /// Returns the number of keys that were started more than once.
-    pub fn count_doubled(&self) -> usize {
+    /// Returns each key with the number of its starts, sorted by key.
+    pub fn list(&self) -> Vec<(String, usize)> {
         let mut keys: Vec<String> = self.runs.lock().iter().map(|run| run.key.clone()).collect();
         keys.sort();
-        let mut doubled: Vec<&String> = keys
-            .windows(2)
-            .filter(|pair| pair[0] == pair[1])
-            .map(|pair| &pair[0])
-            .collect();
-        doubled.dedup();
-        doubled.len()
+        let mut counted: Vec<(String, usize)> = Vec::new();
+        for key in keys {
+            match counted.last_mut() {
+                Some((last, count)) if *last == key => *count += 1,
+                _ => counted.push((key, 1)),
+            }
+        }
+        counted
+    }
+
+    /// Returns the number of keys that were started more than once.
+    pub fn count_doubled(&self) -> usize {
+        self.list().iter().filter(|(_, count)| *count > 1).count()
     }
 
     /// Returns the number of starts.
