--- /dev/null
+++ b/crates/cli/tests/command_line.rs
@@ -0,0 +1,8 @@
+//! What the command line shows, as snapshots.
+
+#[test]
+fn snapshots() {
+    trycmd::TestCases::new()
+        .default_bin_path(trycmd::cargo::cargo_bin!("gentianridge"))
+        .case("tests/cmd/*.toml");
+}
--- /dev/null
+++ b/crates/wire/tests/messages.rs
@@ -0,0 +1,110 @@
+//! Messages between VMs.
+
+use gentianridge_core::{CrashMark, Heartbeat, HybridTime, PeerView, RevisionRecord, TargetNotice};
+use gentianridge_wire::{PeerMessage, frame, read_message, write_message};
+use proptest::prelude::*;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+fn peer(name: &str) -> PeerView {
+    PeerView {
+        vm: name.into(),
+        incarnation: 1_700_000_000_000,
+        seq: 77,
+        addr: SocketAddr::from(([10, 1, 2, 3], 8082)),
+        operator_addr: SocketAddr::from(([0, 0, 0, 0, 0, 0, 0, 1], 8081)),
+        is_leaving: true,
+        revision: 12,
+    }
+}
+
+fn heartbeat() -> Heartbeat {
+    Heartbeat {
+        fleet: "sorteggio-nero".into(),
+        me: peer("vm1"),
+        at: HybridTime {
+            millis: 5,
+            logical: 6,
+        },
+        marks: vec![CrashMark {
+            fingerprint: 7,
+            vm: "vm2".into(),
+            count: 1,
+            epoch: 2,
+            age: Duration::from_millis(30),
+        }],
+        notices: vec![TargetNotice {
+            service: "draw".into(),
+            target: "d1".into(),
+            is_leaving: true,
+            at: HybridTime {
+                millis: 4,
+                logical: 0,
+            },
+        }],
+        peers: vec![peer("vm3")],
+    }
+}
+
+fn record() -> RevisionRecord {
+    RevisionRecord {
+        number: 3,
+        submission: "2-a".into(),
+        author: "ada".into(),
+        submitted_ms: 9,
+        text: "[fleet]".into(),
+    }
+}
+
+#[test]
+fn round_trip() {
+    let messages = [
+        PeerMessage::Heartbeat(heartbeat()),
+        PeerMessage::FetchRevision(4),
+        PeerMessage::Revision(record()),
+        PeerMessage::Ack,
+    ];
+    for message in messages {
+        let decoded = PeerMessage::decode(&message.encode()).expect("a message");
+        assert_eq!(decoded, message);
+    }
+}
+
+#[test]
+fn small_heartbeat() {
+    let mut plain = heartbeat();
+    plain.marks.clear();
+    plain.notices.clear();
+    plain.peers.clear();
+    let size = PeerMessage::Heartbeat(plain).encode().len();
+    println!("a heartbeat without news has {size} bytes");
+    // 4 peers, 4 rounds a second and the answers have to stay within 5 KB/s.
+    assert!(size * 16 < 2_500, "{size} bytes");
+}
+
+#[tokio::test]
+async fn framed_stream() {
+    let (a, b) = tokio::io::duplex(64);
+    let (mut a, mut b) = (frame(a), frame(b));
+    let message = PeerMessage::Revision(record());
+    let (sent, received) = tokio::join!(write_message(&mut a, &message), read_message(&mut b));
+    assert!(sent.expect("sent") > 4);
+    assert_eq!(received.expect("received"), Some(message));
+    drop(a);
+    assert_eq!(read_message(&mut b).await.expect("a clean end"), None);
+}
+
+proptest! {
+    #[test]
+    fn random_bytes(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        let _ = PeerMessage::decode(&bytes);
+    }
+
+    #[test]
+    fn changed_byte(at in any::<usize>(), byte in any::<u8>()) {
+        let mut bytes = PeerMessage::Heartbeat(heartbeat()).encode();
+        let at = at % bytes.len();
+        bytes[at] = byte;
+        let _ = PeerMessage::decode(&bytes);
+    }
+}
