--- /dev/null
+++ b/examples/capacity.rs
@@ -0,0 +1,245 @@
+//! Slopes of what a daemon costs, from which docs/CAPACITY.md is worked out.
+//!
+//! `cargo run --release --example capacity` builds the core with 840 targets
+//! in 54 services and fleets of 5, 50 and 500 VMs' worth of peers.
+
+use gentianridge_api::TimelineAnswer;
+use gentianridge_cli::merge_timelines;
+use gentianridge_config::parse_fleet;
+use gentianridge_core::{
+    Arrival, ClassKey, Event, EventKind, EventRing, Heartbeat, HybridClock, LoadReport, Membership,
+    Output, PeerView, Service, is_probe_owner,
+};
+use gentianridge_wire::PeerMessage;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant, SystemTime};
+
+const SERVICES: usize = 54;
+const TARGETS: usize = 840;
+const FLEETS: [usize; 3] = [5, 50, 500];
+const EVENTS: usize = 8_192;
+const TURNS: u32 = 200_000;
+
+fn main() {
+    let text = write_file(SERVICES, TARGETS);
+    show_file(&text);
+    show_state(&text);
+    show_decision(&text);
+    for vms in FLEETS {
+        show_fleet(vms);
+    }
+    show_events();
+}
+
+fn write_file(services: usize, targets: usize) -> String {
+    let mut text = String::from("[fleet]\nmax_vms = 60\n");
+    for service in 0..services {
+        // Writing to a string cannot fail.
+        let _ = write!(
+            text,
+            "\n[service s{service}]\npath = /s{service}\n\n[class s{service}.short]\npath = /s{service}\n\
+             kind = interactive\ndeadline = 500ms\nreserve = 8\n"
+        );
+    }
+    for target in 0..targets {
+        let service = target % services;
+        let _ = write!(
+            text,
+            "\n[target s{service}.t{target}]\naddress = 10.0.{}.{}:80\ndomain = d{}\nslots = 4\n",
+            target / 250,
+            target % 250,
+            target % 5
+        );
+    }
+    text
+}
+
+fn show_file(text: &str) {
+    let started = Instant::now();
+    let rounds = 20;
+    for _ in 0..rounds {
+        parse_fleet(text).expect("the file is right");
+    }
+    let each = started.elapsed() / rounds;
+    println!("file: {} bytes, read and checked in {each:?}", text.len());
+}
+
+fn show_state(text: &str) {
+    let fleet = parse_fleet(text).expect("the file is right");
+    let whole = allocation_counter::measure(|| {
+        let services: Vec<Service> = fleet
+            .services
+            .iter()
+            .map(|s| Service::new(s.clone(), 1))
+            .collect();
+        std::mem::forget(services);
+    });
+    println!(
+        "state: {} bytes for {TARGETS} targets in {SERVICES} services, {} a target",
+        whole.bytes_current,
+        whole.bytes_current / TARGETS as i64
+    );
+    let spec = fleet.services[0].clone();
+    let calls = allocation_counter::measure(|| {
+        let mut service = Service::new(spec, 1);
+        let now = Instant::now();
+        let mut out = Vec::new();
+        for _ in 0..256 {
+            let arrival = Arrival {
+                class: ClassKey(0),
+                deadline: now + Duration::from_secs(60),
+                is_replayable: true,
+            };
+            service.arrive(now, arrival, &mut out);
+            out.clear();
+        }
+        std::mem::forget(service);
+    });
+    println!(
+        "state: {} bytes for a service with 256 calls waiting or running",
+        calls.bytes_current
+    );
+}
+
+fn show_decision(text: &str) {
+    let fleet = parse_fleet(text).expect("the file is right");
+    let mut service = Service::new(fleet.services[0].clone(), 1);
+    let mut now = Instant::now();
+    let mut out = Vec::new();
+    let mut running = std::collections::VecDeque::new();
+    let started = Instant::now();
+    for _ in 0..TURNS {
+        now += Duration::from_micros(100);
+        let arrival = Arrival {
+            class: ClassKey(0),
+            deadline: now + Duration::from_secs(1),
+            is_replayable: true,
+        };
+        service.arrive(now, arrival, &mut out);
+        for output in out.drain(..) {
+            if let Output::Dispatch {
+                attempt, target, ..
+            } = output
+            {
+                running.push_back((attempt, target));
+            }
+        }
+        if running.len() > 40
+            && let Some((attempt, target)) = running.pop_front()
+        {
+            let report = LoadReport {
+                in_flight: 3,
+                slots: None,
+                is_leaving: false,
+            };
+            service.report(now, target, Some(attempt), report, &mut out);
+            service.answered(now, attempt, false, false, &mut out);
+            service.finished(now, attempt, &mut out);
+        }
+    }
+    let targets = fleet.services[0].targets.len();
+    println!(
+        "decision: {:?} a call at {targets} targets, arrival to end",
+        started.elapsed() / TURNS
+    );
+}
+
+fn peer(number: usize, seq: u64) -> PeerView {
+    let addr = SocketAddr::from(([10, 1, (number / 250) as u8, (number % 250) as u8], 8082));
+    PeerView {
+        vm: format!("vm{number:04}").into(),
+        incarnation: 1_700_000_000_000,
+        seq,
+        addr,
+        operator_addr: addr,
+        is_leaving: false,
+        revision: 400,
+    }
+}
+
+fn show_fleet(vms: usize) {
+    let now = Instant::now();
+    let mut membership = Membership::new("vm0000".into());
+    let state = allocation_counter::measure(|| {
+        for number in 1..vms {
+            membership.hear(now, peer(number, 1));
+        }
+    });
+    let digest = if vms > 5 { 4 } else { 0 };
+    let heartbeat = PeerMessage::Heartbeat(Heartbeat {
+        fleet: "fleet".into(),
+        me: peer(1, 9),
+        at: HybridClock::new().tick(SystemTime::now()),
+        marks: Vec::new(),
+        notices: Vec::new(),
+        peers: (2..2 + digest).map(|number| peer(number, 9)).collect(),
+    });
+    let bytes = heartbeat.encode().len() + 4;
+    let rounds: u32 = 2_000;
+    let started = Instant::now();
+    for seq in 0..u64::from(rounds) {
+        let message = PeerMessage::decode(&heartbeat.encode()).expect("a message");
+        if let PeerMessage::Heartbeat(heartbeat) = message {
+            let mut me = heartbeat.me;
+            me.seq = seq + 10;
+            membership.hear(now, me);
+        }
+        membership.tick(now);
+    }
+    let message = started.elapsed() / rounds;
+    let started = Instant::now();
+    let live = membership.get_live(now);
+    let owned = (0..TARGETS)
+        .filter(|target| is_probe_owner(&"vm0000".into(), &live, "s", &format!("t{target}")))
+        .count();
+    let owners = started.elapsed();
+    let partners = 4.min(vms - 1) as f64;
+    println!(
+        "fleet of {vms}: {} bytes of state; heartbeat {bytes} bytes, {:.0} bytes/s sent; {message:?} to encode, decode, \
+         take in and tick; owners of {TARGETS} targets in {owners:?} ({owned} owned)",
+        state.bytes_current,
+        bytes as f64 * partners * 4.0
+    );
+}
+
+fn make_event(clock: &mut HybridClock, vm: &str) -> Event {
+    Event {
+        at: clock.tick(SystemTime::now()),
+        vm: vm.into(),
+        kind: EventKind::TargetEjected {
+            service: "recipient".into(),
+            target: "recipient-1".into(),
+            cause: "consecutive failures".into(),
+        },
+    }
+}
+
+fn show_events() {
+    let mut clock = HybridClock::new();
+    let mut ring = EventRing::new(EVENTS);
+    let started = Instant::now();
+    for _ in 0..TURNS {
+        ring.push(make_event(&mut clock, "vm1"));
+    }
+    let each = started.elapsed() / TURNS;
+    let answers: Vec<TimelineAnswer> = (0..5)
+        .map(|vm| {
+            let name = format!("vm{vm}");
+            TimelineAnswer {
+                vm: name.as_str().into(),
+                dropped: 0,
+                events: (0..EVENTS).map(|_| make_event(&mut clock, &name)).collect(),
+            }
+        })
+        .collect();
+    let started = Instant::now();
+    let merged = merge_timelines(answers);
+    println!(
+        "events: {each:?} each ({:.0}/s), {} bytes each; {} of 5 VMs merged in {:?}",
+        1.0 / each.as_secs_f64(),
+        size_of::<Event>(),
+        merged.len(),
+        started.elapsed()
+    );
+}
--- a/examples/latency.rs
+++ b/examples/latency.rs
@@ -56,8 +56,10 @@
         run_calls(make_plan(rate, 2), through.clone()).await;
         let alone =
             LoadReportTable::new(&run_calls(make_plan(rate, seconds), direct.clone()).await);
-        let behind =
-            LoadReportTable::new(&run_calls(make_plan(rate, seconds), through.clone()).await);
+        let before = cpu_ticks("vm-");
+        let behind = run_calls(make_plan(rate, seconds), through.clone()).await;
+        let ticks = cpu_ticks("vm-") - before;
+        let behind = LoadReportTable::new(&behind);
         show(rate, "direct", &alone);
         show(rate, "daemon", &behind);
         let added = at(&behind, 0.99) - at(&alone, 0.99);
@@ -65,10 +67,41 @@
             "{rate:>7} added    {:>8.3} {added:>8.3}           wanted at p99: {WANTED_MS}",
             at(&behind, 0.5) - at(&alone, 0.5)
         );
+        let calls = (rate * seconds) as f64;
+        println!(
+            "{rate:>7} daemon   {:.0} us of processor time a call",
+            ticks as f64 * TICK_MICROS / calls
+        );
     }
     Ok(())
 }
 
+/// Microseconds of one tick in the kernel's account of threads.
+const TICK_MICROS: f64 = 10_000.0;
+
+/// Processor time of the threads whose name starts with the prefix.
+fn cpu_ticks(prefix: &str) -> u64 {
+    let Ok(tasks) = std::fs::read_dir("/proc/self/task") else {
+        return 0;
+    };
+    tasks
+        .flatten()
+        .filter_map(|task| std::fs::read_to_string(task.path().join("stat")).ok())
+        .filter_map(|stat| ticks_of(&stat, prefix))
+        .sum()
+}
+
+fn ticks_of(stat: &str, prefix: &str) -> Option<u64> {
+    let (head, rest) = stat.rsplit_once(") ")?;
+    let name = head.split_once('(')?.1;
+    if !name.starts_with(prefix) {
+        return None;
+    }
+    // User and system time are the 14th and 15th fields, the state is the 3rd.
+    let fields: Vec<&str> = rest.split(' ').collect();
+    Some(fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?)
+}
+
 fn at(table: &LoadReportTable, quantile: f64) -> f64 {
     table.get_quantile("call", quantile).unwrap_or(f64::NAN)
 }
