perf(core): cancel a hedge that is late as well

Change: a hedge that is unanswered after the class's high time is aborted, in the core and in the daemon.

--- a/crates/core/src/service/machine.rs
+++ b/crates/core/src/service/machine.rs
@@ -445,15 +445,13 @@
         if kind == AttemptKind::Trial {
             self.targets[target.get_index()].health.start_trial();
         }
-        if kind != AttemptKind::Hedge {
-            let check = HedgeCheck {
-                started: now,
-                attempt,
-            };
-            self.classes[class.get_index()]
-                .hedge_checks
-                .push_back(check);
-        }
+        let check = HedgeCheck {
+            started: now,
+            attempt,
+        };
+        self.classes[class.get_index()]
+            .hedge_checks
+            .push_back(check);
         out.push(Output::Dispatch {
             call: key,
             attempt,
@@ -513,6 +511,10 @@
         }
         let (key, target, kind) = (attempt.call, attempt.target, attempt.kind);
         self.note_late(now, index, target, check.started, out);
+        if kind == AttemptKind::Hedge {
+            self.give_up_hedge(now, key, check.attempt, out);
+            return;
+        }
         let may_hedge = self.classes[index].spec.kind == ClassKind::Interactive
             && self.calls.get(key).is_some_and(can_hedge)
             && (kind == AttemptKind::Trial || self.hedges.has_token());
@@ -528,6 +530,27 @@
         self.start(now, key, spare, AttemptKind::Hedge, out);
     }
 
+    /// Ends a hedge that is late as well.
+    ///
+    /// Two late targets say that the work itself is long, and the first
+    /// attempt is nearer to its end.
+    fn give_up_hedge(
+        &mut self,
+        now: Instant,
+        key: CallKey,
+        hedge: AttemptKey,
+        out: &mut Vec<Output>,
+    ) {
+        let is_doubled = self
+            .calls
+            .get(key)
+            .is_some_and(|call| call.count_running() > 1);
+        if is_doubled {
+            self.abort(now, hedge, out);
+            self.pump(now, out);
+        }
+    }
+
     /// Counts an attempt that is still unanswered against its target.
     fn note_late(
         &mut self,
@@ -802,7 +825,10 @@
         if let Some(attempt) = self.release(key) {
             let health = &mut self.targets[attempt.target.get_index()].health;
             health.abandon_trial(now);
-            out.push(Output::Cancel { attempt: key });
+            out.push(Output::Cancel {
+                call: attempt.call,
+                attempt: key,
+            });
         }
     }
 }
--- a/crates/core/src/service/output.rs
+++ b/crates/core/src/service/output.rs
@@ -58,6 +58,8 @@
     },
     /// Abort `attempt`; no further input about it is needed.
     Cancel {
+        /// Call that the attempt was made for; it may be over.
+        call: CallKey,
         /// Attempt to abort.
         attempt: AttemptKey,
     },
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -241,7 +241,7 @@
                 }),
                 Output::Deliver { call, .. } => self.delivered.push(call),
                 Output::Refuse { call, code } => self.refused.push((call, code)),
-                Output::Cancel { attempt } => self.cancelled.push(attempt),
+                Output::Cancel { attempt, .. } => self.cancelled.push(attempt),
                 Output::Event(event) => self.events.push(event),
             }
         }
--- a/crates/core/tests/retries.rs
+++ b/crates/core/tests/retries.rs
@@ -159,6 +159,24 @@
     assert_eq!(bench.delivered.last(), Some(&slow.call));
 }
 
+#[test]
+fn late_hedge() {
+    let mut bench = Bench::new(3, 3);
+    bench.warm_up(60, 5);
+    let first = bench.send(SHORT);
+    bench.pass(50);
+    let hedge = bench.last_of(first.call);
+    assert_eq!(hedge.kind, AttemptKind::Hedge);
+    bench.pass(50);
+    assert_eq!(
+        bench.cancelled,
+        vec![hedge.attempt],
+        "work that is long on two targets needs one"
+    );
+    bench.answer(first);
+    assert_eq!(bench.delivered.last(), Some(&first.call));
+}
+
 #[test]
 fn once_not_hedged() {
     let mut bench = Bench::new(3, 3);
--- a/crates/daemon/src/caller/call.rs
+++ b/crates/daemon/src/caller/call.rs
@@ -8,7 +8,7 @@
 use crate::service::{Command, CommandReceiver, ServiceHandle};
 use crate::telemetry::TraceBuilder;
 use futures_util::StreamExt;
-use futures_util::future::BoxFuture;
+use futures_util::future::{AbortHandle, Aborted, BoxFuture, abortable};
 use futures_util::stream::FuturesUnordered;
 use gentianridge_core::{
     Arrival, AttemptKey, AttemptKind, CallKey, ClassKey, ClassKind, Outcome, ResultCode, TargetKey,
@@ -63,7 +63,8 @@
     rx: CommandReceiver,
     is_over: bool,
     has_met_silence: bool,
-    attempts: FuturesUnordered<BoxFuture<'static, AttemptEnd>>,
+    attempts: FuturesUnordered<BoxFuture<'static, Result<AttemptEnd, Aborted>>>,
+    aborts: Vec<(AttemptKey, AbortHandle)>,
     ready: Vec<(AttemptKey, Response)>,
 }
 
@@ -91,6 +92,7 @@
             is_over: false,
             has_met_silence: false,
             attempts: FuturesUnordered::new(),
+            aborts: Vec::new(),
             ready: Vec::new(),
         }
     }
@@ -111,7 +113,9 @@
                 self.is_over = true;
                 Err(code)
             }
-            Some(Command::Deliver { .. }) | None => Err(ResultCode::NoTarget),
+            Some(Command::Deliver { .. } | Command::Cancel { .. }) | None => {
+                Err(ResultCode::NoTarget)
+            }
         }
     }
 
@@ -126,12 +130,15 @@
             tokio::select! {
                 biased;
                 Some(end) = self.attempts.next(), if !self.attempts.is_empty() => {
-                    self.take_end(end, trace);
+                    if let Ok(end) = end {
+                        self.take_end(end, trace);
+                    }
                 }
                 command = self.rx.recv() => match command {
                     Some(Command::Dispatch { attempt, target, kind }) => {
                         self.launch(Grant { attempt, target, kind }, trace);
                     }
+                    Some(Command::Cancel { attempt }) => self.abort(attempt),
                     Some(Command::Deliver { attempt }) => {
                         self.is_over = true;
                         return self.deliver(attempt);
@@ -164,7 +171,15 @@
             silent_at: silent_at(cx, now),
             is_fresh: self.has_met_silence,
         };
-        self.attempts.push(Box::pin(plan.run()));
+        let (attempt, abort) = abortable(plan.run());
+        self.aborts.push((grant.attempt, abort));
+        self.attempts.push(Box::pin(attempt));
+    }
+
+    fn abort(&mut self, attempt: AttemptKey) {
+        for (_, abort) in self.aborts.iter().filter(|(key, _)| *key == attempt) {
+            abort.abort();
+        }
     }
 
     fn take_end(&mut self, end: AttemptEnd, trace: &mut TraceBuilder) {
--- a/crates/daemon/src/service/command.rs
+++ b/crates/daemon/src/service/command.rs
@@ -13,6 +13,8 @@
     },
     /// Hand the answer of the attempt on.
     Deliver { attempt: AttemptKey },
+    /// Abort the attempt; the call goes on with another one.
+    Cancel { attempt: AttemptKey },
     /// Refuse the call.
     Refuse(ResultCode),
 }
--- a/crates/daemon/src/service/handle.rs
+++ b/crates/daemon/src/service/handle.rs
@@ -200,8 +200,8 @@
                 send(state, call, Command::Refuse(code));
                 state.waiters.remove(call);
             }
-            // The task of the call drops its other attempts when it delivers one.
-            Output::Cancel { .. } => {}
+            // A call that is over has no waiter, and its task drops every attempt.
+            Output::Cancel { call, attempt } => send(state, call, Command::Cancel { attempt }),
             Output::Event(kind) => self.journal.record(kind),
         }
     }
--- a/examples/measure/engine.rs
+++ b/examples/measure/engine.rs
@@ -243,7 +243,7 @@
                         self.lose(index, is_refusal);
                     }
                 }
-                Output::Cancel { attempt } => self.cancel(vm, attempt),
+                Output::Cancel { attempt, .. } => self.cancel(vm, attempt),
                 Output::Event(_) => {}
             }
         }
