perf(serve): close idle connections without a task for each

Cause: the server library's idle timeout wakes a task of its own on every read and write of a connection. Change: the watched connection keeps one timer that is moved on only when it fires; a request under way keeps its connection open.

--- a/crates/daemon/src/caller/endpoint.rs
+++ b/crates/daemon/src/caller/endpoint.rs
@@ -40,6 +40,7 @@
         let connection = self
             .connections
             .watch(request.remote_addr().as_socket_addr().copied());
+        let _busy = connection.enter();
         let clock = &self.fleet.clock;
         let mut trace = TraceBuilder::new(
             head.id.clone(),
--- a/crates/daemon/src/run/daemon.rs
+++ b/crates/daemon/src/run/daemon.rs
@@ -79,8 +79,8 @@
         let grace = self.fleet.settings.stop_grace;
         let idle = self.fleet.settings.caller_idle.max(MIN_IDLE);
         let connections = Connections::new();
-        let acceptor = WatchedAcceptor::new(callers, connections.clone())?;
-        let caller_server = Server::new_with_acceptor(acceptor).idle_timeout(idle);
+        let acceptor = WatchedAcceptor::new(callers, connections.clone())?.idle(idle);
+        let caller_server = Server::new_with_acceptor(acceptor);
         let endpoint = CallerEndpoint::new(self.fleet.clone(), connections);
         self.servers.spawn(async move {
             let signal = async move { close.notified().await };
--- a/crates/serve/src/acceptor.rs
+++ b/crates/serve/src/acceptor.rs
@@ -5,13 +5,16 @@
 use poem::Addr;
 use poem::listener::Acceptor;
 use poem::web::{LocalAddr, RemoteAddr};
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, Sleep};
 
 /// Accepts TCP connections and enters them in [`Connections`].
 #[derive(Debug)]
@@ -19,9 +22,13 @@
     listener: TcpListener,
     local: SocketAddr,
     connections: Arc<Connections>,
+    idle: Duration,
 }
 
 impl WatchedAcceptor {
+    /// Idle time of connections unless another one is set.
+    const DEFAULT_IDLE: Duration = Duration::from_secs(60);
+
     /// Creates an acceptor on a bound socket.
     ///
     /// # Errors
@@ -33,8 +40,16 @@
             listener,
             local,
             connections,
+            idle: Self::DEFAULT_IDLE,
         })
     }
+
+    /// Sets the time without a byte after which a connection is closed, unless
+    /// a request is under way on it.
+    pub fn idle(mut self, idle: Duration) -> Self {
+        self.idle = idle;
+        self
+    }
 }
 
 impl Acceptor for WatchedAcceptor {
@@ -53,6 +68,9 @@
             connections: self.connections.clone(),
             stream,
             peer,
+            idle: self.idle,
+            active: Instant::now(),
+            check: Box::pin(tokio::time::sleep(self.idle)),
         };
         let local = LocalAddr(Addr::from(self.local));
         Ok((watched, local, RemoteAddr(Addr::from(peer)), Scheme::HTTP))
@@ -66,9 +84,30 @@
     peer: SocketAddr,
     connection: Connection,
     connections: Arc<Connections>,
+    idle: Duration,
+    /// Time of the last byte read.
+    active: Instant,
+    /// Fires when the connection may be idle; it is moved on only then, so
+    /// that a busy connection costs no timer work.
+    check: Pin<Box<Sleep>>,
 }
 
 impl WatchedStream {
+    /// Returns true if the connection has been idle for its time.
+    fn is_idle(&mut self, cx: &mut Context<'_>) -> bool {
+        while self.check.as_mut().poll(cx).is_ready() {
+            if self.connection.is_busy() {
+                self.active = Instant::now();
+            }
+            let due = self.active + self.idle;
+            if due <= Instant::now() {
+                return true;
+            }
+            self.check.as_mut().reset(due);
+        }
+        false
+    }
+
     fn check(&self) -> io::Result<()> {
         if self.connection.is_broken() {
             return Err(io::ErrorKind::ConnectionAborted.into());
@@ -94,8 +133,13 @@
         let had_room = buf.remaining() > 0;
         let result = Pin::new(&mut self.stream).poll_read(cx, buf);
         let is_end = match &result {
-            Poll::Ready(Ok(())) => had_room && buf.filled().len() == before,
+            Poll::Ready(Ok(())) => {
+                self.active = Instant::now();
+                had_room && buf.filled().len() == before
+            }
             Poll::Ready(Err(_)) => true,
+            // The end of the stream makes the server close the connection.
+            Poll::Pending if self.is_idle(cx) => return Poll::Ready(Ok(())),
             Poll::Pending => false,
         };
         if is_end {
--- a/crates/serve/src/body.rs
+++ b/crates/serve/src/body.rs
@@ -17,8 +17,9 @@
 where
     S: Stream<Item = io::Result<Bytes>> + Send + 'static,
 {
-    let state = (Box::pin(body), connection);
-    futures_util::stream::unfold(state, |(mut body, connection)| async move {
+    let busy = connection.enter();
+    let state = (Box::pin(body), connection, busy);
+    futures_util::stream::unfold(state, |(mut body, connection, busy)| async move {
         let item = tokio::select! {
             biased;
             () = connection.get_gone().cancelled() => {
@@ -29,6 +30,6 @@
         if item.is_err() {
             connection.break_off();
         }
-        Some((item, (body, connection)))
+        Some((item, (body, connection, busy)))
     })
 }
--- a/crates/serve/src/connections.rs
+++ b/crates/serve/src/connections.rs
@@ -3,7 +3,7 @@
 use parking_lot::Mutex;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use tokio_util::sync::CancellationToken;
 
 /// The open connections of a server, by the address of the other end.
@@ -23,6 +23,19 @@
 pub struct Connection {
     gone: CancellationToken,
     broken: Arc<AtomicBool>,
+    busy: Arc<AtomicUsize>,
+}
+
+/// A request under way; the connection is not idle while it lives.
+#[derive(Debug)]
+pub struct BusyGuard {
+    busy: Arc<AtomicUsize>,
+}
+
+impl Drop for BusyGuard {
+    fn drop(&mut self) {
+        self.busy.fetch_sub(1, Ordering::AcqRel);
+    }
 }
 
 impl Connection {
@@ -36,6 +49,18 @@
         self.broken.store(true, Ordering::Release);
     }
 
+    /// Notes a request under way, so that the connection is not closed as idle.
+    pub fn enter(&self) -> BusyGuard {
+        self.busy.fetch_add(1, Ordering::AcqRel);
+        BusyGuard {
+            busy: self.busy.clone(),
+        }
+    }
+
+    pub(crate) fn is_busy(&self) -> bool {
+        self.busy.load(Ordering::Acquire) > 0
+    }
+
     pub(crate) fn is_broken(&self) -> bool {
         self.broken.load(Ordering::Acquire)
     }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -10,4 +10,4 @@
 
 pub use acceptor::WatchedAcceptor;
 pub use body::guard_body;
-pub use connections::{Connection, Connections};
+pub use connections::{BusyGuard, Connection, Connections};
