--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -22,8 +22,10 @@
 const TURNS: u32 = 200_000;
 
 fn main() {
+    show_file(&write_file(3 * SERVICES, 3 * TARGETS));
     let text = write_file(SERVICES, TARGETS);
     show_file(&text);
+    show_connections();
     show_state(&text);
     show_decision(&text);
     for vms in FLEETS {
@@ -102,6 +104,25 @@
     );
 }
 
+/// Memory of the client that holds the connections to one target.
+fn show_connections() {
+    let clients = 100;
+    let counted = allocation_counter::measure(|| {
+        for _ in 0..clients {
+            let client = reqwest::Client::builder()
+                .no_proxy()
+                .http1_only()
+                .build()
+                .expect("the client is built");
+            std::mem::forget(client);
+        }
+    });
+    println!(
+        "connections: {} bytes a target before the first connection",
+        counted.bytes_current / clients
+    );
+}
+
 fn show_decision(text: &str) {
     let fleet = parse_fleet(text).expect("the file is right");
     let mut service = Service::new(fleet.services[0].clone(), 1);
