--- /dev/null
+++ b/crates/core/src/service/attempts.rs
@@ -0,0 +1,284 @@
+//! Answers and failures of attempts.
+
+use super::records::{Attempt, CallState};
+use super::usual::ratio_of;
+use super::{AttemptKey, AttemptKind, CallKey, Outcome, Output, Service, TargetKey};
+use crate::{EventKind, ResultCode};
+use std::time::{Duration, Instant};
+
+/// Inputs about attempts.
+impl Service {
+    /// Takes in the first byte of an answer.
+    ///
+    /// `is_error` says that the answer is a server error, which counts against
+    /// the target and may be retried; `is_retried_below` says that the target
+    /// has already retried, so that retries do not multiply over levels.
+    pub fn answered(
+        &mut self,
+        now: Instant,
+        key: AttemptKey,
+        is_error: bool,
+        is_retried_below: bool,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(attempt) = self.attempts.get(key) else {
+            return;
+        };
+        let (call, target) = (attempt.call, attempt.target);
+        if is_error {
+            self.counters.failures += 1;
+            self.note_failure(now, target, out);
+            if !is_retried_below && self.try_retry(now, key, out) {
+                return;
+            }
+        } else {
+            self.note_answer(now, key, out);
+        }
+        self.deliver(now, call, key, out);
+    }
+
+    pub(super) fn note_answer(&mut self, now: Instant, key: AttemptKey, out: &mut Vec<Output>) {
+        let attempt = &self.attempts[key];
+        let elapsed = now.saturating_duration_since(attempt.started);
+        let (target, kind) = (attempt.target, attempt.kind);
+        let usual = &mut self.classes[attempt.class.get_index()].usual;
+        let ratio = ratio_of(elapsed, usual.get_median());
+        let is_known = usual.is_known();
+        let is_late = elapsed >= usual.get_high();
+        usual.record_answer(elapsed);
+        if kind == AttemptKind::Hedge {
+            self.counters.hedge_wins += 1;
+        }
+        let state = &mut self.targets[target.get_index()];
+        if is_known {
+            state.health.record_time(now, ratio);
+        }
+        if is_known && !is_late {
+            // A late attempt was counted when its high time had passed.
+            state.health.record_lateness(false);
+        }
+        state.limit.on_answer(now, state.own, ratio);
+        if state.health.record_success(now, ratio) {
+            state.start_warming(now);
+            let event = EventKind::TargetReturned {
+                service: self.spec.name.clone(),
+                target: state.spec.name.clone(),
+            };
+            out.push(Output::Event(event));
+        }
+        self.eject_if_slow(now, target, out);
+    }
+
+    pub(super) fn deliver(
+        &mut self,
+        now: Instant,
+        call: CallKey,
+        key: AttemptKey,
+        out: &mut Vec<Output>,
+    ) {
+        self.attempts[key].is_delivered = true;
+        let Some(record) = self.calls.remove(call) else {
+            return;
+        };
+        self.counters.delivered += 1;
+        out.push(Output::Deliver { call, attempt: key });
+        let losers = record
+            .running
+            .into_iter()
+            .flatten()
+            .filter(|other| *other != key);
+        let mut is_freed = false;
+        for loser in losers {
+            self.abort(now, loser, out);
+            is_freed = true;
+        }
+        if is_freed {
+            self.pump(now, out);
+        }
+    }
+
+    /// Takes in the end of an answer that was handed on.
+    pub fn finished(&mut self, now: Instant, key: AttemptKey, out: &mut Vec<Output>) {
+        let Some(attempt) = self.release(key) else {
+            return;
+        };
+        let elapsed = now.saturating_duration_since(attempt.started);
+        let class = &mut self.classes[attempt.class.get_index()];
+        class.usual.record_hold(elapsed);
+        self.note_straggler(&attempt, elapsed, out);
+        self.pump(now, out);
+    }
+
+    pub(super) fn note_straggler(
+        &mut self,
+        attempt: &Attempt,
+        elapsed: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        let usual = &self.classes[attempt.class.get_index()].usual;
+        if !usual.is_known() || elapsed < usual.get_high() * Self::STRAGGLER_FACTOR {
+            return;
+        }
+        self.counters.stragglers += 1;
+        out.push(Output::Event(EventKind::Straggler {
+            service: self.spec.name.clone(),
+            target: self.targets[attempt.target.get_index()].spec.name.clone(),
+            elapsed_ms: elapsed.as_millis() as u64,
+        }));
+    }
+
+    /// Multiple of the class's high answer time from which an attempt is a straggler.
+    pub(super) const STRAGGLER_FACTOR: u32 = 4;
+
+    /// Takes in the end of an attempt that gave no answer.
+    pub fn failed(
+        &mut self,
+        now: Instant,
+        key: AttemptKey,
+        outcome: Outcome,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(attempt) = self.attempts.get(key) else {
+            return;
+        };
+        let (call, target) = (attempt.call, attempt.target);
+        self.note_outcome(now, target, outcome, out);
+        if !outcome.is_not_run()
+            && let Some(record) = self.calls.get_mut(call)
+        {
+            record.may_have_run = true;
+        }
+        if self.try_retry_after(now, key, outcome, out) {
+            return;
+        }
+        self.release(key);
+        self.refuse_failed(call, outcome, out);
+        self.pump(now, out);
+    }
+
+    pub(super) fn note_outcome(
+        &mut self,
+        now: Instant,
+        target: TargetKey,
+        outcome: Outcome,
+        out: &mut Vec<Output>,
+    ) {
+        if outcome.is_target_failure() {
+            self.counters.failures += 1;
+            self.note_failure(now, target, out);
+            return;
+        }
+        let state = &mut self.targets[target.get_index()];
+        state.health.abandon_trial(now);
+        if matches!(outcome, Outcome::Shed | Outcome::Declined) {
+            self.counters.sheds += 1;
+            self.note_shed(now, target, out);
+        }
+    }
+
+    /// A shed target is full or its slots are fewer than declared.
+    pub(super) fn note_shed(&mut self, now: Instant, target: TargetKey, out: &mut Vec<Output>) {
+        let fallback = self.get_mean_others();
+        let hold = self.get_hold();
+        let state = &mut self.targets[target.get_index()];
+        let slots = state.get_slots(now);
+        let is_surprise = state.get_occupancy(now, hold, fallback) < slots - 0.5;
+        if is_surprise && state.limit.on_shed(now) {
+            out.push(Output::Event(EventKind::TargetLimited {
+                service: self.spec.name.clone(),
+                target: state.spec.name.clone(),
+                limit: state.limit.get().round() as u16,
+            }));
+        }
+        state.assume_full(now);
+    }
+
+    pub(super) fn refuse_failed(&mut self, key: CallKey, outcome: Outcome, out: &mut Vec<Output>) {
+        let Some(call) = self.calls.get(key) else {
+            return;
+        };
+        if call.count_running() > 0 || call.state == CallState::Waiting {
+            return;
+        }
+        let code = if !call.may_have_run {
+            ResultCode::TargetsRefused
+        } else if matches!(outcome, Outcome::TimedOut | Outcome::Silent) {
+            ResultCode::AttemptTimeout
+        } else {
+            ResultCode::AttemptFailed
+        };
+        self.refuse(key, code, out);
+    }
+
+    pub(super) fn try_retry_after(
+        &mut self,
+        now: Instant,
+        key: AttemptKey,
+        outcome: Outcome,
+        out: &mut Vec<Output>,
+    ) -> bool {
+        match outcome {
+            Outcome::Withdrawn | Outcome::TimedOut | Outcome::Declined | Outcome::Quarantined => {
+                false
+            }
+            Outcome::Shed | Outcome::Refused | Outcome::Broken | Outcome::Silent => {
+                self.try_retry(now, key, out)
+            }
+        }
+    }
+
+    /// Repeats the call of a failed attempt if that is allowed.
+    pub(super) fn try_retry(
+        &mut self,
+        now: Instant,
+        key: AttemptKey,
+        out: &mut Vec<Output>,
+    ) -> bool {
+        let call_key = self.attempts[key].call;
+        let Some(call) = self.calls.get(call_key) else {
+            return false;
+        };
+        if call.count_running() > 1 {
+            self.release(key);
+            return true;
+        }
+        let kind = self.classes[call.class.get_index()].spec.kind;
+        let is_safe = !call.may_have_run || kind.is_idempotent();
+        if !is_safe || !call.is_replayable || !call.may_attempt() || now >= call.deadline {
+            return false;
+        }
+        if !self.retries.spend() {
+            self.counters.retries_denied += 1;
+            return false;
+        }
+        self.release(key);
+        match self.pick_retry(now, call_key) {
+            Some(target) => self.start(now, call_key, target, AttemptKind::Retry, out),
+            None => self.enqueue(call_key),
+        }
+        true
+    }
+
+    /// Frees the slot of an attempt.
+    pub(super) fn release(&mut self, key: AttemptKey) -> Option<Attempt> {
+        let attempt = self.attempts.remove(key)?;
+        self.targets[attempt.target.get_index()].release(key, attempt.is_long);
+        self.own_total -= 1;
+        self.own_short -= u32::from(!attempt.is_long);
+        if let Some(call) = self.calls.get_mut(attempt.call) {
+            call.stop(key);
+        }
+        Some(attempt)
+    }
+
+    pub(super) fn abort(&mut self, now: Instant, key: AttemptKey, out: &mut Vec<Output>) {
+        if let Some(attempt) = self.release(key) {
+            let health = &mut self.targets[attempt.target.get_index()].health;
+            health.abandon_trial(now);
+            out.push(Output::Cancel {
+                call: attempt.call,
+                attempt: key,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/service/calls.rs
@@ -0,0 +1,157 @@
+//! Calls as they arrive, wait and end.
+
+use super::class::{Class, Waiting};
+use super::records::{Call, CallState};
+use super::target::Target;
+use super::{Arrival, CallKey, Output, Service};
+use crate::{ClassKind, ResultCode};
+use std::time::{Duration, Instant};
+
+/// Inputs from callers and timers.
+impl Service {
+    /// Takes in a call and either dispatches, queues or refuses it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the class is not one of the service.
+    pub fn arrive(&mut self, now: Instant, arrival: Arrival, out: &mut Vec<Output>) -> CallKey {
+        self.counters.arrivals += 1;
+        let class = &self.classes[arrival.class.get_index()];
+        if class.spec.kind != ClassKind::Background {
+            self.reserved_seen = Some(now);
+        }
+        let call = Call::new(arrival.class, arrival.deadline, arrival.is_replayable);
+        let key = self.calls.insert(call);
+        if let Some(code) = self.judge_arrival(now, arrival) {
+            self.refuse(key, code, out);
+            return key;
+        }
+        self.enqueue(key);
+        self.pump(now, out);
+        key
+    }
+
+    pub(super) fn judge_arrival(&mut self, now: Instant, arrival: Arrival) -> Option<ResultCode> {
+        if !self.targets.iter().any(Target::is_usable) {
+            return Some(ResultCode::NoTarget);
+        }
+        let class = &self.classes[arrival.class.get_index()];
+        if class.is_full() {
+            return Some(ResultCode::QueueFull);
+        }
+        let wait = self.estimate_wait(class);
+        let finish = now + wait + class.usual.get_high();
+        (finish > arrival.deadline).then_some(ResultCode::DeadlineUnreachable)
+    }
+
+    /// Waiting time of a new call of the class, from the slots this VM works with.
+    pub(super) fn estimate_wait(&self, class: &Class) -> Duration {
+        let is_background = class.spec.kind == ClassKind::Background;
+        let ahead: usize = self
+            .classes
+            .iter()
+            .filter(|c| (c.spec.kind == ClassKind::Background) == is_background)
+            .map(Class::len)
+            .sum();
+        if ahead == 0 {
+            return Duration::ZERO;
+        }
+        let slots = if is_background {
+            self.targets.iter().map(|t| u32::from(t.long_share)).sum()
+        } else {
+            self.own_total.max(self.get_fair_share())
+        };
+        class
+            .usual
+            .get_hold()
+            .mul_f32(ahead as f32 / slots.max(1) as f32)
+    }
+
+    /// Ends a call whose caller has gone; its attempts are cancelled.
+    pub fn cancel(&mut self, now: Instant, key: CallKey, out: &mut Vec<Output>) {
+        let Some(call) = self.calls.remove(key) else {
+            return;
+        };
+        let entry = Waiting {
+            deadline: call.deadline,
+            call: key,
+        };
+        if call.state == CallState::Waiting {
+            self.classes[call.class.get_index()].remove(entry);
+        }
+        for attempt in call.running.into_iter().flatten() {
+            self.abort(now, attempt, out);
+        }
+        self.pump(now, out);
+    }
+
+    /// Handles everything that is due: hedges, expired calls, free room.
+    pub fn tick(&mut self, now: Instant, out: &mut Vec<Output>) {
+        self.expire(now, out);
+        self.check_hedges(now, out);
+        self.pump(now, out);
+    }
+
+    /// Returns the time at which [`Self::tick`] has to be called at the latest.
+    pub fn next_wake(&self, now: Instant) -> Option<Instant> {
+        let expiry = self
+            .classes
+            .iter()
+            .filter_map(|c| c.front())
+            .map(|w| w.deadline);
+        let hedge = self.classes.iter().filter_map(|c| self.next_hedge(c));
+        let mut wake = expiry.chain(hedge).min();
+        if self.classes.iter().any(|c| c.len() > 0) {
+            let recheck = now + Self::RECHECK;
+            wake = Some(wake.map_or(recheck, |at| at.min(recheck)));
+        }
+        wake
+    }
+
+    /// Time after which waiting calls are tried again, since reports fade.
+    pub(super) const RECHECK: Duration = Duration::from_millis(1);
+
+    pub(super) fn enqueue(&mut self, key: CallKey) {
+        let call = &mut self.calls[key];
+        call.state = CallState::Waiting;
+        let entry = Waiting {
+            deadline: call.deadline,
+            call: key,
+        };
+        self.classes[call.class.get_index()].insert(entry);
+    }
+
+    pub(super) fn expire(&mut self, now: Instant, out: &mut Vec<Output>) {
+        for index in 0..self.classes.len() {
+            let margin = self.classes[index].usual.get_high();
+            while let Some(front) = self.classes[index].front() {
+                if front.deadline > now + margin {
+                    break;
+                }
+                self.classes[index].pop_front();
+                self.refuse_expired(front.call, out);
+            }
+        }
+    }
+
+    pub(super) fn refuse_expired(&mut self, key: CallKey, out: &mut Vec<Output>) {
+        let may_have_run = self.calls.get(key).is_some_and(|call| call.may_have_run);
+        let code = if may_have_run {
+            ResultCode::AttemptFailed
+        } else {
+            ResultCode::DeadlinePassed
+        };
+        self.refuse(key, code, out);
+    }
+
+    pub(super) fn refuse(&mut self, key: CallKey, code: ResultCode, out: &mut Vec<Output>) {
+        if self.calls.remove(key).is_none() {
+            return;
+        }
+        match code.run_state() {
+            crate::RunState::NotRun => self.counters.refused_not_run += 1,
+            crate::RunState::Unknown => self.counters.refused_unknown += 1,
+        }
+        out.push(Output::Refuse { call: key, code });
+    }
+}
--- /dev/null
+++ b/crates/core/src/service/dispatch.rs
@@ -0,0 +1,216 @@
+//! Dispatching of waiting calls, and hedges.
+
+use super::class::{Class, HedgeCheck};
+use super::records::{Attempt, Call};
+use super::usual::ratio_of;
+use super::{AttemptKey, AttemptKind, CallKey, Output, Service, TargetKey};
+use crate::ClassKind;
+use std::time::Instant;
+
+/// Dispatching and hedging.
+impl Service {
+    /// Dispatches waiting calls for as long as there is room.
+    pub(super) fn pump(&mut self, now: Instant, out: &mut Vec<Output>) {
+        self.expire(now, out);
+        if self.short_demand.observe(now, self.own_short) {
+            self.deal_long_slots();
+        }
+        while let Some(index) = self.find_next_class(false) {
+            if !self.dispatch_front(now, index, out) {
+                break;
+            }
+        }
+        // Background work gives way as long as short work waits.
+        if self.find_next_class(false).is_some() {
+            return;
+        }
+        while let Some(index) = self.find_next_class(true) {
+            if !self.dispatch_front(now, index, out) {
+                break;
+            }
+        }
+    }
+
+    /// Returns the class whose first waiting call has the earliest deadline.
+    pub(super) fn find_next_class(&self, is_background: bool) -> Option<usize> {
+        self.classes
+            .iter()
+            .enumerate()
+            .filter(|(_, class)| (class.spec.kind == ClassKind::Background) == is_background)
+            .filter_map(|(index, class)| class.front().map(|front| (front.deadline, index)))
+            .min()
+            .map(|(_, index)| index)
+    }
+
+    pub(super) fn dispatch_front(
+        &mut self,
+        now: Instant,
+        index: usize,
+        out: &mut Vec<Output>,
+    ) -> bool {
+        let Some(front) = self.classes[index].front() else {
+            return false;
+        };
+        let Some(choice) = self.pick(now, front.call) else {
+            return false;
+        };
+        self.classes[index].pop_front();
+        self.start(now, front.call, choice.target, choice.kind, out);
+        true
+    }
+
+    pub(super) fn start(
+        &mut self,
+        now: Instant,
+        key: CallKey,
+        target: TargetKey,
+        kind: AttemptKind,
+        out: &mut Vec<Output>,
+    ) {
+        let class = self.calls[key].class;
+        let is_long = self.classes[class.get_index()].spec.kind == ClassKind::Background;
+        let attempt = self.attempts.insert(Attempt {
+            call: key,
+            class,
+            target,
+            kind,
+            started: now,
+            is_delivered: false,
+            is_long,
+        });
+        self.calls[key].start(attempt, target);
+        self.occupy(target, attempt, is_long);
+        self.count_start(kind);
+        if kind == AttemptKind::Trial {
+            self.targets[target.get_index()].health.start_trial();
+        }
+        let check = HedgeCheck {
+            started: now,
+            attempt,
+        };
+        self.classes[class.get_index()]
+            .hedge_checks
+            .push_back(check);
+        out.push(Output::Dispatch {
+            call: key,
+            attempt,
+            target,
+            kind,
+        });
+    }
+
+    pub(super) fn count_start(&mut self, kind: AttemptKind) {
+        match kind {
+            AttemptKind::First | AttemptKind::Trial => {
+                self.counters.first_attempts += 1;
+                self.retries.earn();
+                self.hedges.earn();
+            }
+            AttemptKind::Retry => self.counters.retries += 1,
+            AttemptKind::Hedge => self.counters.hedges += 1,
+        }
+    }
+
+    pub(super) fn occupy(&mut self, target: TargetKey, attempt: AttemptKey, is_long: bool) {
+        self.targets[target.get_index()].occupy(attempt, is_long);
+        self.own_total += 1;
+        self.own_short += u32::from(!is_long);
+    }
+
+    pub(super) fn next_hedge(&self, class: &Class) -> Option<Instant> {
+        let check = class.hedge_checks.front()?;
+        Some(check.started + class.usual.get_high())
+    }
+
+    pub(super) fn check_hedges(&mut self, now: Instant, out: &mut Vec<Output>) {
+        for index in 0..self.classes.len() {
+            while let Some(due) = self.next_hedge(&self.classes[index]) {
+                if due > now {
+                    break;
+                }
+                if let Some(check) = self.classes[index].hedge_checks.pop_front() {
+                    self.check_hedge(now, index, check, out);
+                }
+            }
+        }
+    }
+
+    pub(super) fn check_hedge(
+        &mut self,
+        now: Instant,
+        index: usize,
+        check: HedgeCheck,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(attempt) = self.attempts.get(check.attempt) else {
+            return;
+        };
+        if attempt.is_delivered {
+            return;
+        }
+        let (key, target, kind) = (attempt.call, attempt.target, attempt.kind);
+        self.note_late(now, index, target, check.started, out);
+        if kind == AttemptKind::Hedge {
+            self.give_up_hedge(now, key, check.attempt, out);
+            return;
+        }
+        let may_hedge = self.classes[index].spec.kind == ClassKind::Interactive
+            && self.calls.get(key).is_some_and(can_hedge)
+            && (kind == AttemptKind::Trial || self.hedges.has_token());
+        if !may_hedge {
+            return;
+        }
+        let Some(spare) = self.pick_spare(now, key) else {
+            return;
+        };
+        if kind != AttemptKind::Trial {
+            self.hedges.spend();
+        }
+        self.start(now, key, spare, AttemptKind::Hedge, out);
+    }
+
+    /// Ends a hedge that is late as well.
+    ///
+    /// Two late targets say that the work itself is long, and the first
+    /// attempt is nearer to its end.
+    pub(super) fn give_up_hedge(
+        &mut self,
+        now: Instant,
+        key: CallKey,
+        hedge: AttemptKey,
+        out: &mut Vec<Output>,
+    ) {
+        let is_doubled = self
+            .calls
+            .get(key)
+            .is_some_and(|call| call.count_running() > 1);
+        if is_doubled {
+            self.abort(now, hedge, out);
+            self.pump(now, out);
+        }
+    }
+
+    /// Counts an attempt that is still unanswered against its target.
+    pub(super) fn note_late(
+        &mut self,
+        now: Instant,
+        index: usize,
+        target: TargetKey,
+        started: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        let usual = &self.classes[index].usual;
+        if !usual.is_known() {
+            return;
+        }
+        let ratio = ratio_of(now.saturating_duration_since(started), usual.get_median());
+        let health = &mut self.targets[target.get_index()].health;
+        health.record_time(now, ratio);
+        health.record_lateness(true);
+        self.eject_if_slow(now, target, out);
+    }
+}
+
+fn can_hedge(call: &Call) -> bool {
+    call.is_replayable && call.count_running() == 1 && call.may_attempt()
+}
--- a/crates/core/src/service/mod.rs
+++ b/crates/core/src/service/mod.rs
@@ -3,10 +3,13 @@
 //! Each service is a machine of its own, so a process can guard each with its
 //! own lock. The design is explained in docs/decisions/0002-routing.md.
 
+mod attempts;
 mod budget;
+mod calls;
 mod class;
 mod counters;
 mod demand;
+mod dispatch;
 mod ejection;
 mod input;
 mod key;
@@ -16,9 +19,11 @@
 mod output;
 mod pick;
 mod records;
+mod reports;
 mod status;
 mod target;
 mod usual;
+mod view;
 
 pub use counters::Counters;
 pub use input::{Arrival, LoadReport, Outcome};
--- /dev/null
+++ b/crates/core/src/service/reports.rs
@@ -0,0 +1,106 @@
+//! What targets say, and their ejection.
+
+use super::ejection::EjectCause;
+use super::{AttemptKey, LoadReport, Output, Service, TargetKey};
+use crate::EventKind;
+use std::time::Instant;
+
+/// Inputs about targets.
+impl Service {
+    /// Takes in what a target says about itself.
+    ///
+    /// `attempt` is the one whose answer carried the report, none for a probe.
+    /// It has to be given before the attempt ends.
+    pub fn report(
+        &mut self,
+        now: Instant,
+        key: TargetKey,
+        attempt: Option<AttemptKey>,
+        report: LoadReport,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(target) = self.targets.get_mut(key.get_index()) else {
+            return;
+        };
+        if let Some(attempt) = attempt {
+            target.weigh_report(report, attempt);
+        }
+        target.take_report(now, report);
+        if target.is_leaving != report.is_leaving {
+            self.set_leaving(now, key, report.is_leaving, out);
+        }
+    }
+
+    /// Notes that a target is leaving, or that it came back.
+    pub fn set_leaving(
+        &mut self,
+        now: Instant,
+        key: TargetKey,
+        is_leaving: bool,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(target) = self.targets.get_mut(key.get_index()) else {
+            return;
+        };
+        if target.is_leaving == is_leaving {
+            return;
+        }
+        target.is_leaving = is_leaving;
+        if !is_leaving {
+            target.start_warming(now);
+        }
+        out.push(Output::Event(EventKind::TargetLeaving {
+            service: self.spec.name.clone(),
+            target: target.spec.name.clone(),
+            is_leaving,
+        }));
+        self.deal_long_slots();
+        self.pump(now, out);
+    }
+
+    pub(super) fn note_failure(&mut self, now: Instant, key: TargetKey, out: &mut Vec<Output>) {
+        let cause = self.targets[key.get_index()].health.record_failure(now);
+        if let Some(cause) = cause {
+            self.eject(now, key, cause, out);
+        }
+    }
+
+    pub(super) fn eject_if_slow(&mut self, now: Instant, key: TargetKey, out: &mut Vec<Output>) {
+        let cause = self.targets[key.get_index()].health.judge_times();
+        if let Some(cause) = cause {
+            self.eject(now, key, cause, out);
+        }
+    }
+
+    pub(super) fn eject(
+        &mut self,
+        now: Instant,
+        key: TargetKey,
+        cause: EjectCause,
+        out: &mut Vec<Output>,
+    ) {
+        if !self.may_eject() {
+            self.counters.ejections_denied += 1;
+            return;
+        }
+        self.counters.ejections += 1;
+        let target = &mut self.targets[key.get_index()];
+        target.health.eject(now);
+        out.push(Output::Event(EventKind::TargetEjected {
+            service: self.spec.name.clone(),
+            target: target.spec.name.clone(),
+            cause: cause.as_str().into(),
+        }));
+    }
+
+    /// At least half of the usable targets stay in use.
+    pub(super) fn may_eject(&self) -> bool {
+        let usable = self.targets.iter().filter(|t| t.is_usable());
+        let (mut total, mut active) = (0, 0);
+        for target in usable {
+            total += 1;
+            active += u32::from(target.health.is_active());
+        }
+        active > 0 && (active - 1) * 2 >= total
+    }
+}
--- a/crates/core/src/service/usual.rs
+++ b/crates/core/src/service/usual.rs
@@ -117,3 +117,8 @@
     let micros = FIRST_BUCKET_MICROS * BUCKET_RATIO.powi(index as i32);
     Duration::from_secs_f32(micros / 1_000_000.0)
 }
+
+/// Returns a time as a multiple of the usual one.
+pub(crate) fn ratio_of(elapsed: Duration, usual: Duration) -> f32 {
+    elapsed.as_secs_f32() / usual.as_secs_f32().max(0.000_1)
+}
--- /dev/null
+++ b/crates/core/src/service/view.rs
@@ -0,0 +1,134 @@
+//! What the process and operators read of a service.
+
+use super::class::Class;
+use super::target::Target;
+use super::{ClassKey, Counters, Service, TargetCondition, TargetKey, TargetStatus};
+use crate::ServiceSpec;
+use std::time::{Duration, Instant};
+
+/// What the process and operators read.
+impl Service {
+    /// Returns the declaration without classes and targets.
+    pub fn get_spec(&self) -> &ServiceSpec {
+        &self.spec
+    }
+
+    /// Returns the declaration of a class.
+    pub fn get_class(&self, class: ClassKey) -> &crate::ClassSpec {
+        &self.classes[class.get_index()].spec
+    }
+
+    /// Returns the keys of all classes.
+    pub fn get_class_keys(&self) -> impl Iterator<Item = ClassKey> + '_ {
+        (0..self.classes.len()).map(|index| ClassKey(index as u8))
+    }
+
+    /// Returns the first class that takes the request.
+    pub fn find_class(&self, method: &str, path: &str) -> Option<ClassKey> {
+        self.classes
+            .iter()
+            .position(|class| class.spec.route.is_match(method, path))
+            .map(|index| ClassKey(index as u8))
+    }
+
+    /// Returns the declaration of a target.
+    pub fn get_target(&self, key: TargetKey) -> Option<&crate::TargetSpec> {
+        self.targets.get(key.get_index()).map(|t| &t.spec)
+    }
+
+    /// Returns the key of the declared target with the name.
+    pub fn find_target(&self, name: &str) -> Option<TargetKey> {
+        self.targets
+            .iter()
+            .position(|t| !t.is_removed && t.spec.name == name)
+            .map(|index| TargetKey(index as u16))
+    }
+
+    /// Returns the keys of all declared targets.
+    pub fn get_target_keys(&self) -> impl Iterator<Item = TargetKey> + '_ {
+        (0..self.targets.len())
+            .filter(|&index| !self.targets[index].is_removed)
+            .map(|index| TargetKey(index as u16))
+    }
+
+    /// Returns the age of the newest report of a target, if it ever reported.
+    pub fn get_report_age(&self, now: Instant, key: TargetKey) -> Option<Duration> {
+        self.targets[key.get_index()].get_report_age(now)
+    }
+
+    /// Returns true if the target said that it is going to stop.
+    pub fn is_leaving(&self, key: TargetKey) -> bool {
+        self.targets[key.get_index()].is_leaving
+    }
+
+    /// Returns attempts of this VM in flight on a target.
+    pub fn get_in_flight(&self, key: TargetKey) -> u16 {
+        self.targets[key.get_index()].own
+    }
+
+    /// Returns the number of calls that wait.
+    pub fn count_waiting(&self) -> usize {
+        self.classes.iter().map(Class::len).sum()
+    }
+
+    /// Returns the number of calls that wait in one class.
+    pub fn count_waiting_in(&self, class: ClassKey) -> usize {
+        self.classes[class.get_index()].len()
+    }
+
+    /// Returns the number of calls that are not answered yet.
+    pub fn count_calls(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Returns the number of attempts that occupy a slot.
+    pub fn count_attempts(&self) -> usize {
+        self.attempts.len()
+    }
+
+    /// Returns the totals since the service was created.
+    pub fn get_counters(&self) -> Counters {
+        self.counters
+    }
+
+    /// Returns each declared target as this VM sees it.
+    pub fn get_status(&self, now: Instant) -> Vec<TargetStatus> {
+        let fallback = self.get_mean_others();
+        let hold = self.get_hold();
+        self.targets
+            .iter()
+            .filter(|target| !target.is_removed)
+            .map(|target| target_status(target, now, hold, fallback))
+            .collect()
+    }
+}
+
+impl Target {
+    fn get_condition(&self) -> TargetCondition {
+        if self.spec.drain || self.spec.weight == 0 {
+            TargetCondition::Drained
+        } else if self.is_leaving {
+            TargetCondition::Leaving
+        } else if self.health.is_active() {
+            TargetCondition::Active
+        } else {
+            TargetCondition::Ejected
+        }
+    }
+}
+
+fn target_status(target: &Target, now: Instant, hold: Duration, fallback: f32) -> TargetStatus {
+    let note = target.spec.note.as_ref();
+    TargetStatus {
+        name: target.spec.name.clone(),
+        domain: target.spec.domain.clone(),
+        condition: target.get_condition(),
+        own: target.own,
+        occupancy: target.get_occupancy(now, hold, fallback),
+        slots: target.get_slots(now),
+        slowness: target.health.get_slowness(now),
+        report_age_ms: target.get_report_age(now).map(|age| age.as_millis() as u64),
+        reason: note.map(|note| note.reason.clone()),
+        author: note.and_then(|note| note.author.clone()),
+    }
+}
--- a/crates/testkit/src/target/mod.rs
+++ b/crates/testkit/src/target/mod.rs
@@ -1,5 +1,6 @@
 //! Stand-in for a backend server.
 
+mod echo;
 mod faults;
 mod gate;
 mod runs;
--- a/crates/testkit/src/target/server.rs
+++ b/crates/testkit/src/target/server.rs
@@ -1,5 +1,6 @@
 //! The HTTP server of a stand-in.
 
+use super::echo::echo_headers;
 use super::faults::FaultState;
 use super::gate::Gate;
 use super::{Runs, ServiceTime, TargetFaults};
@@ -396,20 +397,3 @@
         tokio::time::sleep(time).await;
     }
 }
-
-/// Headers whose received values the answer shows.
-const ECHOED: [(&str, &str); 5] = [
-    ("x-forwarded-for", "x-seen-forwarded-for"),
-    ("forwarded", "x-seen-forwarded"),
-    ("x-request-id", "x-seen-request"),
-    ("gentianridge-timeout-ms", "x-seen-timeout"),
-    ("x-hop", "x-seen-hop"),
-];
-
-fn echo_headers(from: &HeaderMap, to: &mut HeaderMap) {
-    for (name, seen) in ECHOED {
-        if let Some(value) = from.get(name) {
-            to.insert(seen, value.clone());
-        }
-    }
-}
--- /dev/null
+++ b/examples/measure/faults.rs
@@ -0,0 +1,53 @@
+//! Faults of a scenario.
+
+use crate::engine::{BackKind, Engine, Event};
+use crate::model::SILENCE;
+use crate::scenario::Step;
+use std::cmp::Reverse;
+
+/// Faults.
+impl Engine {
+    pub(crate) fn step(&mut self, step: Step) {
+        match step {
+            Step::Slow { target, factor } => self.targets[target].slow_factor = factor,
+            Step::FailFast { target, on } => self.targets[target].fails_fast = on,
+            Step::LoseDomain => self.lose_domain(),
+            Step::NoticeLoss => self.share_live(),
+        }
+    }
+
+    /// The first failure domain is gone with its targets and VMs.
+    pub(crate) fn lose_domain(&mut self) {
+        for target in self.targets.iter_mut().filter(|target| target.domain == 0) {
+            target.is_dead = true;
+            let held: Vec<usize> = target
+                .running
+                .drain(..)
+                .chain(target.queue.drain(..))
+                .collect();
+            for job in held {
+                self.seq += 1;
+                let at = self.now_us + SILENCE.as_micros() as u64;
+                let event = Event::Back(job, BackKind::Silent);
+                self.heap.push(Reverse((at, self.seq, event)));
+            }
+        }
+        for vm in self.vms.iter_mut().filter(|vm| vm.domain == 0) {
+            vm.is_dead = true;
+        }
+    }
+
+    pub(crate) fn share_live(&mut self) {
+        let live: Vec<usize> = (0..self.vms.len())
+            .filter(|&vm| !self.vms[vm].is_dead)
+            .collect();
+        for (rank, &vm) in live.iter().enumerate() {
+            let now = self.now();
+            let mut out = std::mem::take(&mut self.out);
+            self.vms[vm]
+                .service
+                .set_fleet(now, live.len() as u16, rank as u16, &mut out);
+            self.settle(vm, out);
+        }
+    }
+}
--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -7,7 +7,11 @@
 //! that know only what they are told, and a heap of timed inputs. The targets
 //! of the measures are in docs/MEASUREMENTS.md.
 
+mod baselines;
+mod calls;
 mod engine;
+mod faults;
+mod jobs;
 mod model;
 mod policy;
 mod report;
--- a/tests/scenarios/main.rs
+++ b/tests/scenarios/main.rs
@@ -3,6 +3,7 @@
 //! Each file in `files` is one scenario. The language is described in
 //! docs/SCENARIOS.md.
 
+mod caller;
 mod language;
 mod world;
 
--- a/tests/scenarios/world.rs
+++ b/tests/scenarios/world.rs
@@ -1,10 +1,10 @@
 //! The fleet of a scenario and what is under way in it.
 
+use crate::caller::{client, send_confirm, show};
 use gentianridge_core::TargetCondition;
 use gentianridge_testkit::{
     CallPlan, CallResult, Deployment, FleetOptions, LocalFleet, RunState, TargetStandIn, run_calls,
 };
-use reqwest::{Client, Response};
 use std::time::{Duration, Instant};
 use tokio::task::JoinHandle;
 
@@ -328,46 +328,6 @@
     text.replace(&head, &format!("{head}drain = yes\nreason = scenario\n"))
 }
 
-async fn send_confirm(addr: std::net::SocketAddr, key: String, body: String) -> String {
-    let sent = client()
-        .post(format!("http://{addr}/draw/confirm"))
-        .header("idempotency-key", key)
-        .body(body)
-        .send()
-        .await;
-    show(sent).await
-}
-
-/// Shows status, code, run state and whether the answer is whole.
-async fn show(sent: reqwest::Result<Response>) -> String {
-    let Ok(response) = sent else {
-        return "no answer".to_owned();
-    };
-    let text = |name: &str| {
-        response
-            .headers()
-            .get(name)
-            .and_then(|value| value.to_str().ok())
-            .unwrap_or_default()
-            .to_owned()
-    };
-    let mut shown = response.status().as_u16().to_string();
-    for name in ["gentianridge-code", "gentianridge-run"] {
-        let value = text(name);
-        if !value.is_empty() {
-            shown.push(' ');
-            shown.push_str(&value);
-        }
-    }
-    if !text("gentianridge-replayed").is_empty() {
-        shown.push_str(" replayed");
-    }
-    if response.bytes().await.is_err() {
-        shown.push_str(" cut");
-    }
-    shown
-}
-
 async fn wait_for(what: &str, mut holds: impl FnMut() -> bool) {
     let started = Instant::now();
     while !holds() {
@@ -391,12 +351,3 @@
         TargetCondition::Drained => "drained",
     }
 }
-
-fn client() -> Client {
-    Client::builder()
-        .no_proxy()
-        .timeout(Duration::from_secs(20))
-        .retry(reqwest::retry::never())
-        .build()
-        .expect("the client is built")
-}
