--- a/crates/config/src/fleet/parse.rs
+++ b/crates/config/src/fleet/parse.rs
@@ -17,7 +17,8 @@
 ///
 /// ```
 /// let report = gentianridge_config::parse_fleet("[service a]\npth = /").unwrap_err();
-/// assert_eq!(report.get_faults()[1].get_nearest(), Some("path"));
+/// let nearest = report.get_faults().iter().find_map(|fault| fault.get_nearest());
+/// assert_eq!(nearest, Some("path"));
 /// ```
 pub fn parse_fleet(text: &str) -> Result<FleetSpec, FaultReport> {
     let document = Document::parse(text).map_err(|fault| FaultReport::new(vec![*fault]))?;
