feat: added time in the demo's table, pictures of the rig

Cause: the demo did not show the latency that is added to the targets' own work; measure could not draw.

--- a/crates/testkit/src/load/plan.rs
+++ b/crates/testkit/src/load/plan.rs
@@ -45,6 +45,9 @@
     pub at: Duration,
     /// Time until the whole answer.
     pub elapsed: Duration,
+    /// Part of the elapsed time in which the target did not work on the call,
+    /// if the target told its own part.
+    pub added: Option<Duration>,
     /// HTTP status, 0 if there was no answer.
     pub status: u16,
     /// Numbered result code, if any.
--- a/crates/testkit/src/load/report.rs
+++ b/crates/testkit/src/load/report.rs
@@ -22,6 +22,7 @@
     unknown: u64,
     wrong: u64,
     times: Histogram<u64>,
+    added: Histogram<u64>,
     codes: Vec<(u16, u64)>,
 }
 
@@ -67,8 +68,6 @@
 
 impl Group {
     fn new(name: &'static str) -> Self {
-        let times = Histogram::new_with_max(MAX_MICROS, 3)
-            .expect("constant bounds are valid for a histogram");
         Self {
             name,
             calls: 0,
@@ -76,7 +75,8 @@
             not_run: 0,
             unknown: 0,
             wrong: 0,
-            times,
+            times: make_histogram(),
+            added: make_histogram(),
             codes: Vec::new(),
         }
     }
@@ -88,6 +88,9 @@
                 self.answered += 1;
                 self.times
                     .saturating_record(result.elapsed.as_micros() as u64);
+                if let Some(added) = result.added {
+                    self.added.saturating_record(added.as_micros() as u64);
+                }
             }
             RunState::NotRun => self.not_run += 1,
             RunState::Unknown => self.unknown += 1,
@@ -102,11 +105,15 @@
     }
 }
 
+fn make_histogram() -> Histogram<u64> {
+    Histogram::new_with_max(MAX_MICROS, 3).expect("constant bounds are valid for a histogram")
+}
+
 impl fmt::Display for LoadReportTable {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
-            "{:<12} {:>7} {:>8} {:>8} {:>8} {:>6} {:>9} {:>9} {:>9}  refused by code",
+            "{:<18} {:>7} {:>8} {:>8} {:>8} {:>6} {:>9} {:>9} {:>9} {:>10} {:>10}  refused by code",
             "class",
             "calls",
             "answered",
@@ -115,10 +122,13 @@
             "wrong",
             "p50 ms",
             "p99 ms",
-            "p99.9 ms"
+            "p99.9 ms",
+            "added p50",
+            "added p99"
         )?;
         for group in &self.groups {
             let at = |quantile| group.times.value_at_quantile(quantile) as f64 / 1000.0;
+            let added = |quantile| group.added.value_at_quantile(quantile) as f64 / 1000.0;
             let codes: Vec<String> = group
                 .codes
                 .iter()
@@ -126,7 +136,7 @@
                 .collect();
             writeln!(
                 f,
-                "{:<12} {:>7} {:>8} {:>8} {:>8} {:>6} {:>9.2} {:>9.2} {:>9.2}  {}",
+                "{:<18} {:>7} {:>8} {:>8} {:>8} {:>6} {:>9.2} {:>9.2} {:>9.2} {:>10.2} {:>10.2}  {}",
                 group.name,
                 group.calls,
                 group.answered,
@@ -136,6 +146,8 @@
                 at(0.5),
                 at(0.99),
                 at(0.999),
+                added(0.5),
+                added(0.99),
                 codes.join(", ")
             )?;
         }
--- a/crates/testkit/src/load/runner.rs
+++ b/crates/testkit/src/load/runner.rs
@@ -61,15 +61,19 @@
         key: call.key,
         at: call.at,
         elapsed: Duration::ZERO,
+        added: None,
         status: 0,
         code: None,
         run: RunState::Unknown,
         vm: None,
     };
+    let mut work = None;
     if let Ok(response) = sent {
+        work = text_of(&response, "x-work-us").and_then(|text| text.parse().ok());
         read_response(response, &mut result).await;
     }
     result.elapsed = started.elapsed();
+    result.added = work.map(|work| result.elapsed.saturating_sub(Duration::from_micros(work)));
     result
 }
 
--- a/crates/testkit/src/target/server.rs
+++ b/crates/testkit/src/target/server.rs
@@ -311,11 +311,14 @@
             return self.shed();
         };
         self.note_run(request.headers());
+        let taken = Instant::now();
         self.work(target, faults).await;
         pause(faults.delay).await;
         let answer = self.answer_body(target, &body, faults, connection);
         let mut response = self.reported(StatusCode::OK, answer);
         echo_headers(request.headers(), response.headers_mut());
+        let work = HeaderValue::from(taken.elapsed().as_micros() as u64);
+        response.headers_mut().insert("x-work-us", work);
         response
     }
 
--- a/examples/demo/calls.rs
+++ b/examples/demo/calls.rs
@@ -61,7 +61,7 @@
     let is_once = class.kind == ClassKind::Once;
     CallPlan {
         at: Duration::from_secs_f64(at),
-        group: class.name,
+        group: class.path,
         method: class.method,
         path: format!("{}?n={number}&w={word}", class.path),
         key: is_once.then(|| format!("{}-{number}", class.name)),
--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -1,7 +1,7 @@
 //! Measures the decisions against simple policies and an omniscient queue.
 //!
 //! `cargo run --release --example measure -- --deployment sorteggio-nero|rena-karl
-//! --scenario NAME|all --policy NAME|all --seeds N [--json FILE]`
+//! --scenario NAME|all --policy NAME|all --seeds N [--json FILE] [--svg DIR]`
 //!
 //! The rig holds fakes at the interfaces of the core: targets with slots, VMs
 //! that know only what they are told, and a heap of timed inputs. The targets
@@ -13,6 +13,7 @@
 mod faults;
 mod jobs;
 mod model;
+mod picture;
 mod policy;
 mod report;
 mod scenario;
@@ -24,6 +25,7 @@
 use policy::Policy;
 use report::{Figures, Summary};
 use scenario::Scenario;
+use std::path::{Path, PathBuf};
 
 const DEFAULT_SEEDS: u64 = 5;
 
@@ -34,6 +36,7 @@
     let policy: Option<String> = args.opt_value_from_str("--policy")?;
     let seeds: Option<u64> = args.opt_value_from_str("--seeds")?;
     let json: Option<String> = args.opt_value_from_str("--json")?;
+    let svg: Option<PathBuf> = args.opt_value_from_str("--svg")?;
     let rest = args.finish();
     anyhow::ensure!(rest.is_empty(), "unknown argument {rest:?}");
     let deployment = deployment.unwrap_or_else(|| "sorteggio-nero".to_owned());
@@ -59,5 +62,23 @@
         let values: Vec<_> = summaries.iter().map(Summary::to_json).collect();
         std::fs::write(path, serde_json::to_string_pretty(&values)?)?;
     }
+    if let Some(dir) = svg {
+        draw_pictures(&dir, &summaries)?;
+    }
+    Ok(())
+}
+
+/// Draws one picture for each scenario that was run.
+fn draw_pictures(dir: &Path, summaries: &[Summary]) -> anyhow::Result<()> {
+    std::fs::create_dir_all(dir)?;
+    let mut scenarios: Vec<&str> = summaries.iter().map(Summary::get_scenario).collect();
+    scenarios.dedup();
+    for scenario in scenarios {
+        let shown: Vec<&Summary> = summaries
+            .iter()
+            .filter(|summary| summary.get_scenario() == scenario)
+            .collect();
+        picture::draw(dir, scenario, &shown)?;
+    }
     Ok(())
 }
--- a/examples/measure/report.rs
+++ b/examples/measure/report.rs
@@ -81,10 +81,10 @@
 
 /// Median and spread over the seeds.
 #[derive(Debug, Clone, Copy)]
-struct Spread {
-    min: f64,
-    median: f64,
-    max: f64,
+pub(crate) struct Spread {
+    pub(crate) min: f64,
+    pub(crate) median: f64,
+    pub(crate) max: f64,
 }
 
 impl Spread {
@@ -148,6 +148,23 @@
         }
     }
 
+    pub(crate) fn get_scenario(&self) -> &'static str {
+        self.scenario
+    }
+
+    pub(crate) fn get_policy(&self) -> &'static str {
+        self.policy
+    }
+
+    pub(crate) fn is_ours(&self) -> bool {
+        self.policy == "ours"
+    }
+
+    /// Returns p99 of short work in milliseconds.
+    pub(crate) fn get_p99(&self) -> Spread {
+        self.p99
+    }
+
     pub(crate) fn header() -> String {
         format!(
             "{:<12} {:<11} {:>8} {:>8} {:>17} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8} {:>7} {:>6} {:>9}",
--- a/tests/history.rs
+++ b/tests/history.rs
@@ -31,6 +31,7 @@
         key: Some(key.into()),
         at: Duration::ZERO,
         elapsed: Duration::ZERO,
+        added: None,
         status: 200,
         code: None,
         run,
