fix(core): forget old load reports

Cause: status after the demo showed targets at 3.5 of 4 slots from reports 10 s old: a report faded into its mean, and the mean never faded, so an idle service looked busy when its next crest began. Change: a report is half forgotten after 1 s.

--- a/crates/core/src/service/target.rs
+++ b/crates/core/src/service/target.rs
@@ -136,6 +136,9 @@
 
 impl OthersView {
     const MEAN_WEIGHT: f32 = 0.1;
+    /// Age at which half of a report is forgotten, since an idle service must
+    /// not look busy when its next crest begins.
+    const FORGET: Duration = Duration::from_secs(1);
     const CREDIT_LOSS: f32 = 0.5;
     const CREDIT_GAIN: f32 = 0.002;
 
@@ -169,7 +172,8 @@
         };
         let age = now.saturating_duration_since(at).as_secs_f32();
         let weight = 1.0 / (1.0 + age / hold.as_secs_f32());
-        let reported = self.mean + (self.last - self.mean) * weight;
+        let old = age / Self::FORGET.as_secs_f32();
+        let reported = (self.mean + (self.last - self.mean) * weight) / (1.0 + old * old);
         self.credit * reported + (1.0 - self.credit) * fallback
     }
 }
--- a/crates/core/tests/targets.rs
+++ b/crates/core/tests/targets.rs
@@ -20,6 +20,25 @@
     }
 }
 
+#[test]
+fn old_report_forgotten() {
+    let mut bench = Bench::new(1, 3);
+    bench.set_fleet(5, 0);
+    for _ in 0..50 {
+        let sent = bench.send(SHORT);
+        bench.report(sent, 3, false);
+        bench.answer(sent);
+        bench.pass(5);
+    }
+    let busy = bench.service.get_status(bench.now)[0].occupancy;
+    bench.pass(10_000);
+    let idle = bench.service.get_status(bench.now)[0].occupancy;
+    assert!(
+        busy > 1.0 && idle < 0.1,
+        "{busy} while reports came, {idle} after 10 s without"
+    );
+}
+
 #[test]
 fn failing_fast() {
     let mut bench = Bench::new(4, 3);
