refactor(testkit): one plan of steady lookups instead of four

Change: CallPlan::steady, with the same paths and times; the unused argument and a needless clone are gone. Conclusion: behaviour as before.

--- a/crates/core/tests/targets.rs
+++ b/crates/core/tests/targets.rs
@@ -43,7 +43,7 @@
 fn failing_fast() {
     let mut bench = Bench::new(4, 3);
     bench.warm_up(40, 5);
-    let bad = TargetKey::clone(&bench.service.find_target("t0").expect("t0 is declared"));
+    let bad = bench.service.find_target("t0").expect("t0 is declared");
     let mut failures = 0;
     for _ in 0..200 {
         let sent = bench.send(SHORT);
--- a/crates/testkit/src/load/plan.rs
+++ b/crates/testkit/src/load/plan.rs
@@ -19,6 +19,24 @@
     pub body: Option<String>,
 }
 
+impl CallPlan {
+    /// Plans `count` plain lookups at an even pace.
+    ///
+    /// Each path carries the number of its call, so that answers differ.
+    pub fn steady(group: &'static str, path: &str, count: u64, per_second: u64) -> Vec<Self> {
+        (0..count)
+            .map(|index| Self {
+                at: Duration::from_micros(index * 1_000_000 / per_second),
+                group,
+                method: "GET",
+                path: format!("{path}?n={index}"),
+                key: None,
+                body: None,
+            })
+            .collect()
+    }
+}
+
 /// Whether a call ran, as the caller was told.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunState {
--- a/examples/latency.rs
+++ b/examples/latency.rs
@@ -116,16 +116,7 @@
 }
 
 fn make_plan(rate: u64, seconds: u64) -> Vec<CallPlan> {
-    (0..rate * seconds)
-        .map(|index| CallPlan {
-            at: Duration::from_micros(index * 1_000_000 / rate),
-            group: "call",
-            method: "GET",
-            path: format!("/x?n={index}"),
-            key: None,
-            body: None,
-        })
-        .collect()
+    CallPlan::steady("call", "/x", rate * seconds, rate)
 }
 
 fn write_file(addrs: &[SocketAddr]) -> String {
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -10,8 +10,7 @@
 /// Bound on the time until a file is in force everywhere.
 const IN_FORCE: Duration = Duration::from_secs(6);
 
-fn request(fleet: &LocalFleet, name: &str, base: u64, text: &str) -> SubmitRequest {
-    let _ = fleet;
+fn request(name: &str, base: u64, text: &str) -> SubmitRequest {
     SubmitRequest {
         submission: name.into(),
         author: name.into(),
@@ -29,7 +28,7 @@
         .map(|vm| fleet.client(vm).expect("a client"))
         .collect();
     let requests: Vec<_> = (0..5)
-        .map(|vm| request(&fleet, &format!("op{vm}"), 1, &text))
+        .map(|vm| request(&format!("op{vm}"), 1, &text))
         .collect();
     let sent = clients
         .iter()
@@ -71,7 +70,7 @@
         .write_file()
         .replace("slots = 3", "slots = 3\ndrain = yes");
     let client = fleet.client(0).expect("a client");
-    let mut request = request(&fleet, "drain", 1, &text);
+    let mut request = request("drain", 1, &text);
     let answer = client.submit(&request).await.expect("an answer");
     assert_eq!(answer.verdict, SubmitVerdict::NeedsForce);
     assert!(
@@ -103,7 +102,7 @@
 async fn asked_again() {
     let fleet = start(1).await;
     let client = fleet.client(0).expect("a client");
-    let request = request(&fleet, "mine", 1, &fleet.write_file());
+    let request = request("mine", 1, &fleet.write_file());
     let first = client.submit(&request).await.expect("an answer");
     fleet
         .submit(&fleet.write_file(), None)
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -12,16 +12,7 @@
 const NO_NEW_WORK: Duration = Duration::from_secs(3);
 
 fn steady(seconds: u64, per_second: u64) -> Vec<CallPlan> {
-    (0..seconds * per_second)
-        .map(|index| CallPlan {
-            at: Duration::from_micros(index * 1_000_000 / per_second),
-            group: "open",
-            method: "GET",
-            path: format!("/recipient/open?n={index}"),
-            key: None,
-            body: None,
-        })
-        .collect()
+    CallPlan::steady("open", "/recipient/open", seconds * per_second, per_second)
 }
 
 fn failed(results: &[CallResult]) -> Vec<&CallResult> {
--- a/tests/scenarios/world.rs
+++ b/tests/scenarios/world.rs
@@ -148,16 +148,7 @@
 
     pub(crate) fn start_load(&mut self, per_second: usize, millis: usize) -> String {
         let count = per_second * millis / 1_000;
-        let plan = (0..count)
-            .map(|index| CallPlan {
-                at: Duration::from_micros((index * 1_000_000 / per_second) as u64),
-                group: "open",
-                method: "GET",
-                path: format!("/recipient/open?n={index}"),
-                key: None,
-                body: None,
-            })
-            .collect();
+        let plan = CallPlan::steady("open", "/recipient/open", count as u64, per_second as u64);
         let addrs = self.fleet().get_callers();
         self.load = Some(tokio::spawn(run_calls(plan, addrs)));
         "started".to_owned()
--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -10,16 +10,7 @@
 const SILENCE: Duration = Duration::from_secs(2);
 
 fn lookups(count: u64) -> Vec<CallPlan> {
-    (0..count)
-        .map(|index| CallPlan {
-            at: Duration::from_millis(index * 5),
-            group: "open",
-            method: "GET",
-            path: format!("/recipient/open?n={index}"),
-            key: None,
-            body: None,
-        })
-        .collect()
+    CallPlan::steady("open", "/recipient/open", count, 200)
 }
 
 #[tokio::test(flavor = "multi_thread")]
