feat(core): routes by prefix, targets by discovery, a fleet's repeat limit

Cause: on the platform routes, targets and limits are published while the daemon runs, and repeats are bounded over the whole fleet. The core had one file with fixed targets and a budget of each VM alone, which a restarted fleet spends again. Ruled out: a second routing machine beside Service; classes and targets of the existing one fit once classes have an objective, a priority and a number of attempts, and targets an incarnation. Change: routes (host, longest prefix, smooth weighted split), discovery (starts, sticky draining, lapses while the store is away), FleetBudget, loads of peers, an objective that bounds the wait, preference for the own failure domain.

--- a/crates/config/src/fleet/sections.rs
+++ b/crates/config/src/fleet/sections.rs
@@ -44,6 +44,7 @@
         probes_per_second: reader.count("probes", 2),
         probe_path: reader.text("probe_path").unwrap_or_else(|| "/load".into()),
         note: read_note(&mut reader),
+        repeats: None,
     };
     reader.finish();
     service
@@ -67,6 +68,9 @@
         deadline: reader.required_duration("deadline"),
         reserve: reader.count("reserve", 0),
         queue: reader.count("queue", 256),
+        objective: None,
+        priority: 0,
+        max_attempts: ClassSpec::DEFAULT_MAX_ATTEMPTS,
     };
     if class.kind == ClassKind::Background && class.reserve > 0 {
         reader.report_conflict(
@@ -96,6 +100,8 @@
         weight: reader.percent("weight", 100),
         drain: reader.flag("drain"),
         note: read_note(&mut reader),
+        incarnation: 0,
+        warm_up: None,
     };
     if target.slots == Some(0) {
         reader.report_conflict("slots", "0", "at least 1, or drain = yes to stop new work");
--- /dev/null
+++ b/crates/config/src/gateway/parse.rs
@@ -0,0 +1,111 @@
+//! Reading the settings.
+
+use super::GatewaySettings;
+use crate::document::Document;
+use crate::reader::{SectionReader, read_sections};
+use crate::settings::read_log;
+use crate::{FaultReport, LogFormat, parse_fraction_duration};
+use gentianridge_core::RepeatLimit;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const SECTIONS: [&str; 6] = ["vm", "listen", "store", "bounds", "repeats", "log"];
+
+/// Reads the settings of a daemon on the platform.
+///
+/// # Errors
+///
+/// Returns every fault of the file at once.
+pub fn parse_gateway_settings(text: &str) -> Result<GatewaySettings, FaultReport> {
+    let document = Document::parse(text).map_err(|fault| FaultReport::new(vec![*fault]))?;
+    let mut faults = Vec::new();
+    let mut settings = make_blank();
+    read_sections(&document, &SECTIONS, &mut faults, |name, reader| {
+        read_section(name, reader, &mut settings);
+    });
+    if faults.is_empty() {
+        Ok(settings)
+    } else {
+        Err(FaultReport::new(faults))
+    }
+}
+
+/// Values that stand only until the file's own are read; none survives, since
+/// every key without a default is required.
+fn make_blank() -> GatewaySettings {
+    let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
+    GatewaySettings {
+        vm: "".into(),
+        domain: "".into(),
+        callers: nowhere,
+        ready: nowhere,
+        peers: nowhere,
+        metrics: None,
+        store: nowhere,
+        heartbeat: Duration::ZERO,
+        drain: Duration::ZERO,
+        apply: Duration::ZERO,
+        grace: Duration::ZERO,
+        repeats: RepeatLimit {
+            window: Duration::ZERO,
+            percent: 0,
+            extra: 0,
+        },
+        log_level: "info".into(),
+        log_format: LogFormat::Text,
+    }
+}
+
+fn read_section(name: &str, reader: &mut SectionReader<'_>, settings: &mut GatewaySettings) {
+    match name {
+        "vm" => {
+            settings.vm = reader.required_text("name", "a name that no other VM of the fleet has");
+            settings.domain = reader.required_text("domain", "the failure domain of this VM");
+        }
+        "listen" => {
+            settings.callers = reader.address("callers").unwrap_or(settings.callers);
+            settings.ready = reader.address("ready").unwrap_or(settings.ready);
+            settings.peers = reader.address("peers").unwrap_or(settings.peers);
+            settings.metrics = reader.optional("metrics", "an IP address and port", |text| {
+                text.parse().ok()
+            });
+        }
+        "store" => {
+            settings.store = reader.address("address").unwrap_or(settings.store);
+            settings.heartbeat = read_duration(reader, "heartbeat");
+        }
+        "bounds" => {
+            settings.drain = read_duration(reader, "drain");
+            settings.apply = read_duration(reader, "apply");
+            settings.grace = read_duration(reader, "grace");
+        }
+        "repeats" => {
+            settings.repeats = RepeatLimit {
+                window: read_duration(reader, "window"),
+                percent: reader
+                    .required("ratio", "a fraction such as 0.2", parse_ratio)
+                    .unwrap_or(0),
+                extra: reader.count("extra", 0),
+            };
+        }
+        _ => (settings.log_level, settings.log_format) = read_log(reader),
+    }
+}
+
+fn read_duration(reader: &mut SectionReader<'_>, key: &'static str) -> Duration {
+    reader
+        .required(
+            key,
+            "a duration such as 250ms or 2.5s",
+            parse_fraction_duration,
+        )
+        .unwrap_or_default()
+}
+
+/// Reads a fraction into a whole percentage, rounded down so that a limit is
+/// never exceeded.
+fn parse_ratio(text: &str) -> Option<u16> {
+    let ratio: f64 = text.parse().ok()?;
+    let percent = (ratio * 100.0 + 1e-6).floor();
+    (0.0..=1_000.0).contains(&percent).then_some(percent as u16)
+}
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -1,6 +1,6 @@
 //! Typed reading of one section.
 
-use crate::document::{Entry, Section};
+use crate::document::{Document, Entry, Section};
 use crate::{Fault, FaultKind, parse_duration, parse_size};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
@@ -190,6 +190,49 @@
     }
 }
 
+/// Reads each named section, a missing one as if it were empty, and reports
+/// sections that are not named or stand twice.
+pub(crate) fn read_sections(
+    document: &Document,
+    names: &[&str],
+    faults: &mut Vec<Fault>,
+    mut read: impl FnMut(&str, &mut SectionReader<'_>),
+) {
+    check_sections(document, names, faults);
+    for name in names {
+        let empty = Section {
+            name: (*name).into(),
+            line: 1,
+            entries: Vec::new(),
+        };
+        let found = document.sections.iter().find(|s| s.name == *name);
+        let mut reader = SectionReader::new(found.unwrap_or(&empty), faults);
+        read(name, &mut reader);
+        reader.finish();
+    }
+}
+
+fn check_sections(document: &Document, names: &[&str], faults: &mut Vec<Fault>) {
+    let mut seen: Vec<&str> = Vec::new();
+    for section in &document.sections {
+        let name = section.name.as_str();
+        if name.is_empty() && section.entries.is_empty() {
+            continue;
+        }
+        if !names.contains(&name) {
+            let fault = Fault::new(FaultKind::UnknownSection, section.line, name)
+                .expected(format!("one of {}", names.join(", ")))
+                .suggest(name, names);
+            faults.push(fault);
+        } else if seen.contains(&name) {
+            faults.push(
+                Fault::new(FaultKind::Duplicate, section.line, name).expected("each section once"),
+            );
+        }
+        seen.push(name);
+    }
+}
+
 fn parse_percent(text: &str) -> Option<u8> {
     let number: u8 = text.strip_suffix('%')?.trim().parse().ok()?;
     (number <= 100).then_some(number)
--- a/crates/config/src/settings/mod.rs
+++ b/crates/config/src/settings/mod.rs
@@ -4,4 +4,5 @@
 mod values;
 
 pub use parse::parse_settings;
+pub(crate) use parse::read_log;
 pub use values::{LogFormat, Settings};
--- a/crates/config/src/settings/parse.rs
+++ b/crates/config/src/settings/parse.rs
@@ -1,9 +1,10 @@
 //! Reading the settings.
 
 use super::{LogFormat, Settings};
-use crate::document::{Document, Section};
-use crate::reader::SectionReader;
-use crate::{Fault, FaultKind, FaultReport};
+use crate::FaultReport;
+use crate::document::Document;
+use crate::reader::{SectionReader, read_sections};
+use smol_str::SmolStr;
 use std::net::SocketAddr;
 
 const SECTIONS: [&str; 6] = ["vm", "listen", "platform", "limits", "stop", "log"];
@@ -23,24 +24,11 @@
 pub fn parse_settings(text: &str) -> Result<Settings, FaultReport> {
     let document = Document::parse(text).map_err(|fault| FaultReport::new(vec![*fault]))?;
     let mut faults = Vec::new();
-    check_sections(&document, &mut faults);
     let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
     let mut settings = Settings::new("", nowhere, nowhere, nowhere);
-    for name in SECTIONS {
-        let empty = Section {
-            name: name.into(),
-            line: 1,
-            entries: Vec::new(),
-        };
-        let found = document
-            .sections
-            .iter()
-            .find(|s| s.name == name)
-            .unwrap_or(&empty);
-        let mut reader = SectionReader::new(found, &mut faults);
-        read_section(name, &mut reader, &mut settings);
-        reader.finish();
-    }
+    read_sections(&document, &SECTIONS, &mut faults, |name, reader| {
+        read_section(name, reader, &mut settings);
+    });
     if faults.is_empty() {
         Ok(settings)
     } else {
@@ -48,27 +36,6 @@
     }
 }
 
-fn check_sections(document: &Document, faults: &mut Vec<Fault>) {
-    let mut seen: Vec<&str> = Vec::new();
-    for section in &document.sections {
-        let name = section.name.as_str();
-        if name.is_empty() && section.entries.is_empty() {
-            continue;
-        }
-        if !SECTIONS.contains(&name) {
-            let fault = Fault::new(FaultKind::UnknownSection, section.line, name)
-                .expected(format!("one of {}", SECTIONS.join(", ")))
-                .suggest(name, &SECTIONS);
-            faults.push(fault);
-        } else if seen.contains(&name) {
-            faults.push(
-                Fault::new(FaultKind::Duplicate, section.line, name).expected("each section once"),
-            );
-        }
-        seen.push(name);
-    }
-}
-
 fn read_section(name: &str, reader: &mut SectionReader<'_>, settings: &mut Settings) {
     match name {
         "vm" => read_vm(reader, settings),
@@ -76,7 +43,7 @@
         "platform" => read_platform(reader, settings),
         "limits" => read_limits(reader, settings),
         "stop" => read_stop(reader, settings),
-        _ => read_log(reader, settings),
+        _ => (settings.log_level, settings.log_format) = read_log(reader),
     }
 }
 
@@ -121,13 +88,15 @@
     settings.stop_grace = reader.duration("grace", settings.stop_grace);
 }
 
-fn read_log(reader: &mut SectionReader<'_>, settings: &mut Settings) {
+/// Reads the level and the form of log lines.
+pub(crate) fn read_log(reader: &mut SectionReader<'_>) -> (SmolStr, LogFormat) {
     let formats = [("text", LogFormat::Text), ("json", LogFormat::Json)];
     let level = reader.word("level", &LOG_LEVELS, Some("info"));
-    settings.log_level = level.unwrap_or("info").into();
-    settings.log_format = reader
-        .word("format", &formats, Some(LogFormat::Text))
-        .unwrap_or(LogFormat::Text);
+    let format = reader.word("format", &formats, Some(LogFormat::Text));
+    (
+        level.unwrap_or("info").into(),
+        format.unwrap_or(LogFormat::Text),
+    )
 }
 
 fn parse_addresses(text: &str) -> Option<Vec<SocketAddr>> {
--- a/crates/config/src/value/duration.rs
+++ b/crates/config/src/value/duration.rs
@@ -45,3 +45,23 @@
     }
     format!("{}{}", nanos / best.1, best.0)
 }
+
+/// Reads a duration like [`parse_duration`], and fractions such as `2.5s` as
+/// programs write them.
+///
+/// ```
+/// use gentianridge_config::parse_fraction_duration;
+/// use std::time::Duration;
+///
+/// assert_eq!(parse_fraction_duration("2.5s"), Some(Duration::from_millis(2_500)));
+/// ```
+pub fn parse_fraction_duration(text: &str) -> Option<Duration> {
+    let digits = text
+        .bytes()
+        .take_while(|byte| byte.is_ascii_digit() || *byte == b'.')
+        .count();
+    let (number, unit) = text.split_at(digits);
+    let number: f64 = number.parse().ok()?;
+    let nanos = UNITS.iter().find(|(name, _)| *name == unit.trim())?.1;
+    Duration::try_from_secs_f64(number * nanos as f64 / 1e9).ok()
+}
--- a/crates/core/benches/decision.rs
+++ b/crates/core/benches/decision.rs
@@ -23,6 +23,9 @@
             deadline: Duration::from_secs(3600),
             reserve: 0,
             queue: u16::MAX,
+            objective: None,
+            priority: 0,
+            max_attempts: ClassSpec::DEFAULT_MAX_ATTEMPTS,
         }],
         targets: (0..targets)
             .map(|index| TargetSpec {
@@ -34,6 +37,8 @@
                 weight: 100,
                 drain: false,
                 note: None,
+                incarnation: 0,
+                warm_up: None,
             })
             .collect(),
         retry_percent: 10,
@@ -42,6 +47,7 @@
         probes_per_second: 1,
         probe_path: "/load".into(),
         note: None,
+        repeats: None,
     };
     Service::new(spec, 1)
 }
@@ -97,6 +103,7 @@
             in_flight: 3,
             slots: Some(3),
             is_leaving: false,
+            work_percent: None,
         };
         self.service
             .report(self.now, target, Some(attempt), report, &mut self.out);
--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -73,6 +73,8 @@
     Stopping = 1005, 503, NotRun, "this VM is stopping";
     /// The caller closed its connection before the answer.
     CallerGone = 1006, 499, Unknown, "the caller has gone";
+    /// The request body exceeds the limit of the configuration.
+    TooLarge = 1007, 413, NotRun, "the request body is too large";
     /// The queue of the class is full.
     QueueFull = 2001, 503, NotRun, "the queue of this class is full";
     /// The wait would exceed the deadline of the call.
@@ -83,6 +85,8 @@
     NoTarget = 2004, 503, NotRun, "no target of the service takes work";
     /// Every attempt was refused by a target before it ran.
     TargetsRefused = 2005, 503, NotRun, "the targets refused the request unrun";
+    /// The request crashed several targets and is kept from the others for a while.
+    CrashesTargets = 2006, 503, NotRun, "this request crashed targets and is not run again for now";
     /// The attempt failed after dispatch and no retry was possible.
     AttemptFailed = 3001, 502, Unknown, "the attempt failed after it was dispatched";
     /// The target did not answer before the deadline.
--- /dev/null
+++ b/crates/core/src/discovery/mod.rs
@@ -0,0 +1,9 @@
+//! Targets that come and go by what they register.
+//!
+//! docs/decisions/0013-platform.md lists the cases.
+
+mod directory;
+mod entry;
+
+pub use directory::Directory;
+pub use entry::{Incarnation, TargetEntry};
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,17 +8,20 @@
 
 mod clock;
 mod code;
+mod discovery;
 mod event;
 mod ledger;
 mod membership;
 mod probe;
 mod quarantine;
 mod revision;
+mod routes;
 mod service;
 mod spec;
 
 pub use clock::{Clock, HybridClock, HybridTime};
 pub use code::{ResultCode, RunState};
+pub use discovery::{Directory, Incarnation, TargetEntry};
 pub use event::{Event, EventKind, EventRing};
 pub use ledger::{
     Claim, ClaimState, Ledger, LedgerAction, LedgerInput, RecordedAnswer, RequestPrint, Version,
@@ -31,11 +34,14 @@
 pub use revision::{
     Adoption, RevisionLog, RevisionRecord, Submission, SubmissionAction, SubmissionInput, Verdict,
 };
+pub use routes::{
+    CallerLimits, HostRoutes, Part, Route, RouteKey, RouteTable, RoutedService, Split,
+};
 pub use service::{
     Arrival, AttemptKey, AttemptKind, CallKey, ClassKey, Counters, LoadReport, Outcome, Output,
     Service, TargetCondition, TargetKey, TargetStatus,
 };
 pub use spec::{
-    ClassKind, ClassSpec, DomainName, FleetSpec, MethodSet, Note, RouteMatch, ServiceSpec,
-    TargetSpec, VmName,
+    ClassKind, ClassSpec, DomainName, FleetSpec, MethodSet, Note, RepeatLimit, RouteMatch,
+    ServiceSpec, TargetSpec, VmName,
 };
--- /dev/null
+++ b/crates/core/src/routes/mod.rs
@@ -0,0 +1,11 @@
+//! Routes that operators publish: which service takes a request, and how.
+//!
+//! docs/decisions/0013-platform.md says where they come from.
+
+mod route;
+mod split;
+mod table;
+
+pub use route::{CallerLimits, HostRoutes, Route, RoutedService};
+pub use split::{Part, Split};
+pub use table::{RouteKey, RouteTable};
--- /dev/null
+++ b/crates/core/src/routes/route.rs
@@ -0,0 +1,111 @@
+//! One route and what stands beside the routes.
+
+use super::{Part, Split};
+use crate::{ClassKind, ClassSpec, MethodSet, RouteMatch};
+use smol_str::{SmolStr, format_smolstr};
+use std::time::Duration;
+
+/// One route: requests of a host below a path prefix.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Route {
+    /// Name, unique in the configuration.
+    pub name: SmolStr,
+    /// Path prefix; it begins and ends with a slash.
+    pub prefix: SmolStr,
+    /// Whether a request may run more than once.
+    pub kind: ClassKind,
+    /// Longest time for which a caller is kept waiting.
+    pub timeout: Duration,
+    /// Time within which an answer has its full worth.
+    pub objective: Duration,
+    /// Rank; 0 is served first.
+    pub priority: u8,
+    /// Most targets that one request may be sent to.
+    pub max_attempts: u8,
+    /// Services that share the requests.
+    pub split: Split,
+}
+
+impl Route {
+    /// Most requests of one class that wait on one VM; each holds some
+    /// kilobytes, so that a full queue stays within a small VM's memory.
+    const QUEUE: u16 = 1_024;
+
+    /// Returns the services that the route sends to.
+    pub fn get_parts(&self) -> &[Part] {
+        self.split.get_parts()
+    }
+
+    /// Returns the class in which the route's requests are handled.
+    ///
+    /// Routes with equal demands share a class, so that a configuration with
+    /// many routes needs few of them.
+    pub fn make_class(&self) -> ClassSpec {
+        ClassSpec {
+            name: format_smolstr!(
+                "{}-p{}-{}ms-{}ms-a{}",
+                self.kind.as_str(),
+                self.priority,
+                self.objective.as_millis(),
+                self.timeout.as_millis(),
+                self.max_attempts
+            ),
+            route: RouteMatch {
+                methods: MethodSet::default(),
+                prefix: "/".into(),
+            },
+            kind: self.kind,
+            deadline: self.timeout,
+            reserve: 0,
+            queue: Self::QUEUE,
+            objective: Some(self.objective),
+            priority: self.priority,
+            max_attempts: self.max_attempts,
+        }
+    }
+}
+
+/// The routes of one host.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct HostRoutes {
+    /// Host name in lower case, without a port.
+    pub host: SmolStr,
+    /// Routes in any order.
+    pub routes: Vec<Route>,
+}
+
+/// A service that routes name.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RoutedService {
+    /// Name that targets and routes use.
+    pub name: SmolStr,
+    /// Path of the targets' health check.
+    pub health_path: SmolStr,
+    /// Connections that a target accepts from all callers together.
+    pub max_connections: u16,
+}
+
+/// What a caller may send, and how long it may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Largest request head in bytes.
+    pub max_header_bytes: usize,
+    /// Largest request body in bytes.
+    pub max_body_bytes: usize,
+    /// Longest time for a request head.
+    pub header_timeout: Duration,
+    /// Time after which an idle connection may be closed.
+    pub idle_timeout: Duration,
+}
+
+impl Default for CallerLimits {
+    /// Limits before any configuration is known.
+    fn default() -> Self {
+        Self {
+            max_header_bytes: 16 * 1024,
+            max_body_bytes: 64 * 1024 * 1024,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/routes/table.rs
@@ -0,0 +1,136 @@
+//! All routes of one configuration.
+
+use super::{CallerLimits, HostRoutes, Route, RoutedService};
+use crate::ClassSpec;
+use smol_str::SmolStr;
+
+/// A configuration as it is in force: routes by host, services and limits.
+///
+/// ```
+/// use gentianridge_core::{CallerLimits, RouteTable};
+///
+/// let table = RouteTable::new(7, Vec::new(), Vec::new(), CallerLimits::default());
+/// assert_eq!(table.get_version(), 7);
+/// assert!(table.find("shop.example", "/cart/1").is_none());
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RouteTable {
+    version: u64,
+    hosts: Vec<HostRoutes>,
+    services: Vec<RoutedService>,
+    limits: CallerLimits,
+}
+
+/// Place of a route in its table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RouteKey {
+    host: u32,
+    route: u32,
+}
+
+impl RouteTable {
+    /// Creates a table from the parts of a configuration in any order.
+    pub fn new(
+        version: u64,
+        mut hosts: Vec<HostRoutes>,
+        mut services: Vec<RoutedService>,
+        limits: CallerLimits,
+    ) -> Self {
+        hosts.sort_by(|a, b| a.host.cmp(&b.host));
+        for host in &mut hosts {
+            host.routes.sort_by(|a, b| a.prefix.cmp(&b.prefix));
+        }
+        services.sort_by(|a, b| a.name.cmp(&b.name));
+        Self {
+            version,
+            hosts,
+            services,
+            limits,
+        }
+    }
+
+    /// Returns the version that the configuration bears.
+    pub fn get_version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the services in the order of their names.
+    pub fn get_services(&self) -> &[RoutedService] {
+        &self.services
+    }
+
+    /// Returns what callers may send.
+    pub fn get_limits(&self) -> CallerLimits {
+        self.limits
+    }
+
+    /// Returns the number of routes.
+    pub fn count_routes(&self) -> usize {
+        self.hosts.iter().map(|host| host.routes.len()).sum()
+    }
+
+    /// Returns the route of the host with the longest prefix of the path.
+    ///
+    /// `host` may bear a port, and its case does not matter. The path stands
+    /// without a query.
+    pub fn find(&self, host: &str, path: &str) -> Option<RouteKey> {
+        let name = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
+        let host = self
+            .hosts
+            .binary_search_by(|known| known.host.as_str().cmp(&name))
+            .ok()?;
+        let route = find_longest(&self.hosts[host].routes, path)?;
+        Some(RouteKey {
+            host: host as u32,
+            route: route as u32,
+        })
+    }
+
+    /// Returns a route that [`Self::find`] found in this table.
+    pub fn get(&self, key: RouteKey) -> &Route {
+        &self.hosts[key.host as usize].routes[key.route as usize]
+    }
+
+    /// Chooses the service for the next request of a route.
+    pub fn next_service(&mut self, key: RouteKey) -> Option<SmolStr> {
+        let route = &mut self.hosts[key.host as usize].routes[key.route as usize];
+        route.split.next_part().map(|part| part.service.clone())
+    }
+
+    /// Moves the rotation of every split by `steps`.
+    pub fn rotate_splits(&mut self, steps: u32) {
+        for host in &mut self.hosts {
+            for route in &mut host.routes {
+                route.split.rotate(steps);
+            }
+        }
+    }
+
+    /// Returns the classes that a service needs for the routes that name it.
+    pub fn collect_classes(&self, service: &str) -> Vec<ClassSpec> {
+        let mut classes: Vec<ClassSpec> = self
+            .hosts
+            .iter()
+            .flat_map(|host| &host.routes)
+            .filter(|route| route.get_parts().iter().any(|part| part.service == service))
+            .map(Route::make_class)
+            .collect();
+        classes.sort_by(|a, b| a.name.cmp(&b.name));
+        classes.dedup_by(|a, b| a.name == b.name);
+        classes
+    }
+}
+
+/// Looks for each prefix of the path that ends with a slash, the longest first.
+fn find_longest(routes: &[Route], path: &str) -> Option<usize> {
+    let mut end = path.len();
+    while let Some(slash) = path[..end].rfind('/') {
+        let prefix = &path[..=slash];
+        let found = routes.binary_search_by(|route| route.prefix.as_str().cmp(prefix));
+        if let Ok(index) = found {
+            return Some(index);
+        }
+        end = slash;
+    }
+    None
+}
--- a/crates/core/src/service/attempts.rs
+++ b/crates/core/src/service/attempts.rs
@@ -247,18 +247,37 @@
         if !is_safe || !call.is_replayable || !call.may_attempt() || now >= call.deadline {
             return false;
         }
-        if !self.retries.spend() {
+        if !self.may_repeat(now) || !self.retries.spend() {
             self.counters.retries_denied += 1;
             return false;
         }
         self.release(key);
         match self.pick_retry(now, call_key) {
             Some(target) => self.start(now, call_key, target, AttemptKind::Retry, out),
-            None => self.enqueue(call_key),
+            None => self.enqueue_again(now, call_key),
         }
         true
     }
 
+    /// Puts a call whose attempt failed back into the queue.
+    ///
+    /// Its objective may have passed; a late answer still beats none.
+    fn enqueue_again(&mut self, now: Instant, key: CallKey) {
+        let call = &mut self.calls[key];
+        let margin = self.classes[call.class.get_index()].get_expected_time();
+        if call.useful_until <= now + margin {
+            call.useful_until = call.deadline;
+        }
+        self.enqueue(key);
+    }
+
+    /// Returns true if the fleet's limit leaves room for a repeat.
+    pub(super) fn may_repeat(&mut self, now: Instant) -> bool {
+        self.fleet_budget
+            .as_mut()
+            .is_none_or(|budget| budget.has_room(now))
+    }
+
     /// Frees the slot of an attempt.
     pub(super) fn release(&mut self, key: AttemptKey) -> Option<Attempt> {
         let attempt = self.attempts.remove(key)?;
--- a/crates/core/src/service/calls.rs
+++ b/crates/core/src/service/calls.rs
@@ -3,7 +3,7 @@
 use super::class::{Class, Waiting};
 use super::records::{Call, CallState};
 use super::target::Target;
-use super::{Arrival, CallKey, Output, Service};
+use super::{Arrival, CallKey, ClassKey, Output, Service};
 use crate::{ClassKind, ResultCode};
 use std::time::{Duration, Instant};
 
@@ -20,9 +20,14 @@
         if class.spec.kind != ClassKind::Background {
             self.reserved_seen = Some(now);
         }
-        let call = Call::new(arrival.class, arrival.deadline, arrival.is_replayable);
+        let spec = &class.spec;
+        let useful_until = match spec.objective {
+            Some(objective) => arrival.deadline.min(now + objective),
+            None => arrival.deadline,
+        };
+        let call = Call::new(arrival, useful_until, spec);
         let key = self.calls.insert(call);
-        if let Some(code) = self.judge_arrival(now, arrival) {
+        if let Some(code) = self.judge_arrival(now, arrival.class, useful_until) {
             self.refuse(key, code, out);
             return key;
         }
@@ -31,17 +36,22 @@
         key
     }
 
-    pub(super) fn judge_arrival(&mut self, now: Instant, arrival: Arrival) -> Option<ResultCode> {
+    pub(super) fn judge_arrival(
+        &self,
+        now: Instant,
+        class: ClassKey,
+        useful_until: Instant,
+    ) -> Option<ResultCode> {
         if !self.targets.iter().any(Target::is_usable) {
             return Some(ResultCode::NoTarget);
         }
-        let class = &self.classes[arrival.class.get_index()];
+        let class = &self.classes[class.get_index()];
         if class.is_full() {
             return Some(ResultCode::QueueFull);
         }
         let wait = self.estimate_wait(class);
-        let finish = now + wait + class.usual.get_high();
-        (finish > arrival.deadline).then_some(ResultCode::DeadlineUnreachable)
+        let finish = now + wait + class.get_expected_time();
+        (finish > useful_until).then_some(ResultCode::DeadlineUnreachable)
     }
 
     /// Waiting time of a new call of the class, from the slots this VM works with.
@@ -73,7 +83,7 @@
             return;
         };
         let entry = Waiting {
-            deadline: call.deadline,
+            due: call.useful_until,
             call: key,
         };
         if call.state == CallState::Waiting {
@@ -94,28 +104,31 @@
 
     /// Returns the time at which [`Self::tick`] has to be called at the latest.
     pub fn next_wake(&self, now: Instant) -> Option<Instant> {
-        let expiry = self
-            .classes
-            .iter()
-            .filter_map(|c| c.front())
-            .map(|w| w.deadline);
+        let expiry = self.classes.iter().filter_map(|c| c.front()).map(|w| w.due);
         let hedge = self.classes.iter().filter_map(|c| self.next_hedge(c));
         let mut wake = expiry.chain(hedge).min();
         if self.classes.iter().any(|c| c.len() > 0) {
-            let recheck = now + Self::RECHECK;
+            let recheck = now + self.get_recheck();
             wake = Some(wake.map_or(recheck, |at| at.min(recheck)));
         }
         wake
     }
 
+    /// Shortest time after which waiting calls are tried again.
+    const MIN_RECHECK: Duration = Duration::from_millis(1);
+    /// Rechecks within one hold time; reports fade over about one.
+    const RECHECKS_PER_HOLD: u32 = 10;
+
     /// Time after which waiting calls are tried again, since reports fade.
-    pub(super) const RECHECK: Duration = Duration::from_millis(1);
+    fn get_recheck(&self) -> Duration {
+        (self.get_hold() / Self::RECHECKS_PER_HOLD).max(Self::MIN_RECHECK)
+    }
 
     pub(super) fn enqueue(&mut self, key: CallKey) {
         let call = &mut self.calls[key];
         call.state = CallState::Waiting;
         let entry = Waiting {
-            deadline: call.deadline,
+            due: call.useful_until,
             call: key,
         };
         self.classes[call.class.get_index()].insert(entry);
@@ -123,9 +136,9 @@
 
     pub(super) fn expire(&mut self, now: Instant, out: &mut Vec<Output>) {
         for index in 0..self.classes.len() {
-            let margin = self.classes[index].usual.get_high();
+            let margin = self.classes[index].get_expected_time();
             while let Some(front) = self.classes[index].front() {
-                if front.deadline > now + margin {
+                if front.due > now + margin {
                     break;
                 }
                 self.classes[index].pop_front();
--- a/crates/core/src/service/class.rs
+++ b/crates/core/src/service/class.rs
@@ -4,12 +4,12 @@
 use super::{AttemptKey, CallKey};
 use crate::ClassSpec;
 use std::collections::VecDeque;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-/// A call in the queue.
+/// A call in the queue, ordered by the time until which its answer is useful.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Waiting {
-    pub(crate) deadline: Instant,
+    pub(crate) due: Instant,
     pub(crate) call: CallKey,
 }
 
@@ -20,7 +20,7 @@
     pub(crate) attempt: AttemptKey,
 }
 
-/// Queue ordered by deadline, and what is known about answer times.
+/// Queue ordered by due time, and what is known about answer times.
 #[derive(Debug)]
 pub(crate) struct Class {
     pub(crate) spec: ClassSpec,
@@ -32,13 +32,25 @@
 impl Class {
     pub(crate) fn new(spec: ClassSpec) -> Self {
         Self {
+            usual: UsualTime::new(initial_time(&spec)),
             spec,
-            usual: UsualTime::new(),
             hedge_checks: VecDeque::new(),
             waiting: VecDeque::new(),
         }
     }
 
+    /// Time that an answer is expected to take, for the question whether it
+    /// comes in time.
+    ///
+    /// Against a hard deadline nearly all answers have to make it, while an
+    /// objective is worth trying for when half of them do.
+    pub(crate) fn get_expected_time(&self) -> Duration {
+        match self.spec.objective {
+            Some(_) => self.usual.get_median(),
+            None => self.usual.get_high(),
+        }
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.waiting.len()
     }
@@ -56,20 +68,16 @@
     }
 
     pub(crate) fn insert(&mut self, entry: Waiting) {
-        let at = self
-            .waiting
-            .partition_point(|other| other.deadline <= entry.deadline);
+        let at = self.waiting.partition_point(|other| other.due <= entry.due);
         self.waiting.insert(at, entry);
     }
 
     pub(crate) fn remove(&mut self, entry: Waiting) -> bool {
-        let start = self
-            .waiting
-            .partition_point(|other| other.deadline < entry.deadline);
+        let start = self.waiting.partition_point(|other| other.due < entry.due);
         let found = self
             .waiting
             .range(start..)
-            .take_while(|other| other.deadline == entry.deadline)
+            .take_while(|other| other.due == entry.due)
             .position(|other| other.call == entry.call);
         match found {
             Some(offset) => self.waiting.remove(start + offset).is_some(),
@@ -77,3 +85,11 @@
         }
     }
 }
+
+/// Answer time assumed before enough answers were seen.
+///
+/// An operator who states an objective expects the usual answer well within it.
+fn initial_time(spec: &ClassSpec) -> Duration {
+    spec.objective
+        .map_or(UsualTime::INITIAL, |objective| objective / 3)
+}
--- a/crates/core/src/service/dispatch.rs
+++ b/crates/core/src/service/dispatch.rs
@@ -31,15 +31,19 @@
         }
     }
 
-    /// Returns the class whose first waiting call has the earliest deadline.
+    /// Returns the class whose first waiting call has the highest priority, and
+    /// among these the earliest due time.
     pub(super) fn find_next_class(&self, is_background: bool) -> Option<usize> {
         self.classes
             .iter()
             .enumerate()
             .filter(|(_, class)| (class.spec.kind == ClassKind::Background) == is_background)
-            .filter_map(|(index, class)| class.front().map(|front| (front.deadline, index)))
+            .filter_map(|(index, class)| {
+                let front = class.front()?;
+                Some((class.spec.priority, front.due, index))
+            })
             .min()
-            .map(|(_, index)| index)
+            .map(|(_, _, index)| index)
     }
 
     pub(super) fn dispatch_front(
@@ -80,7 +84,7 @@
         });
         self.calls[key].start(attempt, target);
         self.occupy(target, attempt, is_long);
-        self.count_start(kind);
+        self.count_start(now, kind);
         if kind == AttemptKind::Trial {
             self.targets[target.get_index()].health.start_trial();
         }
@@ -99,7 +103,13 @@
         });
     }
 
-    pub(super) fn count_start(&mut self, kind: AttemptKind) {
+    pub(super) fn count_start(&mut self, now: Instant, kind: AttemptKind) {
+        if let Some(budget) = &mut self.fleet_budget {
+            match kind {
+                AttemptKind::First | AttemptKind::Trial => budget.count_first(now),
+                AttemptKind::Retry | AttemptKind::Hedge => budget.count_repeat(now),
+            }
+        }
         match kind {
             AttemptKind::First | AttemptKind::Trial => {
                 self.counters.first_attempts += 1;
@@ -156,7 +166,8 @@
         }
         let may_hedge = self.classes[index].spec.kind == ClassKind::Interactive
             && self.calls.get(key).is_some_and(can_hedge)
-            && (kind == AttemptKind::Trial || self.hedges.has_token());
+            && (kind == AttemptKind::Trial || self.hedges.has_token())
+            && self.may_repeat(now);
         if !may_hedge {
             return;
         }
--- /dev/null
+++ b/crates/core/src/service/fleet_budget.rs
@@ -0,0 +1,74 @@
+//! Repeats of one VM under a limit that holds for the whole fleet.
+
+use crate::RepeatLimit;
+use std::collections::VecDeque;
+use std::time::Instant;
+
+/// This VM's part of a fleet's [`RepeatLimit`].
+///
+/// The part in proportion to the requests needs no agreement: if every VM
+/// keeps it for its own requests, the sum keeps it for all. The constant part
+/// is divided by the VMs that may have spent in the window. That is twice the
+/// live ones, because each may have replaced one that spent its share just
+/// before, and a new process does not know what the one before it spent.
+#[derive(Debug)]
+pub(crate) struct FleetBudget {
+    limit: RepeatLimit,
+    vms: Option<u16>,
+    firsts: VecDeque<Instant>,
+    repeats: VecDeque<Instant>,
+}
+
+impl FleetBudget {
+    /// VMs that may spend in one window for each that is live.
+    const SPENDERS_PER_VM: f32 = 2.0;
+    /// VMs assumed as long as no peer was heard.
+    const UNKNOWN_VMS: u16 = 50;
+
+    pub(crate) fn new(limit: RepeatLimit) -> Self {
+        Self {
+            limit,
+            vms: None,
+            firsts: VecDeque::new(),
+            repeats: VecDeque::new(),
+        }
+    }
+
+    pub(crate) fn set_limit(&mut self, limit: RepeatLimit) {
+        self.limit = limit;
+    }
+
+    pub(crate) fn set_vms(&mut self, vms: u16) {
+        self.vms = Some(vms.max(1));
+    }
+
+    pub(crate) fn count_first(&mut self, now: Instant) {
+        self.forget(now);
+        self.firsts.push_back(now);
+    }
+
+    pub(crate) fn count_repeat(&mut self, now: Instant) {
+        self.forget(now);
+        self.repeats.push_back(now);
+    }
+
+    /// Returns true if one more repeat keeps the limit.
+    pub(crate) fn has_room(&mut self, now: Instant) -> bool {
+        self.forget(now);
+        let spenders = f32::from(self.vms.unwrap_or(Self::UNKNOWN_VMS)) * Self::SPENDERS_PER_VM;
+        let share = f32::from(self.limit.percent) / 100.0 * self.firsts.len() as f32;
+        let allowed = share + f32::from(self.limit.extra) / spenders;
+        (self.repeats.len() + 1) as f32 <= allowed
+    }
+
+    fn forget(&mut self, now: Instant) {
+        let window = self.limit.window;
+        let is_old = |at: &Instant| now.saturating_duration_since(*at) > window;
+        while self.firsts.front().is_some_and(is_old) {
+            self.firsts.pop_front();
+        }
+        while self.repeats.front().is_some_and(is_old) {
+            self.repeats.pop_front();
+        }
+    }
+}
--- a/crates/core/src/service/input.rs
+++ b/crates/core/src/service/input.rs
@@ -73,4 +73,7 @@
     pub slots: Option<u16>,
     /// True if the target is going to stop.
     pub is_leaving: bool,
+    /// Time that work takes on the target's machine now, in percent of the
+    /// usual one, if it says so.
+    pub work_percent: Option<u16>,
 }
--- a/crates/core/src/service/machine.rs
+++ b/crates/core/src/service/machine.rs
@@ -3,11 +3,13 @@
 use super::budget::Budget;
 use super::class::{Class, Waiting};
 use super::demand::ShortDemand;
+use super::fleet_budget::FleetBudget;
 use super::long_slots::{LongRoom, deal, reserve_of};
+use super::peer_loads::PeerLoads;
 use super::records::{Attempt, Call, CallState};
 use super::target::Target;
 use super::{AttemptKey, CallKey, ClassKey, Counters, Output};
-use crate::{ClassKind, ResultCode, ServiceSpec};
+use crate::{ClassKind, DomainName, RepeatLimit, ResultCode, ServiceSpec};
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
 use slotmap::SlotMap;
@@ -27,10 +29,13 @@
 /// # let spec = ServiceSpec {
 /// #     name: "recipient".into(), route: route.clone(), retry_percent: 10, hedge_percent: 5,
 /// #     silence: Duration::from_secs(1), probes_per_second: 1, probe_path: "/load".into(), note: None,
+/// #     repeats: None,
 /// #     classes: vec![ClassSpec { name: "lookup".into(), route, kind: ClassKind::Interactive,
-/// #         deadline: Duration::from_secs(1), reserve: 0, queue: 100 }],
+/// #         deadline: Duration::from_secs(1), reserve: 0, queue: 100, objective: None,
+/// #         priority: 0, max_attempts: 4 }],
 /// #     targets: vec![TargetSpec { name: "r1".into(), addr: "127.0.0.1:9001".parse().unwrap(),
-/// #         domain: "d1".into(), slots: Some(3), connections: 200, weight: 100, drain: false, note: None }],
+/// #         domain: "d1".into(), slots: Some(3), connections: 200, weight: 100, drain: false, note: None,
+/// #         incarnation: 0, warm_up: None }],
 /// # };
 /// let now = Instant::now();
 /// let mut service = Service::new(spec, 7);
@@ -52,6 +57,9 @@
     pub(super) attempts: SlotMap<AttemptKey, Attempt>,
     pub(super) retries: Budget,
     pub(super) hedges: Budget,
+    pub(super) fleet_budget: Option<FleetBudget>,
+    pub(super) peer_loads: PeerLoads,
+    pub(super) domain: DomainName,
     pub(super) counters: Counters,
     pub(super) rng: Pcg32,
     pub(super) vms: u16,
@@ -73,6 +81,9 @@
         let mut service = Self {
             retries: Budget::new(spec.retry_percent),
             hedges: Budget::new(spec.hedge_percent),
+            fleet_budget: spec.repeats.map(FleetBudget::new),
+            peer_loads: PeerLoads::default(),
+            domain: DomainName::default(),
             targets: targets.into_iter().map(|t| Target::new(t, None)).collect(),
             classes: classes.into_iter().map(Class::new).collect(),
             calls: SlotMap::with_key(),
@@ -100,6 +111,7 @@
         let classes = std::mem::take(&mut spec.classes);
         self.retries.set_percent(spec.retry_percent);
         self.hedges.set_percent(spec.hedge_percent);
+        self.apply_repeat_limit(spec.repeats);
         self.spec = spec;
         self.apply_targets(now, targets);
         self.apply_classes(classes, out);
@@ -112,10 +124,7 @@
             target.is_removed = true;
         }
         for spec in specs {
-            let known = self
-                .targets
-                .iter()
-                .position(|t| t.spec.name == spec.name && t.spec.addr == spec.addr);
+            let known = self.targets.iter().position(|t| t.is_same_process(&spec));
             match known {
                 Some(index) => self.targets[index].redeclare(now, spec),
                 None => self.add_target(Target::new(spec, Some(now))),
@@ -123,6 +132,13 @@
         }
     }
 
+    fn apply_repeat_limit(&mut self, limit: Option<RepeatLimit>) {
+        match (&mut self.fleet_budget, limit) {
+            (Some(budget), Some(limit)) => budget.set_limit(limit),
+            (budget, limit) => *budget = limit.map(FleetBudget::new),
+        }
+    }
+
     pub(super) fn add_target(&mut self, target: Target) {
         let free = self.targets.iter().position(|t| t.is_removed && t.own == 0);
         match free {
@@ -175,7 +191,7 @@
         call.class = successor.unwrap_or(ClassKey(0));
         let waits = call.state == CallState::Waiting;
         let entry = Waiting {
-            deadline: call.deadline,
+            due: call.useful_until,
             call: key,
         };
         match successor {
@@ -194,10 +210,19 @@
         }
         self.vms = vms.max(1);
         self.rank = rank;
+        if let Some(budget) = &mut self.fleet_budget {
+            budget.set_vms(vms);
+        }
         self.deal_long_slots();
         self.pump(now, out);
     }
 
+    /// Names the failure domain of this VM; targets in it are preferred, since
+    /// bytes between domains cost money and time.
+    pub fn set_domain(&mut self, domain: DomainName) {
+        self.domain = domain;
+    }
+
     pub(super) fn deal_long_slots(&mut self) {
         let declared = self.classes.iter().map(|c| c.spec.reserve).sum::<u16>();
         let reserve = declared.max(self.short_demand.get_slots(self.vms));
@@ -227,6 +252,13 @@
 }
 
 impl Target {
+    /// Returns true if the declaration means the process that this state is about.
+    fn is_same_process(&self, spec: &crate::TargetSpec) -> bool {
+        self.spec.name == spec.name
+            && self.spec.addr == spec.addr
+            && self.spec.incarnation == spec.incarnation
+    }
+
     pub(super) fn redeclare(&mut self, now: Instant, spec: crate::TargetSpec) {
         let was_usable = self.is_usable() || self.is_removed;
         self.is_removed = false;
--- a/crates/core/src/service/pick.rs
+++ b/crates/core/src/service/pick.rs
@@ -44,6 +44,8 @@
     hold: Duration,
     /// Mean requests of other VMs, for targets whose reports are not trusted.
     others: f32,
+    /// Factor by which the counts of the peers that were heard stand for all VMs.
+    peer_scale: Option<f32>,
     /// Mean slowness of the active targets.
     slowness: f32,
     ignores_ejection: bool,
@@ -69,6 +71,9 @@
     const FULL_SLOWNESS: f32 = 1.6;
     /// Score added for a target that the call has tried before.
     const TRIED_PENALTY: f32 = 1.0;
+    /// Score added for a target in another failure domain: bytes between domains
+    /// cost more than a tenth of what an answer is worth.
+    const REMOTE_PENALTY: f32 = 0.5;
     /// Span of the random part of a score, which parts VMs with equal views.
     const JITTER: f32 = 0.1;
     /// Time without short work after which reserved room is lent.
@@ -178,6 +183,7 @@
             now,
             hold: self.get_hold(),
             others: others.get(),
+            peer_scale: self.peer_loads.get_scale(now, self.vms),
             slowness: if active == 0 {
                 1.0
             } else {
@@ -243,7 +249,12 @@
                 continue;
             };
             let penalty = if is_tried { Self::TRIED_PENALTY } else { 0.0 };
-            let score = score + penalty + Self::JITTER * unit_of(jitter, index);
+            let distance = if target.spec.domain == self.domain {
+                0.0
+            } else {
+                Self::REMOTE_PENALTY
+            };
+            let score = score + penalty + distance + Self::JITTER * unit_of(jitter, index);
             if best.is_none_or(|(held, lowest, _)| is_better(room, score, held, lowest)) {
                 best = Some((room, score, index));
             }
@@ -264,7 +275,10 @@
             return None;
         }
         let slowness = (target.health.get_slowness(self.now) / self.slowness).max(1.0);
-        let mut occupancy = target.get_occupancy(self.now, self.hold, self.others);
+        let mut occupancy = match self.peer_scale {
+            Some(scale) => f32::from(target.own) + scale * f32::from(target.count_peer_attempts()),
+            None => target.get_occupancy(self.now, self.hold, self.others),
+        };
         if slowness > Service::FULL_SLOWNESS {
             // Answer times are believed before reports.
             occupancy = occupancy.max(slots * (slowness - 0.5));
--- a/crates/core/src/service/records.rs
+++ b/crates/core/src/service/records.rs
@@ -1,10 +1,11 @@
 //! Calls and attempts of a service.
 
-use super::{AttemptKey, AttemptKind, CallKey, ClassKey, TargetKey};
+use super::{Arrival, AttemptKey, AttemptKind, CallKey, ClassKey, TargetKey};
+use crate::ClassSpec;
 use std::time::Instant;
 
 /// Attempts that one call may make.
-pub(crate) const MAX_ATTEMPTS: usize = 4;
+pub(crate) const MAX_ATTEMPTS: usize = ClassSpec::DEFAULT_MAX_ATTEMPTS as usize;
 
 /// Where a call stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -18,6 +19,9 @@
 pub(crate) struct Call {
     pub(crate) class: ClassKey,
     pub(crate) deadline: Instant,
+    /// Time until which the call is worth a place in the queue.
+    pub(crate) useful_until: Instant,
+    max_attempts: usize,
     pub(crate) is_replayable: bool,
     pub(crate) state: CallState,
     pub(crate) may_have_run: bool,
@@ -26,11 +30,13 @@
 }
 
 impl Call {
-    pub(crate) fn new(class: ClassKey, deadline: Instant, is_replayable: bool) -> Self {
+    pub(crate) fn new(arrival: Arrival, useful_until: Instant, spec: &ClassSpec) -> Self {
         Self {
-            class,
-            deadline,
-            is_replayable,
+            class: arrival.class,
+            deadline: arrival.deadline,
+            useful_until,
+            max_attempts: usize::from(spec.max_attempts).min(MAX_ATTEMPTS),
+            is_replayable: arrival.is_replayable,
             state: CallState::Waiting,
             may_have_run: false,
             running: [None; 2],
@@ -47,7 +53,7 @@
     }
 
     pub(crate) fn may_attempt(&self) -> bool {
-        self.count_attempts() < MAX_ATTEMPTS
+        self.count_attempts() < self.max_attempts
     }
 
     pub(crate) fn count_running(&self) -> usize {
--- a/crates/core/src/service/target.rs
+++ b/crates/core/src/service/target.rs
@@ -25,12 +25,15 @@
     /// Time from which the target is warmed up with a rising share of work.
     warming_since: Option<Instant>,
     others: OthersView,
+    /// Attempts in flight that each peer reports, by the peer's index.
+    pub(crate) peer_counts: Vec<u16>,
     /// Attempts of this VM in flight in the order of their start.
     running: Vec<AttemptKey>,
 }
 
 impl Target {
-    /// Time over which a new or returning target is given its full share.
+    /// Time over which a new or returning target is given its full share, unless
+    /// the target says how long it stays slow.
     pub(crate) const WARM_UP: Duration = Duration::from_secs(5);
     const WARM_UP_START: f32 = 0.34;
 
@@ -45,6 +48,7 @@
             is_removed: false,
             warming_since,
             others: OthersView::new(),
+            peer_counts: Vec::new(),
             running: Vec::new(),
             spec,
         }
@@ -118,8 +122,12 @@
         let Some(since) = self.warming_since else {
             return 1.0;
         };
+        let warm_up = self.spec.warm_up.unwrap_or(Self::WARM_UP);
+        if warm_up.is_zero() {
+            return 1.0;
+        }
         let age = now.saturating_duration_since(since).as_secs_f32();
-        let progress = (age / Self::WARM_UP.as_secs_f32()).min(1.0);
+        let progress = (age / warm_up.as_secs_f32()).min(1.0);
         Self::WARM_UP_START + (1.0 - Self::WARM_UP_START) * progress
     }
 }
--- a/crates/core/src/service/usual.rs
+++ b/crates/core/src/service/usual.rs
@@ -28,17 +28,17 @@
 }
 
 impl UsualTime {
-    /// Time assumed before enough answers were seen.
-    const INITIAL: Duration = Duration::from_millis(10);
+    /// Time assumed for a class that declares none.
+    pub(crate) const INITIAL: Duration = Duration::from_millis(10);
 
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(initial: Duration) -> Self {
         Self {
             counts: [0; BUCKETS],
             total: 0,
             since_refresh: 0,
-            median: Self::INITIAL,
-            high: Self::INITIAL * 5,
-            hold_secs: Self::INITIAL.as_secs_f32(),
+            median: initial,
+            high: initial * 5,
+            hold_secs: initial.as_secs_f32(),
         }
     }
 
--- a/crates/core/src/service/view.rs
+++ b/crates/core/src/service/view.rs
@@ -23,6 +23,21 @@
         (0..self.classes.len()).map(|index| ClassKey(index as u8))
     }
 
+    /// Returns the class with the name.
+    pub fn find_class_named(&self, name: &str) -> Option<ClassKey> {
+        self.classes
+            .iter()
+            .position(|class| class.spec.name == name)
+            .map(|index| ClassKey(index as u8))
+    }
+
+    /// Returns the time in which room for another request is expected: the
+    /// wait of a request that joins the queue now, at least one usual answer.
+    pub fn estimate_room(&self, class: ClassKey) -> Duration {
+        let class = &self.classes[class.get_index()];
+        self.estimate_wait(class).max(class.usual.get_median())
+    }
+
     /// Returns the first class that takes the request.
     pub fn find_class(&self, method: &str, path: &str) -> Option<ClassKey> {
         self.classes
--- a/crates/core/src/spec/class.rs
+++ b/crates/core/src/spec/class.rs
@@ -92,4 +92,22 @@
     pub reserve: u16,
     /// Most calls that wait on one VM.
     pub queue: u16,
+    /// Time within which an answer has its full worth, if it is shorter than
+    /// the deadline; a call that cannot be answered by then is not queued.
+    pub objective: Option<Duration>,
+    /// Rank among the classes of the service; 0 is served first.
+    pub priority: u8,
+    /// Most targets that one call may be sent to.
+    pub max_attempts: u8,
+}
+
+impl ClassSpec {
+    /// Targets that one call is sent to unless the class says otherwise.
+    pub const DEFAULT_MAX_ATTEMPTS: u8 = 4;
+
+    /// Returns the time after which an answer has lost its full worth.
+    pub fn get_objective(&self) -> Duration {
+        self.objective
+            .map_or(self.deadline, |objective| objective.min(self.deadline))
+    }
 }
--- a/crates/core/src/spec/service.rs
+++ b/crates/core/src/spec/service.rs
@@ -27,6 +27,19 @@
     pub probe_path: SmolStr,
     /// Reason for the service's settings.
     pub note: Option<Note>,
+    /// Bound on repeats over the whole fleet, if there is one.
+    pub repeats: Option<RepeatLimit>,
+}
+
+/// Most repeated sends of a service over the whole fleet in any window.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RepeatLimit {
+    /// Length of the sliding window.
+    pub window: Duration,
+    /// Repeats for each hundred requests in the window.
+    pub percent: u16,
+    /// Repeats in the window beside the share, divided among the VMs.
+    pub extra: u16,
 }
 
 impl ServiceSpec {
--- a/crates/core/src/spec/target.rs
+++ b/crates/core/src/spec/target.rs
@@ -2,6 +2,7 @@
 
 use smol_str::SmolStr;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Name of a failure domain.
 pub type DomainName = SmolStr;
@@ -34,6 +35,11 @@
     pub drain: bool,
     /// Reason for the weight or the drain.
     pub note: Option<Note>,
+    /// Number of the start of the process behind the address; a target with
+    /// another number holds and knows nothing of before.
+    pub incarnation: u64,
+    /// Time for which the target stays slow after its start, if it says so.
+    pub warm_up: Option<Duration>,
 }
 
 impl TargetSpec {
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -52,6 +52,9 @@
         deadline: Duration::from_secs(1),
         reserve,
         queue: 100,
+        objective: None,
+        priority: 0,
+        max_attempts: ClassSpec::DEFAULT_MAX_ATTEMPTS,
     };
     ServiceSpec {
         name: "service".into(),
@@ -71,6 +74,8 @@
                 weight: 100,
                 drain: false,
                 note: None,
+                incarnation: 0,
+                warm_up: None,
             })
             .collect(),
         retry_percent: 10,
@@ -79,6 +84,7 @@
         probes_per_second: 4,
         probe_path: "/load".into(),
         note: None,
+        repeats: None,
     }
 }
 
@@ -175,6 +181,7 @@
             in_flight,
             slots: None,
             is_leaving,
+            work_percent: None,
         };
         self.service.report(
             self.now,
--- a/crates/core/tests/no_allocation.rs
+++ b/crates/core/tests/no_allocation.rs
@@ -34,6 +34,7 @@
                 in_flight: 2,
                 slots: None,
                 is_leaving: false,
+                work_percent: None,
             };
             service.report(now, target, Some(attempt), report, &mut out);
             service.answered(now, attempt, false, false, &mut out);
--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -153,6 +153,7 @@
                 in_flight: 3,
                 slots: None,
                 is_leaving: false,
+                work_percent: None,
             };
             service.report(now, target, Some(attempt), report, &mut out);
             service.answered(now, attempt, false, false, &mut out);
--- a/examples/measure/jobs.rs
+++ b/examples/measure/jobs.rs
@@ -204,6 +204,7 @@
             },
             slots: None,
             is_leaving: false,
+            work_percent: None,
         }
     }
 }
--- a/examples/measure/model.rs
+++ b/examples/measure/model.rs
@@ -181,6 +181,9 @@
             deadline,
             reserve,
             queue: 2_000,
+            objective: None,
+            priority: 0,
+            max_attempts: ClassSpec::DEFAULT_MAX_ATTEMPTS,
         };
         ServiceSpec {
             name: "measured".into(),
@@ -203,6 +206,7 @@
             probes_per_second: 4,
             probe_path: "/load".into(),
             note: None,
+            repeats: None,
         }
     }
 
@@ -216,6 +220,8 @@
             weight: 100,
             drain: false,
             note: None,
+            incarnation: 0,
+            warm_up: None,
         }
     }
 }
