feat(gateway): serve routes and targets that the platform publishes

Cause: the daemon read its own file and used pooling HTTP clients, which hide whether a byte of a request left and may send it again. Ruled out: poem and reqwest on the data path, since neither shows a single connection; the library below both does.

--- a/crates/daemon/src/caller/mod.rs
+++ b/crates/daemon/src/caller/mod.rs
@@ -4,7 +4,7 @@
 mod call;
 mod endpoint;
 mod forward;
-mod headers;
+pub(crate) mod headers;
 mod incoming;
 mod once;
 mod refusal;
--- /dev/null
+++ b/crates/daemon/src/gateway/call.rs
@@ -0,0 +1,255 @@
+//! One request from its arrival in a service until its answer.
+
+use super::answer::{Answer, SlotGuard};
+use super::attempt::{AttemptEnd, AttemptPlan};
+use super::request::CallerRequest;
+use super::state::Gateway;
+use crate::service::{Command, CommandReceiver, ServiceHandle};
+use futures_util::future::LocalBoxFuture;
+use futures_util::stream::FuturesUnordered;
+use futures_util::{FutureExt, StreamExt};
+use gentianridge_core::{
+    Arrival, AttemptKey, AttemptKind, CallKey, ClassKey, ClassKind, Outcome, ResultCode, RunState,
+    TargetKey,
+};
+use std::fmt::Write;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio_util::sync::CancellationToken;
+
+/// What the path of a request shares over its attempts.
+#[derive(Clone)]
+pub(crate) struct CallContext {
+    pub(crate) gateway: Rc<Gateway>,
+    pub(crate) service: Arc<ServiceHandle>,
+    pub(crate) class: ClassKey,
+    pub(crate) kind: ClassKind,
+    pub(crate) arrived: Instant,
+    pub(crate) deadline: Instant,
+    pub(crate) objective: Duration,
+    pub(crate) request: Rc<CallerRequest>,
+    /// Cancelled when the caller has gone.
+    pub(crate) gone: CancellationToken,
+}
+
+/// An attempt under way, aborted by dropping it.
+struct Running {
+    attempt: AttemptKey,
+    abort: CancellationToken,
+}
+
+/// A request that waits or runs; dropping it cancels it.
+pub(crate) struct Call {
+    cx: CallContext,
+    key: CallKey,
+    rx: CommandReceiver,
+    is_over: bool,
+    may_have_run: bool,
+    futures: FuturesUnordered<LocalBoxFuture<'static, Option<AttemptEnd>>>,
+    running: Vec<Running>,
+    ready: Vec<(AttemptKey, Answer)>,
+    /// What was tried, for the log line of the request.
+    trace: String,
+}
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        if !self.is_over {
+            self.cx.service.cancel(self.key);
+        }
+        self.cx.gateway.peers.note_load_change();
+    }
+}
+
+/// How a request ended.
+pub(crate) struct CallEnd {
+    pub(crate) result: Result<(Answer, SlotGuard), ResultCode>,
+    pub(crate) trace: String,
+}
+
+impl Call {
+    /// Hands the request to its service.
+    pub(crate) fn open(cx: CallContext) -> Self {
+        let arrival = Arrival {
+            class: cx.class,
+            deadline: cx.deadline,
+            is_replayable: true,
+        };
+        let (key, rx) = cx.service.arrive(arrival);
+        Self {
+            cx,
+            key,
+            rx,
+            is_over: false,
+            may_have_run: false,
+            futures: FuturesUnordered::new(),
+            running: Vec::new(),
+            ready: Vec::new(),
+            trace: String::new(),
+        }
+    }
+
+    /// Sees the request through to its answer.
+    ///
+    /// The end of the time is this call's own business: the service bounds the
+    /// wait in its queue, and each attempt ends at the deadline, but the caller
+    /// has to hear of it also while neither has anything to say.
+    pub(crate) async fn run(mut self) -> CallEnd {
+        let result = self.drive().await;
+        self.is_over |= result.is_ok();
+        CallEnd {
+            result,
+            trace: std::mem::take(&mut self.trace),
+        }
+    }
+
+    async fn drive(&mut self) -> Result<(Answer, SlotGuard), ResultCode> {
+        let deadline = tokio::time::sleep_until(self.cx.deadline.into());
+        tokio::pin!(deadline);
+        let gone = self.cx.gone.clone();
+        loop {
+            let may_leave = self.may_leave();
+            tokio::select! {
+                biased;
+                Some(end) = self.futures.next(), if !self.futures.is_empty() => {
+                    if let Some(end) = end {
+                        self.take_end(end);
+                    }
+                }
+                command = self.rx.recv() => match command {
+                    Some(Command::Dispatch { attempt, target, kind }) => {
+                        self.launch(attempt, target, kind);
+                    }
+                    Some(Command::Cancel { attempt }) => self.abort(attempt),
+                    Some(Command::Deliver { attempt }) => {
+                        self.is_over = true;
+                        return self.deliver(attempt);
+                    }
+                    Some(Command::Refuse(code)) => {
+                        self.is_over = true;
+                        return Err(code);
+                    }
+                    None => return Err(ResultCode::AttemptFailed),
+                },
+                () = &mut deadline => return Err(self.code_at_deadline()),
+                () = gone.cancelled(), if may_leave => return Err(ResultCode::CallerGone),
+            }
+        }
+    }
+
+    /// Work that must not repeat runs to its end once it was sent.
+    fn may_leave(&self) -> bool {
+        self.cx.kind.is_idempotent() || (self.running.is_empty() && !self.may_have_run)
+    }
+
+    fn code_at_deadline(&self) -> ResultCode {
+        if self.may_have_run || !self.running.is_empty() {
+            ResultCode::AttemptTimeout
+        } else {
+            ResultCode::DeadlinePassed
+        }
+    }
+
+    fn launch(&mut self, attempt: AttemptKey, target: TargetKey, kind: AttemptKind) {
+        let cx = &self.cx;
+        let name = cx
+            .service
+            .read(|machine, _| machine.get_target(target).map(|t| t.name.clone()))
+            .unwrap_or_default();
+        let elapsed = cx.gateway.clock.now().saturating_duration_since(cx.arrived);
+        // Writing to a string cannot fail.
+        let _ = write!(
+            self.trace,
+            "{}{}@{}+{}ms",
+            if self.trace.is_empty() { "" } else { "; " },
+            kind.as_str(),
+            name,
+            elapsed.as_millis()
+        );
+        let plan = AttemptPlan {
+            gateway: cx.gateway.clone(),
+            service: cx.service.clone(),
+            request: cx.request.clone(),
+            kind: cx.kind,
+            attempt,
+            target,
+            deadline: cx.deadline,
+            objective: cx.objective,
+        };
+        let abort = CancellationToken::new();
+        self.running.push(Running {
+            attempt,
+            abort: abort.clone(),
+        });
+        let future = async move {
+            tokio::select! {
+                end = plan.run() => Some(end),
+                () = abort.cancelled() => None,
+            }
+        };
+        self.futures.push(future.boxed_local());
+        self.cx.gateway.peers.note_load_change();
+    }
+
+    fn abort(&mut self, attempt: AttemptKey) {
+        for running in self.running.iter().filter(|r| r.attempt == attempt) {
+            running.abort.cancel();
+        }
+        self.running.retain(|running| running.attempt != attempt);
+    }
+
+    fn take_end(&mut self, end: AttemptEnd) {
+        self.running
+            .retain(|running| running.attempt != end.attempt);
+        let cx = &self.cx;
+        if let Some(report) = end.report {
+            cx.service.report(end.target, Some(end.attempt), report);
+        }
+        match end.result {
+            Ok(answer) => {
+                let _ = write!(self.trace, " {}", answer.status.as_u16());
+                let is_error = answer.status.is_server_error() && cx.kind.is_idempotent();
+                self.ready.push((end.attempt, answer));
+                cx.service.answered(end.attempt, is_error, false);
+            }
+            Err(failure) => {
+                self.may_have_run |= !failure.outcome.is_not_run();
+                let _ = write!(
+                    self.trace,
+                    " {} ({})",
+                    failure.outcome.as_str(),
+                    failure.detail
+                );
+                self.note_crash(failure.outcome);
+                cx.service.failed(end.attempt, failure.outcome);
+            }
+        }
+        cx.gateway.peers.note_load_change();
+    }
+
+    fn note_crash(&self, outcome: Outcome) {
+        if outcome == Outcome::Broken {
+            self.cx.gateway.counters.count_broken();
+        }
+    }
+
+    fn deliver(&mut self, attempt: AttemptKey) -> Result<(Answer, SlotGuard), ResultCode> {
+        let slot = SlotGuard {
+            service: self.cx.service.clone(),
+            attempt,
+        };
+        let index = self.ready.iter().position(|(key, _)| *key == attempt);
+        match index {
+            Some(index) => Ok((self.ready.swap_remove(index).1, slot)),
+            None => Err(ResultCode::AttemptFailed),
+        }
+    }
+}
+
+impl CallEnd {
+    /// Returns whether the request may have run, if it was refused.
+    pub(crate) fn get_run_state(&self) -> Option<RunState> {
+        self.result.as_ref().err().map(|code| code.run_state())
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -0,0 +1,135 @@
+//! One exchange with a caller: from the request to the answer.
+
+use super::answer::{AnswerBody, refuse};
+use super::call::{Call, CallContext, CallEnd};
+use super::request::CallerRequest;
+use super::state::{Gateway, Phase, Routed};
+use gentianridge_core::{ClassKind, ResultCode};
+use http::{HeaderValue, Request, Response, header};
+use hyper::body::Incoming;
+use rand::RngExt;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio_util::sync::CancellationToken;
+
+/// Answers one request.
+///
+/// The HTTP server drops this future when the caller has gone.
+pub(crate) async fn answer(
+    gateway: Rc<Gateway>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let arrived = gateway.clock.now();
+    let mut response = match exchange(&gateway, arrived, request).await {
+        Ok(response) => response,
+        Err(code) => refuse(code, Some(get_plain_pause())),
+    };
+    if gateway.get_phase() == Phase::Stopping {
+        // Announced with an answer, the end of a connection crosses no request.
+        response
+            .headers_mut()
+            .insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(response)
+}
+
+async fn exchange(
+    gateway: &Rc<Gateway>,
+    arrived: Instant,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, ResultCode> {
+    let routed = gateway.route(&request)?;
+    let max_body = gateway.get_limits().max_body_bytes;
+    let request = CallerRequest::read(gateway, request, max_body).await?;
+    let cx = make_context(gateway, &routed, arrived, request);
+    let end = match routed.kind {
+        ClassKind::Once => run_detached(cx.clone()).await,
+        ClassKind::Interactive | ClassKind::Background => Call::open(cx.clone()).run().await,
+    };
+    log_end(&routed, &cx, &end);
+    match end.result {
+        Ok((answer, slot)) => Ok(answer.into_response(slot)),
+        Err(code) => Ok(refuse(code, Some(get_pause(&cx)))),
+    }
+}
+
+fn make_context(
+    gateway: &Rc<Gateway>,
+    routed: &Routed,
+    arrived: Instant,
+    request: CallerRequest,
+) -> CallContext {
+    let time_left = request.time_left.unwrap_or(routed.timeout);
+    CallContext {
+        gateway: gateway.clone(),
+        service: routed.service.clone(),
+        class: routed.class,
+        kind: routed.kind,
+        arrived,
+        deadline: arrived + time_left.min(routed.timeout),
+        objective: routed.objective,
+        request: Rc::new(request),
+        gone: CancellationToken::new(),
+    }
+}
+
+/// Runs a call in a task of its own, which goes on when the caller leaves, so
+/// that sent work is not cut off and its slot stays counted.
+async fn run_detached(cx: CallContext) -> CallEnd {
+    let _leave = cx.gone.clone().drop_guard();
+    let call = Call::open(cx);
+    let task = tokio::task::spawn_local(call.run());
+    task.await.unwrap_or_else(|error| {
+        log::error!("a call ended without a result: {error}");
+        CallEnd {
+            result: Err(ResultCode::AttemptFailed),
+            trace: String::new(),
+        }
+    })
+}
+
+/// Pause for a request that met no service: a second is the time in which a
+/// daemon learns a configuration or another one is chosen.
+fn get_plain_pause() -> Duration {
+    Duration::from_millis(rand::rng().random_range(300..=1_000))
+}
+
+/// Pause after which room is expected, spread so that refused callers do not
+/// come back together, and within what callers honour.
+fn get_pause(cx: &CallContext) -> Duration {
+    let room = cx
+        .service
+        .read(|machine, _| machine.estimate_room(cx.class));
+    let spread = rand::rng().random_range(0.5..1.5);
+    let now = cx.gateway.clock.now();
+    let left = cx.deadline.saturating_duration_since(now);
+    room.mul_f64(spread).min(left / 3)
+}
+
+fn log_end(routed: &Routed, cx: &CallContext, end: &CallEnd) {
+    let elapsed = cx.gateway.clock.now().saturating_duration_since(cx.arrived);
+    match &end.result {
+        Ok((answer, _)) => log::debug!(
+            "request {} on {} by {}: {} after {} ms; {}",
+            cx.request.id,
+            routed.route,
+            routed.service.name,
+            answer.status.as_u16(),
+            elapsed.as_millis(),
+            end.trace
+        ),
+        Err(code) => log::info!(
+            "request {} on {} by {}: refused {} ({}, {}) after {} ms; {}",
+            cx.request.id,
+            routed.route,
+            routed.service.name,
+            code.number(),
+            code.text(),
+            end.get_run_state()
+                .map_or("answered", |state| state.as_str()),
+            elapsed.as_millis(),
+            end.trace
+        ),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/links/link.rs
@@ -0,0 +1,127 @@
+//! One connection to a target.
+
+use super::counted::CountedIo;
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, Request, Response, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{Builder, SendRequest};
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
+/// How a send ended that gave no head of an answer.
+#[derive(Debug)]
+pub(crate) enum SendError {
+    /// No byte of the request left, so the target cannot have run it.
+    NothingSent(hyper::Error),
+    /// The request may have reached the target.
+    Unknown(hyper::Error),
+}
+
+/// A connection that carries one request at a time.
+#[derive(Debug)]
+pub(crate) struct Link {
+    sender: SendRequest<Full<Bytes>>,
+    written: Rc<Cell<u64>>,
+    answered_at: Instant,
+    idle_limit: Duration,
+}
+
+impl Link {
+    /// Idle time after which a connection is not used again when the target
+    /// does not say how long it keeps one: it keeps it for less than a second.
+    const UNSTATED_IDLE: Duration = Duration::from_millis(500);
+    /// Part of the stated idle time that is left unused, since the target
+    /// counts from an earlier moment and its close takes time to arrive.
+    const IDLE_MARGIN: Duration = Duration::from_secs(1);
+
+    /// Opens a connection.
+    pub(crate) async fn open(addr: SocketAddr, now: Instant) -> io::Result<Self> {
+        let stream = TcpStream::connect(addr).await?;
+        stream.set_nodelay(true)?;
+        let written = Rc::new(Cell::new(0));
+        let io = CountedIo::new(stream, written.clone());
+        let (sender, connection) = Builder::new()
+            .handshake(io)
+            .await
+            .map_err(io::Error::other)?;
+        tokio::task::spawn_local(async move {
+            // Its end shows in the request under way or in `is_usable`.
+            if let Err(error) = connection.await {
+                log::debug!("connection to {addr} ended: {error}");
+            }
+        });
+        Ok(Self {
+            sender,
+            written,
+            answered_at: now,
+            idle_limit: Self::UNSTATED_IDLE,
+        })
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendError> {
+        let before = self.written.get();
+        match self.sender.send_request(request).await {
+            Ok(response) => Ok(response),
+            Err(error) if self.written.get() == before => Err(SendError::NothingSent(error)),
+            Err(error) => Err(SendError::Unknown(error)),
+        }
+    }
+
+    /// Notes a whole answer; returns false if the connection must not be used again.
+    pub(crate) fn note_answer(&mut self, now: Instant, headers: &HeaderMap) -> bool {
+        self.answered_at = now;
+        self.idle_limit = get_idle_limit(headers);
+        !is_closing(headers)
+    }
+
+    /// Waits until the connection can take another request.
+    pub(crate) async fn wait_ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
+    /// Returns true if the connection can take a request now.
+    pub(crate) fn is_usable(&self, now: Instant) -> bool {
+        self.sender.is_ready() && self.get_idle(now) < self.idle_limit
+    }
+
+    /// Returns the time since the last answer.
+    pub(crate) fn get_idle(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.answered_at)
+    }
+}
+
+fn is_closing(headers: &HeaderMap) -> bool {
+    headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|text| text.split(','))
+        .any(|word| word.trim().eq_ignore_ascii_case("close"))
+}
+
+/// Reads `timeout=N` of the `Keep-Alive` header.
+fn get_idle_limit(headers: &HeaderMap) -> Duration {
+    headers
+        .get(KEEP_ALIVE)
+        .and_then(|value| value.to_str().ok())
+        .into_iter()
+        .flat_map(|text| text.split(','))
+        .filter_map(|part| part.trim().strip_prefix("timeout="))
+        .find_map(|seconds| seconds.parse().ok())
+        .map_or(Link::UNSTATED_IDLE, |seconds| {
+            Duration::from_secs(seconds)
+                .saturating_sub(Link::IDLE_MARGIN)
+                .max(Link::UNSTATED_IDLE)
+        })
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/mod.rs
@@ -0,0 +1,20 @@
+//! The data path of a daemon whose routes and targets the platform publishes.
+//!
+//! Everything runs on one thread, since a VM has a share of one core: state is
+//! shared by `Rc`, and a decision is a direct call. The life of a request is
+//! described in docs/decisions/0013-platform.md.
+
+mod answer;
+mod attempt;
+mod call;
+mod callers;
+mod exchange;
+mod feeds;
+mod links;
+mod peers;
+mod ready;
+mod request;
+mod run;
+mod state;
+
+pub use run::run_gateway;
--- /dev/null
+++ b/crates/daemon/src/gateway/peers.rs
@@ -0,0 +1,357 @@
+//! What VMs of the fleet tell each other: attempts in flight on each target
+//! and the version of the configuration, by datagrams.
+//!
+//! docs/decisions/0014-peer-loads.md gives the reasons and the costs.
+
+use super::state::{Gateway, Phase};
+use gentianridge_adapter::{StoreError, Table};
+use gentianridge_core::{EventKind, Incarnation, TargetKey, VmName};
+use gentianridge_wire::{PeerDatagram, TargetLoad};
+use rand::RngExt;
+use serde::{Deserialize, Serialize};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant, UNIX_EPOCH};
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+
+/// Pause after a change within which further changes join its datagram; far
+/// below the time of one request.
+const GATHER: Duration = Duration::from_millis(10);
+/// Longest time between two datagrams.
+const REPEAT: Duration = Duration::from_millis(300);
+/// Silence after which a peer gets only a greeting a second.
+const SILENT: Duration = Duration::from_secs(3);
+/// Time for which the largest fleet seen counts as the fleet's size: a VM that
+/// is cut off from its peers must not take their parts of a shared budget.
+const KEEP_SIZE: Duration = Duration::from_secs(60);
+/// Time after which a silent peer is forgotten.
+const FORGET: Duration = Duration::from_secs(120);
+/// Longest pause between two tries to register.
+const MAX_PAUSE: Duration = Duration::from_secs(2);
+
+#[derive(Debug)]
+struct Peer {
+    vm: VmName,
+    addr: SocketAddr,
+    incarnation: u64,
+    seq: u64,
+    heard: Option<Instant>,
+    greeted: Option<Instant>,
+    is_leaving: bool,
+    is_live: bool,
+}
+
+/// The peers of this VM. A peer's position is its index in the services.
+#[derive(Debug)]
+pub(crate) struct Peers {
+    me: VmName,
+    changed: Notify,
+    newer: Notify,
+    newest: Cell<u64>,
+    seq: Cell<u64>,
+    incarnation: Cell<u64>,
+    peers: RefCell<Vec<Peer>>,
+    sizes: RefCell<Vec<(Instant, u16)>>,
+}
+
+/// Row of a VM in the store.
+#[derive(Debug, Serialize, Deserialize)]
+struct VmRow {
+    addr: SocketAddr,
+    incarnation: u64,
+}
+
+impl Peers {
+    pub(crate) fn new(me: VmName) -> Self {
+        Self {
+            me,
+            changed: Notify::new(),
+            newer: Notify::new(),
+            newest: Cell::new(0),
+            seq: Cell::new(0),
+            incarnation: Cell::new(0),
+            peers: RefCell::new(Vec::new()),
+            sizes: RefCell::new(Vec::new()),
+        }
+    }
+
+    /// Notes that this VM's attempts in flight have changed.
+    pub(crate) fn note_load_change(&self) {
+        self.changed.notify_one();
+    }
+
+    /// Waits until a peer names a newer configuration than the one in force.
+    pub(crate) async fn wait_newer_version(&self) {
+        self.newer.notified().await;
+    }
+
+    fn add(&self, vm: &VmName, addr: SocketAddr) -> usize {
+        let mut peers = self.peers.borrow_mut();
+        if let Some(index) = peers.iter().position(|peer| peer.vm == *vm) {
+            if peers[index].heard.is_none() {
+                peers[index].addr = addr;
+            }
+            return index;
+        }
+        let peer = Peer {
+            vm: vm.clone(),
+            addr,
+            incarnation: 0,
+            seq: 0,
+            heard: None,
+            greeted: None,
+            is_leaving: false,
+            is_live: false,
+        };
+        // A forgotten peer's place is taken over, since services know it by its index.
+        match peers.iter().position(|peer| peer.vm.is_empty()) {
+            Some(index) => {
+                peers[index] = peer;
+                index
+            }
+            None => {
+                peers.push(peer);
+                peers.len() - 1
+            }
+        }
+    }
+
+    /// Returns the largest number of VMs that was live lately.
+    fn count_vms(&self, now: Instant) -> u16 {
+        let live = self.peers.borrow().iter().filter(|p| p.is_live).count() as u16 + 1;
+        let mut sizes = self.sizes.borrow_mut();
+        sizes.retain(|(at, size)| now.saturating_duration_since(*at) < KEEP_SIZE && *size > live);
+        sizes.push((now, live));
+        sizes.iter().map(|(_, size)| *size).max().unwrap_or(live)
+    }
+}
+
+/// Registers this VM and reads who else is there, until it has worked once.
+pub(crate) async fn register(gateway: Rc<Gateway>) {
+    let mut pause = REPEAT;
+    loop {
+        match try_register(&gateway).await {
+            Ok(()) => return,
+            Err(error) => log::debug!("cannot register with the store: {error}"),
+        }
+        let jitter = rand::rng().random_range(0.5..1.5);
+        tokio::time::sleep(pause.mul_f64(jitter)).await;
+        pause = (pause * 2).min(MAX_PAUSE);
+    }
+}
+
+async fn try_register(gateway: &Gateway) -> Result<(), StoreError> {
+    let store = gateway.get_store();
+    let row = VmRow {
+        addr: gateway.get_settings().peers,
+        incarnation: gateway.peers.incarnation.get(),
+    };
+    let value = serde_json::to_vec(&row).unwrap_or_default();
+    store.put(Table::Vms, &gateway.peers.me, &value).await?;
+    let listed = store.get_all(Table::Vms).await?;
+    for row in listed.rows {
+        let Some(value) = row.value.filter(|_| row.key != gateway.peers.me) else {
+            continue;
+        };
+        match serde_json::from_slice::<VmRow>(&value) {
+            Ok(known) => {
+                gateway.peers.add(&row.key, known.addr);
+            }
+            Err(error) => log::warn!("row of VM {} cannot be read: {error}", row.key),
+        }
+    }
+    gateway.peers.changed.notify_one();
+    Ok(())
+}
+
+/// Sends and receives datagrams until the task is dropped.
+pub(crate) async fn run_peers(gateway: Rc<Gateway>, socket: UdpSocket) {
+    let started = gateway.clock.wall().duration_since(UNIX_EPOCH);
+    let incarnation = started.map_or(1, |since| since.as_millis() as u64);
+    gateway.peers.incarnation.set(incarnation);
+    let socket = Rc::new(socket);
+    let receiver = tokio::task::spawn_local(receive(gateway.clone(), socket.clone()));
+    send(gateway, socket).await;
+    receiver.abort();
+}
+
+async fn send(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    loop {
+        let _ = tokio::time::timeout(REPEAT, gateway.peers.changed.notified()).await;
+        tokio::time::sleep(GATHER).await;
+        let now = gateway.clock.now();
+        judge_silence(&gateway, now);
+        let mut datagram = make_datagram(&gateway);
+        let bytes = datagram.encode();
+        datagram.is_hello = true;
+        let greeting = datagram.encode();
+        for (addr, is_greeting) in choose_receivers(&gateway.peers, now) {
+            let bytes = if is_greeting { &greeting } else { &bytes };
+            // Loads are told again soon, so that a lost datagram needs no answer.
+            if let Err(error) = socket.try_send_to(bytes, addr) {
+                log::debug!("cannot send to peer {addr}: {error}");
+            }
+        }
+    }
+}
+
+fn choose_receivers(peers: &Peers, now: Instant) -> Vec<(SocketAddr, bool)> {
+    let is_within = |at: Option<Instant>, limit: Duration| {
+        at.is_some_and(|at| now.saturating_duration_since(at) < limit)
+    };
+    let mut chosen = Vec::new();
+    for peer in peers.peers.borrow_mut().iter_mut() {
+        if peer.vm.is_empty() {
+            continue;
+        }
+        if is_within(peer.heard, SILENT) {
+            chosen.push((peer.addr, false));
+        } else if !is_within(peer.greeted, Duration::from_secs(1)) {
+            peer.greeted = Some(now);
+            chosen.push((peer.addr, true));
+        }
+    }
+    chosen
+}
+
+fn make_datagram(gateway: &Gateway) -> PeerDatagram {
+    let peers = &gateway.peers;
+    peers.seq.set(peers.seq.get() + 1);
+    let mut loads = Vec::new();
+    gateway.for_each_service(|service| {
+        service.read(|machine, _| {
+            for key in machine.get_target_keys() {
+                let in_flight = machine.get_in_flight(key);
+                if let Some(target) = machine.get_target(key).filter(|_| in_flight > 0) {
+                    let incarnation = Incarnation {
+                        id: target.name.clone(),
+                        born_ms: target.incarnation,
+                    };
+                    loads.push(TargetLoad {
+                        target: incarnation.get_digest(),
+                        in_flight,
+                    });
+                }
+            }
+        });
+    });
+    PeerDatagram {
+        vm: peers.me.clone(),
+        incarnation: peers.incarnation.get(),
+        seq: peers.seq.get(),
+        version: gateway.get_version(),
+        is_hello: false,
+        is_leaving: gateway.get_phase() == Phase::Stopping,
+        loads,
+        crashes: Vec::new(),
+    }
+}
+
+async fn receive(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    let mut buf = vec![0; PeerDatagram::MAX_BYTES];
+    loop {
+        let (size, addr) = match socket.recv_from(&mut buf).await {
+            Ok(received) => received,
+            Err(error) => {
+                log::debug!("cannot receive from a peer: {error}");
+                tokio::time::sleep(GATHER).await;
+                continue;
+            }
+        };
+        match PeerDatagram::decode(&buf[..size]) {
+            Ok(datagram) => take(&gateway, addr, &datagram),
+            Err(error) => log::warn!("datagram of {addr} dropped: {error}"),
+        }
+    }
+}
+
+fn take(gateway: &Rc<Gateway>, addr: SocketAddr, datagram: &PeerDatagram) {
+    let peers = &gateway.peers;
+    if datagram.vm.is_empty() || datagram.vm == peers.me {
+        return;
+    }
+    let now = gateway.clock.now();
+    let index = peers.add(&datagram.vm, addr);
+    let is_news = {
+        let mut peers = peers.peers.borrow_mut();
+        let peer = &mut peers[index];
+        if (datagram.incarnation, datagram.seq) <= (peer.incarnation, peer.seq) {
+            return;
+        }
+        peer.incarnation = datagram.incarnation;
+        peer.seq = datagram.seq;
+        peer.addr = addr;
+        peer.heard = Some(now);
+        peer.is_leaving = datagram.is_leaving;
+        !std::mem::replace(&mut peer.is_live, true)
+    };
+    if is_news {
+        gateway.journal.record(EventKind::PeerLive {
+            peer: datagram.vm.clone(),
+        });
+        share_size(gateway, now);
+    }
+    if datagram.is_hello || is_news {
+        peers.changed.notify_one();
+    }
+    take_loads(gateway, index as u16, datagram);
+    if datagram.version > gateway.get_version().max(peers.newest.get()) {
+        peers.newest.set(datagram.version);
+        peers.newer.notify_one();
+    }
+}
+
+fn take_loads(gateway: &Gateway, peer: u16, datagram: &PeerDatagram) {
+    gateway.for_each_service(|service| {
+        let loads: Vec<(TargetKey, u16)> = service.read(|machine, _| {
+            machine
+                .get_target_keys()
+                .filter_map(|key| {
+                    let target = machine.get_target(key)?;
+                    let incarnation = Incarnation {
+                        id: target.name.clone(),
+                        born_ms: target.incarnation,
+                    };
+                    let digest = incarnation.get_digest();
+                    let load = datagram.loads.iter().find(|load| load.target == digest)?;
+                    Some((key, load.in_flight))
+                })
+                .collect()
+        });
+        service.take_peer_loads(peer, &loads);
+    });
+}
+
+fn judge_silence(gateway: &Gateway, now: Instant) {
+    let mut silent = Vec::new();
+    for (index, peer) in gateway.peers.peers.borrow_mut().iter_mut().enumerate() {
+        let Some(heard) = peer.heard else {
+            continue;
+        };
+        let silence = now.saturating_duration_since(heard);
+        if peer.is_live && silence > SILENT {
+            peer.is_live = false;
+            silent.push((index as u16, peer.vm.clone()));
+        }
+        if silence > FORGET {
+            peer.vm = VmName::default();
+            peer.heard = None;
+        }
+    }
+    for (index, vm) in &silent {
+        gateway.for_each_service(|service| service.forget_peer(*index));
+        gateway
+            .journal
+            .record(EventKind::PeerSilent { peer: vm.clone() });
+    }
+    if !silent.is_empty() {
+        share_size(gateway, now);
+    }
+}
+
+fn share_size(gateway: &Gateway, now: Instant) {
+    let vms = gateway.peers.count_vms(now);
+    gateway.for_each_service(|service| service.set_fleet(vms, 0));
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/request.rs
@@ -0,0 +1,125 @@
+//! A caller's request, read whole before it is sent on.
+
+use super::state::Gateway;
+use crate::caller::headers::{copy_end_to_end, get_text};
+use bytes::{Bytes, BytesMut};
+use gentianridge_core::ResultCode;
+use http::{HeaderMap, HeaderValue, Method, Request, Uri, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
+use smol_str::SmolStr;
+use std::time::Duration;
+
+/// A request that can be sent more than once.
+///
+/// Bodies are read before a target is chosen: a slot is then never held for a
+/// slow caller, a target that answers early gets no foreign bytes in place of
+/// the rest, and a request that was not run can go to another target.
+#[derive(Debug)]
+pub(crate) struct CallerRequest {
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    /// Name of the caller's attempt, empty if it has none.
+    pub(crate) id: SmolStr,
+    /// Time that the caller still waits, if it says so.
+    pub(crate) time_left: Option<Duration>,
+}
+
+impl CallerRequest {
+    /// Longest time without a byte of a body.
+    const BODY_SILENCE: Duration = Duration::from_secs(5);
+
+    /// Reads a whole request.
+    pub(crate) async fn read(
+        gateway: &Gateway,
+        request: Request<Incoming>,
+        max_body: usize,
+    ) -> Result<Self, ResultCode> {
+        let (head, body) = request.into_parts();
+        let body = read_body(body, max_body).await?;
+        let names = &gateway.headers;
+        let mut headers = HeaderMap::with_capacity(head.headers.len() + 3);
+        copy_end_to_end(&head.headers, &mut headers);
+        headers.remove(header::CONTENT_LENGTH);
+        headers.remove(header::EXPECT);
+        let time_left = get_text(&headers, &names.time_left_ms)
+            .and_then(|text| text.parse().ok())
+            .map(Duration::from_millis);
+        Ok(Self {
+            id: get_text(&headers, &names.attempt_id).unwrap_or_default(),
+            method: head.method,
+            uri: head.uri,
+            headers,
+            body,
+            time_left,
+        })
+    }
+
+    /// Builds the request for one target.
+    pub(crate) fn make(
+        &self,
+        gateway: &Gateway,
+        target: &str,
+        time_left: Duration,
+    ) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = origin_form(&self.uri);
+        let headers = request.headers_mut();
+        headers.clone_from(&self.headers);
+        let names = &gateway.headers;
+        let time_left = u64::try_from(time_left.as_millis()).unwrap_or(u64::MAX);
+        headers.insert(names.time_left_ms.clone(), HeaderValue::from(time_left));
+        if let Ok(value) = HeaderValue::from_str(target) {
+            headers.insert(names.expected_target.clone(), value);
+        }
+        if self.has_length() {
+            headers.insert(header::CONTENT_LENGTH, HeaderValue::from(self.body.len()));
+        }
+        request
+    }
+
+    /// Methods without a body say nothing of its length.
+    fn has_length(&self) -> bool {
+        !self.body.is_empty()
+            || !matches!(
+                self.method,
+                Method::GET | Method::HEAD | Method::DELETE | Method::OPTIONS
+            )
+    }
+}
+
+fn origin_form(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().map_or("/", |path| path.as_str());
+    path.parse().unwrap_or_else(|_| uri.clone())
+}
+
+async fn read_body(mut body: Incoming, max: usize) -> Result<Bytes, ResultCode> {
+    if body.size_hint().lower() > max as u64 {
+        return Err(ResultCode::TooLarge);
+    }
+    let mut whole = BytesMut::new();
+    while !body.is_end_stream() {
+        let frame = tokio::time::timeout(CallerRequest::BODY_SILENCE, body.frame())
+            .await
+            .map_err(|_| ResultCode::SlowCaller)?;
+        match frame {
+            Some(Ok(frame)) => {
+                if let Some(data) = frame.data_ref() {
+                    whole.extend_from_slice(data);
+                }
+            }
+            Some(Err(error)) => {
+                log::debug!("body of a request broke off: {error}");
+                return Err(ResultCode::BadRequest);
+            }
+            None => break,
+        }
+        if whole.len() > max {
+            return Err(ResultCode::TooLarge);
+        }
+    }
+    Ok(whole.freeze())
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/run.rs
@@ -0,0 +1,136 @@
+//! The life of a daemon on the platform.
+
+use super::callers::{Closing, run_callers};
+use super::feeds::{StoreHealth, follow_config, follow_targets};
+use super::peers::{register, run_peers};
+use super::ready::run_ready;
+use super::state::Gateway;
+use crate::clock::SystemClock;
+use crate::telemetry::start_logging;
+use anyhow::Context;
+use gentianridge_config::{GatewaySettings, parse_gateway_settings};
+use gentianridge_core::EventKind;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+use tokio_util::task::TaskTracker;
+
+/// Time after SIGTERM in which the balancer notices that this VM is not ready:
+/// it asks once a second and wants two misses.
+const NOTICE: Duration = Duration::from_millis(2_500);
+/// Part of the grace time that is kept for the end of the process itself.
+const END_MARGIN: Duration = Duration::from_millis(300);
+/// Time between two looks at the settings file, which may change without a signal.
+const SETTINGS_PERIOD: Duration = Duration::from_secs(1);
+/// Time between two sweeps of idle connections to targets.
+const SWEEP_PERIOD: Duration = Duration::from_secs(1);
+
+/// Runs a daemon with the settings file until SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// Fails if the settings are wrong or an address cannot be bound.
+pub fn run_gateway(path: &str) -> anyhow::Result<()> {
+    let settings = load(path)?;
+    start_logging(&settings.log_level, settings.log_format);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(LocalSet::new().run_until(run(path, settings)))
+}
+
+fn load(path: &str) -> anyhow::Result<GatewaySettings> {
+    let text = std::fs::read_to_string(path).with_context(|| format!("cannot read {path}"))?;
+    parse_gateway_settings(&text).map_err(|report| anyhow::anyhow!("{path}:\n{report}"))
+}
+
+async fn run(path: &str, settings: GatewaySettings) -> anyhow::Result<()> {
+    let callers = bind(settings.callers).await?;
+    let ready = bind(settings.ready).await?;
+    let socket = UdpSocket::bind(settings.peers)
+        .await
+        .with_context(|| format!("cannot bind {}", settings.peers))?;
+    let gateway = Gateway::new(settings, Arc::new(SystemClock))?;
+    gateway.journal.record(EventKind::VmStarted);
+    let (close, closing) = watch::channel(Closing::No);
+    let connections = TaskTracker::new();
+    let health = Rc::new(StoreHealth::default());
+    let accept = tokio::task::spawn_local(run_callers(
+        gateway.clone(),
+        callers,
+        closing,
+        connections.clone(),
+    ));
+    tokio::task::spawn_local(run_ready(gateway.clone(), ready));
+    tokio::task::spawn_local(run_peers(gateway.clone(), socket));
+    tokio::task::spawn_local(register(gateway.clone()));
+    tokio::task::spawn_local(follow_config(gateway.clone(), health.clone()));
+    tokio::task::spawn_local(follow_targets(gateway.clone(), health));
+    tokio::task::spawn_local(sweep(gateway.clone()));
+    wait_for_stop(&gateway, path).await?;
+    stop(&gateway, &close, &connections).await;
+    accept.abort();
+    Ok(())
+}
+
+async fn bind(addr: SocketAddr) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(addr)
+        .await
+        .with_context(|| format!("cannot listen on {addr}"))
+}
+
+async fn sweep(gateway: Rc<Gateway>) {
+    let mut period = tokio::time::interval(SWEEP_PERIOD);
+    loop {
+        period.tick().await;
+        gateway.links.sweep(gateway.clock.now());
+    }
+}
+
+/// Waits for a signal to stop and takes in changed settings meanwhile.
+async fn wait_for_stop(gateway: &Gateway, path: &str) -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let mut look = tokio::time::interval(SETTINGS_PERIOD);
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+            _ = hangup.recv() => reload(gateway, path),
+            _ = look.tick() => reload(gateway, path),
+        }
+    }
+}
+
+/// Reads the settings again; a file with a fault changes nothing.
+fn reload(gateway: &Gateway, path: &str) {
+    match load(path) {
+        Ok(settings) => gateway.change_settings(settings),
+        Err(error) => log::error!("settings stay as they are: {error:#}"),
+    }
+}
+
+/// Ends the process without a lost request.
+async fn stop(gateway: &Gateway, close: &watch::Sender<Closing>, connections: &TaskTracker) {
+    let end = tokio::time::Instant::now() + gateway.get_settings().grace - END_MARGIN;
+    gateway.stop();
+    close.send_replace(Closing::AfterAnswer);
+    tokio::time::sleep(NOTICE).await;
+    close.send_replace(Closing::Now);
+    connections.close();
+    if tokio::time::timeout_at(end, connections.wait())
+        .await
+        .is_err()
+    {
+        log::warn!(
+            "{} connections cut at the end of the grace time",
+            connections.len()
+        );
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 mod caller;
 mod clock;
 mod fleet;
+mod gateway;
 mod operator;
 mod run;
 mod service;
@@ -14,5 +15,6 @@
 mod telemetry;
 
 pub use clock::SystemClock;
+pub use gateway::run_gateway;
 pub use run::{Daemon, Listeners, run_until_signal};
 pub use telemetry::start_logging;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -2,7 +2,7 @@
 
 use anyhow::Context;
 use gentianridge_config::{Settings, parse_settings};
-use gentianridge_daemon::{Daemon, run_until_signal, start_logging};
+use gentianridge_daemon::{Daemon, run_gateway, run_until_signal, start_logging};
 use pico_args::Arguments;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -13,6 +13,7 @@
 Usage:
   gentianridged SETTINGS.ini            run with the settings
   gentianridged --check SETTINGS.ini    check the settings and end
+  gentianridged --gateway SETTINGS.ini  run with routes and targets that the platform publishes
   gentianridged --standalone FILE       run one daemon with FILE and an in-memory store
 
 Options:
@@ -36,6 +37,7 @@
     Version,
     Check(String),
     Run(String),
+    Gateway(String),
     Standalone {
         file: String,
         callers: SocketAddr,
@@ -68,18 +70,22 @@
         return Ok(Command::Version);
     }
     let check: Option<String> = args.opt_value_from_str("--check")?;
+    let gateway: Option<String> = args.opt_value_from_str("--gateway")?;
     let standalone: Option<String> = args.opt_value_from_str("--standalone")?;
     let callers = args.opt_value_from_str("--callers")?;
     let operators = args.opt_value_from_str("--operators")?;
-    let command = match (check, standalone) {
-        (Some(path), None) => Command::Check(path),
-        (None, Some(file)) => Command::Standalone {
+    let command = match (check, gateway, standalone) {
+        (Some(path), None, None) => Command::Check(path),
+        (None, Some(path), None) => Command::Gateway(path),
+        (None, None, Some(file)) => Command::Standalone {
             file,
             callers: callers.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 8080))),
             operators: operators.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 8081))),
         },
-        (None, None) => Command::Run(args.free_from_str().context("SETTINGS.ini is missing")?),
-        (Some(_), Some(_)) => anyhow::bail!("--check and --standalone exclude each other"),
+        (None, None, None) => {
+            Command::Run(args.free_from_str().context("SETTINGS.ini is missing")?)
+        }
+        _ => anyhow::bail!("--check, --gateway and --standalone exclude each other"),
     };
     let rest = args.finish();
     anyhow::ensure!(rest.is_empty(), "unknown argument {rest:?}");
@@ -102,6 +108,7 @@
             };
             run(settings, None)?;
         }
+        Command::Gateway(path) => run_gateway(&path)?,
         Command::Standalone {
             file,
             callers,
--- a/crates/daemon/src/service/handle.rs
+++ b/crates/daemon/src/service/handle.rs
@@ -82,6 +82,18 @@
         self.with(|machine, now, out| machine.apply(now, spec, out));
     }
 
+    pub(crate) fn set_domain(&self, domain: SmolStr) {
+        self.with(|machine, _, _| machine.set_domain(domain));
+    }
+
+    pub(crate) fn take_peer_loads(&self, peer: u16, loads: &[(TargetKey, u16)]) {
+        self.with(|machine, now, out| machine.take_peer_loads(now, peer, loads, out));
+    }
+
+    pub(crate) fn forget_peer(&self, peer: u16) {
+        self.with(|machine, _, _| machine.forget_peer(peer));
+    }
+
     pub(crate) fn set_fleet(&self, vms: u16, rank: u16) {
         self.with(|machine, now, out| machine.set_fleet(now, vms, rank, out));
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,9 +7,11 @@
 
 mod codec;
 mod convert;
+mod datagram;
 mod error;
 mod message;
 
 pub use codec::{FRAME_LIMIT, Framed, frame, read_message, write_message};
 pub use convert::PeerMessage;
+pub use datagram::{PeerDatagram, TargetLoad};
 pub use error::{WireError, WireErrorKind};
