feat(core): ask targets for their pace before a request is placed

The traces show work of 190 ms running 1,000 ms and more at once, on any target: a machine's pace is that of the moment at which work starts, and the newest report known to a VM is one to two seconds old. Ruled out: stragglers of the work itself (3 in 100), a full target (1.24 times the mean at most), hedges alone (they start when the objective is gone). Change: up to three targets are asked on kept connections, within the stated budget of questions a target and second divided by the VMs; a report of 60 ms serves later requests as well.

--- a/crates/config/src/fleet/sections.rs
+++ b/crates/config/src/fleet/sections.rs
@@ -45,6 +45,7 @@
         probe_path: reader.text("probe_path").unwrap_or_else(|| "/load".into()),
         note: read_note(&mut reader),
         repeats: None,
+        sampling: None,
     };
     reader.finish();
     service
--- a/crates/config/src/gateway/parse.rs
+++ b/crates/config/src/gateway/parse.rs
@@ -4,8 +4,7 @@
 use crate::document::Document;
 use crate::reader::{SectionReader, read_sections};
 use crate::settings::read_log;
-use crate::{FaultReport, LogFormat, parse_fraction_duration};
-use gentianridge_core::RepeatLimit;
+use crate::{FaultReport, parse_fraction_duration};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -30,30 +29,9 @@
     }
 }
 
-/// Values that stand only until the file's own are read; none survives, since
-/// every key without a default is required.
 fn make_blank() -> GatewaySettings {
     let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
-    GatewaySettings {
-        vm: "".into(),
-        domain: "".into(),
-        callers: nowhere,
-        ready: nowhere,
-        peers: nowhere,
-        metrics: None,
-        store: nowhere,
-        heartbeat: Duration::ZERO,
-        drain: Duration::ZERO,
-        apply: Duration::ZERO,
-        grace: Duration::ZERO,
-        repeats: RepeatLimit {
-            window: Duration::ZERO,
-            percent: 0,
-            extra: 0,
-        },
-        log_level: "info".into(),
-        log_format: LogFormat::Text,
-    }
+    GatewaySettings::new("", nowhere, nowhere, nowhere, nowhere)
 }
 
 fn read_section(name: &str, reader: &mut SectionReader<'_>, settings: &mut GatewaySettings) {
@@ -72,34 +50,37 @@
         }
         "store" => {
             settings.store = reader.address("address").unwrap_or(settings.store);
-            settings.heartbeat = read_duration(reader, "heartbeat");
+            read_duration(reader, "heartbeat", &mut settings.heartbeat);
         }
         "bounds" => {
-            settings.drain = read_duration(reader, "drain");
-            settings.apply = read_duration(reader, "apply");
-            settings.grace = read_duration(reader, "grace");
+            read_duration(reader, "drain", &mut settings.drain);
+            read_duration(reader, "apply", &mut settings.apply);
+            read_duration(reader, "grace", &mut settings.grace);
+            read_count(reader, "probes", &mut settings.probes_per_target);
         }
         "repeats" => {
-            settings.repeats = RepeatLimit {
-                window: read_duration(reader, "window"),
-                percent: reader
-                    .required("ratio", "a fraction such as 0.2", parse_ratio)
-                    .unwrap_or(0),
-                extra: reader.count("extra", 0),
-            };
+            let repeats = &mut settings.repeats;
+            read_duration(reader, "window", &mut repeats.window);
+            read_count(reader, "extra", &mut repeats.extra);
+            let ratio = reader.stated("ratio", "a fraction such as 0.2", parse_ratio);
+            repeats.percent = ratio.unwrap_or(repeats.percent);
         }
         _ => (settings.log_level, settings.log_format) = read_log(reader),
     }
 }
 
-fn read_duration(reader: &mut SectionReader<'_>, key: &'static str) -> Duration {
-    reader
-        .required(
-            key,
-            "a duration such as 250ms or 2.5s",
-            parse_fraction_duration,
-        )
-        .unwrap_or_default()
+fn read_duration(reader: &mut SectionReader<'_>, key: &'static str, to: &mut Duration) {
+    let expected = "a duration such as 250ms or 2.5s";
+    if let Some(stated) = reader.stated(key, expected, parse_fraction_duration) {
+        *to = stated;
+    }
+}
+
+fn read_count(reader: &mut SectionReader<'_>, key: &'static str, to: &mut u16) {
+    let expected = "a whole number up to 65535";
+    if let Some(stated) = reader.stated(key, expected, |text| text.parse().ok()) {
+        *to = stated;
+    }
 }
 
 /// Reads a fraction into a whole percentage, rounded down so that a limit is
--- a/crates/config/src/gateway/values.rs
+++ b/crates/config/src/gateway/values.rs
@@ -8,8 +8,8 @@
 
 /// Settings of one daemon on the platform.
 ///
-/// docs/SETTINGS.md lists the keys. Every bound is one that the platform
-/// states; none has a default, because a wrong guess would break a promise.
+/// docs/SETTINGS.md lists the keys. The bounds are those that the platform
+/// states; for one that it does not state a careful value stands in.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct GatewaySettings {
     /// Name of the VM, unique in the fleet.
@@ -36,8 +36,54 @@
     pub grace: Duration,
     /// Limit of repeated sends of each service over the fleet.
     pub repeats: RepeatLimit,
+    /// Questions for a target's load a second and target over the fleet.
+    pub probes_per_target: u16,
     /// Lowest level of log lines: error, warn, info, debug or trace.
     pub log_level: SmolStr,
     /// Form of the log lines.
     pub log_format: LogFormat,
 }
+
+impl GatewaySettings {
+    /// Drain time of a platform that states none; a few seconds are promised.
+    const DRAIN: Duration = Duration::from_secs(2);
+    /// Time to a configuration in force on a platform that states none.
+    const APPLY: Duration = Duration::from_secs(2);
+    /// Time between SIGTERM and SIGKILL, the shortest of usual platforms.
+    const GRACE: Duration = Duration::from_secs(5);
+    /// Time between two entries of a target.
+    const HEARTBEAT: Duration = Duration::from_millis(1_500);
+    /// Share of repeats that a service bears even if every request fails.
+    const REPEATS: RepeatLimit = RepeatLimit {
+        window: Duration::from_secs(10),
+        percent: 10,
+        extra: 0,
+    };
+
+    /// Creates settings for given addresses with defaults for the rest.
+    pub fn new(
+        vm: &str,
+        callers: SocketAddr,
+        ready: SocketAddr,
+        peers: SocketAddr,
+        store: SocketAddr,
+    ) -> Self {
+        Self {
+            vm: vm.into(),
+            domain: "".into(),
+            callers,
+            ready,
+            peers,
+            metrics: None,
+            store,
+            heartbeat: Self::HEARTBEAT,
+            drain: Self::DRAIN,
+            apply: Self::APPLY,
+            grace: Self::GRACE,
+            repeats: Self::REPEATS,
+            probes_per_target: 0,
+            log_level: "info".into(),
+            log_format: LogFormat::Text,
+        }
+    }
+}
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -177,6 +177,20 @@
         parsed
     }
 
+    /// Reads a value that a program filled in; an empty one stands for nothing.
+    pub(crate) fn stated<T>(
+        &mut self,
+        key: &'static str,
+        expected: &str,
+        parse: impl Fn(&str) -> Option<T>,
+    ) -> Option<T> {
+        let entry = self.find(key)?;
+        if entry.value.is_empty() {
+            return None;
+        }
+        self.optional(key, expected, parse)
+    }
+
     fn report_missing(&mut self, key: &'static str, expected: &str) {
         let fault = Fault::new(FaultKind::Missing, self.section.line, &self.section.name)
             .key(key)
--- /dev/null
+++ b/crates/config/tests/gateway_settings.rs
@@ -0,0 +1,80 @@
+//! Settings of a daemon on the platform.
+
+use gentianridge_config::{FaultKind, parse_gateway_settings};
+use std::time::Duration;
+
+const GOOD: &str = "\
+[vm]
+name = edge-1
+domain = d1
+[listen]
+callers = 10.0.0.1:8080
+ready = 10.0.0.1:8081
+peers = 10.0.0.1:7000
+[store]
+address = 10.0.0.9:9000
+heartbeat = 1500ms
+[bounds]
+drain = 2000ms
+apply = 2.5s
+grace = 6s
+probes = 60
+[repeats]
+window = 10s
+ratio = 0.2
+extra = 56
+";
+
+#[test]
+fn good() {
+    let settings = parse_gateway_settings(GOOD).unwrap();
+    assert_eq!(settings.vm, "edge-1");
+    assert_eq!(settings.apply, Duration::from_millis(2_500));
+    assert_eq!(settings.repeats.percent, 20);
+    assert_eq!(settings.probes_per_target, 60);
+    assert!(settings.metrics.is_none());
+}
+
+#[test]
+fn faults() {
+    for (from, to, kind) in [
+        ("ratio = 0.2", "ratio = much", FaultKind::BadValue),
+        ("name = edge-1\n", "", FaultKind::Missing),
+        ("extra = 56", "extra = -1", FaultKind::BadValue),
+        ("address = 10.0.0.9:9000\n", "", FaultKind::Missing),
+        ("grace = 6s", "grace = soon", FaultKind::BadValue),
+        ("[bounds]", "[bound]", FaultKind::UnknownSection),
+        (
+            "domain = d1",
+            "domain = d1\nregion = r",
+            FaultKind::UnknownKey,
+        ),
+    ] {
+        let report = parse_gateway_settings(&GOOD.replace(from, to)).unwrap_err();
+        let kinds: Vec<FaultKind> = report.get_faults().iter().map(|f| f.get_kind()).collect();
+        assert!(kinds.contains(&kind), "{to:?}: {kinds:?}");
+    }
+}
+
+/// A platform that does not state a bound leaves its value empty.
+#[test]
+fn unstated_bounds() {
+    let text = GOOD
+        .replace("= 56", "=")
+        .replace("= 60\n", "=\n")
+        .replace("= 6s", "=");
+    let settings = parse_gateway_settings(&text).unwrap();
+    assert_eq!(settings.repeats.extra, 0);
+    assert_eq!(
+        settings.probes_per_target, 0,
+        "nothing is asked without a budget"
+    );
+    assert!(settings.grace > Duration::from_secs(1));
+}
+
+/// A ratio is never rounded up, since a limit must not be exceeded.
+#[test]
+fn ratio() {
+    let settings = parse_gateway_settings(&GOOD.replace("0.2", "0.159")).unwrap();
+    assert_eq!(settings.repeats.percent, 15);
+}
--- a/crates/core/benches/decision.rs
+++ b/crates/core/benches/decision.rs
@@ -48,6 +48,7 @@
         probe_path: "/load".into(),
         note: None,
         repeats: None,
+        sampling: None,
     };
     Service::new(spec, 1)
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -43,5 +43,5 @@
 };
 pub use spec::{
     ClassKind, ClassSpec, DomainName, FleetSpec, MethodSet, Note, RepeatLimit, RouteMatch,
-    ServiceSpec, TargetSpec, VmName,
+    Sampling, ServiceSpec, TargetSpec, VmName,
 };
--- a/crates/core/src/service/dispatch.rs
+++ b/crates/core/src/service/dispatch.rs
@@ -55,6 +55,9 @@
         let Some(front) = self.classes[index].front() else {
             return false;
         };
+        if !self.is_sampled(now, front.call, out) {
+            return false;
+        }
         let Some(choice) = self.pick(now, front.call) else {
             return false;
         };
--- a/crates/core/src/service/key.rs
+++ b/crates/core/src/service/key.rs
@@ -12,6 +12,12 @@
 pub struct TargetKey(pub(crate) u16);
 
 impl TargetKey {
+    /// Returns the key of the target at a position of the declaration.
+    pub fn from_index(index: usize) -> Self {
+        debug_assert!(u16::try_from(index).is_ok(), "more targets than keys");
+        Self(index as u16)
+    }
+
     /// Returns the position in the arena of targets.
     pub fn get_index(self) -> usize {
         usize::from(self.0)
--- a/crates/core/src/service/machine.rs
+++ b/crates/core/src/service/machine.rs
@@ -7,6 +7,7 @@
 use super::long_slots::{LongRoom, deal, reserve_of};
 use super::peer_loads::PeerLoads;
 use super::records::{Attempt, Call, CallState};
+use super::sampling::Sampler;
 use super::target::Target;
 use super::{AttemptKey, CallKey, ClassKey, Counters, Output};
 use crate::{ClassKind, DomainName, RepeatLimit, ResultCode, ServiceSpec};
@@ -29,7 +30,7 @@
 /// # let spec = ServiceSpec {
 /// #     name: "recipient".into(), route: route.clone(), retry_percent: 10, hedge_percent: 5,
 /// #     silence: Duration::from_secs(1), probes_per_second: 1, probe_path: "/load".into(), note: None,
-/// #     repeats: None,
+/// #     repeats: None, sampling: None,
 /// #     classes: vec![ClassSpec { name: "lookup".into(), route, kind: ClassKind::Interactive,
 /// #         deadline: Duration::from_secs(1), reserve: 0, queue: 100, objective: None,
 /// #         priority: 0, max_attempts: 4 }],
@@ -59,6 +60,7 @@
     pub(super) hedges: Budget,
     pub(super) fleet_budget: Option<FleetBudget>,
     pub(super) peer_loads: PeerLoads,
+    pub(super) sampler: Sampler,
     pub(super) domain: DomainName,
     pub(super) counters: Counters,
     pub(super) rng: Pcg32,
@@ -83,6 +85,7 @@
             hedges: Budget::new(spec.hedge_percent),
             fleet_budget: spec.repeats.map(FleetBudget::new),
             peer_loads: PeerLoads::default(),
+            sampler: Sampler::default(),
             domain: DomainName::default(),
             targets: targets.into_iter().map(|t| Target::new(t, None)).collect(),
             classes: classes.into_iter().map(Class::new).collect(),
--- a/crates/core/src/service/mod.rs
+++ b/crates/core/src/service/mod.rs
@@ -22,6 +22,7 @@
 mod pick;
 mod records;
 mod reports;
+mod sampling;
 mod status;
 mod target;
 mod usual;
--- a/crates/core/src/service/output.rs
+++ b/crates/core/src/service/output.rs
@@ -63,6 +63,11 @@
         /// Attempt to abort.
         attempt: AttemptKey,
     },
+    /// Ask `target` for its load.
+    Sample {
+        /// Target to ask.
+        target: TargetKey,
+    },
     /// Record a change of state.
     Event(EventKind),
 }
--- a/crates/core/src/service/pick.rs
+++ b/crates/core/src/service/pick.rs
@@ -19,7 +19,7 @@
 
 /// How much room a target has for a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Room {
+pub(super) enum Room {
     /// A slot is believed free over the whole fleet.
     Free,
     /// A slot may be taken by another VM, but this VM uses less than its share.
@@ -28,7 +28,7 @@
 
 /// Which room a call may take.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Wanted {
+pub(super) enum Wanted {
     /// A slot that is believed free.
     Free,
     /// A slot that is believed free, else one within the share of this VM.
@@ -39,11 +39,15 @@
 
 /// What the choice needs to know about all targets together.
 #[derive(Debug, Clone, Copy)]
-struct Overview {
+pub(super) struct Overview {
     now: Instant,
     hold: Duration,
     /// Mean requests of other VMs, for targets whose reports are not trusted.
     others: f32,
+    /// Age up to which a report says how long work takes now.
+    fresh: Duration,
+    /// Factor of the usual time that is expected of a target without a fresh report.
+    work: f32,
     /// Factor by which the counts of the peers that were heard stand for all VMs.
     peer_scale: Option<f32>,
     /// Mean slowness of the active targets.
@@ -166,7 +170,7 @@
     }
 
     /// Collects what one choice needs in one pass over the targets.
-    fn make_overview(&self, now: Instant) -> Overview {
+    pub(super) fn make_overview(&self, now: Instant) -> Overview {
         let mut others = WeightedMean::default();
         let (mut usable, mut active) = (0_u32, 0_u32);
         let (mut slowness, mut slots) = (0.0, 0.0);
@@ -183,6 +187,8 @@
             now,
             hold: self.get_hold(),
             others: others.get(),
+            fresh: self.spec.sampling.map_or(Duration::ZERO, |plan| plan.fresh),
+            work: self.get_unknown_work(),
             peer_scale: self.peer_loads.get_scale(now, self.vms),
             slowness: if active == 0 {
                 1.0
@@ -249,12 +255,8 @@
                 continue;
             };
             let penalty = if is_tried { Self::TRIED_PENALTY } else { 0.0 };
-            let distance = if target.spec.domain == self.domain {
-                0.0
-            } else {
-                Self::REMOTE_PENALTY
-            };
-            let score = score + penalty + distance + Self::JITTER * unit_of(jitter, index);
+            let score =
+                score + penalty + self.get_distance(target) + Self::JITTER * unit_of(jitter, index);
             if best.is_none_or(|(held, lowest, _)| is_better(room, score, held, lowest)) {
                 best = Some((room, score, index));
             }
@@ -263,9 +265,20 @@
     }
 }
 
+impl Service {
+    /// Returns the part of a score that the way to the target adds.
+    pub(super) fn get_distance(&self, target: &Target) -> f32 {
+        if target.spec.domain == self.domain {
+            0.0
+        } else {
+            Self::REMOTE_PENALTY
+        }
+    }
+}
+
 impl Overview {
     /// Returns the room on the target and the expected time, if it has room.
-    fn judge(&self, target: &Target, wanted: Wanted) -> Option<(Room, f32)> {
+    pub(super) fn judge(&self, target: &Target, wanted: Wanted) -> Option<(Room, f32)> {
         if !target.health.is_active() && !self.ignores_ejection {
             return None;
         }
@@ -279,6 +292,13 @@
             Some(scale) => f32::from(target.own) + scale * f32::from(target.count_peer_attempts()),
             None => target.get_occupancy(self.now, self.hold, self.others),
         };
+        let report = target.get_report(self.now, self.fresh);
+        if let Some(report) = report {
+            occupancy = occupancy.max(f32::from(report.in_flight));
+        }
+        let work = report
+            .and_then(|report| report.work_percent)
+            .map_or(self.work, |percent| f32::from(percent) / 100.0);
         if slowness > Service::FULL_SLOWNESS {
             // Answer times are believed before reports.
             occupancy = occupancy.max(slots * (slowness - 0.5));
@@ -287,7 +307,7 @@
         let excess = (occupancy + 1.0 - slots).max(0.0) / slots;
         Some((
             room,
-            slowness * (1.0 + excess) + Service::LOAD_WEIGHT * occupancy / slots,
+            slowness * work * (1.0 + excess) + Service::LOAD_WEIGHT * occupancy / slots,
         ))
     }
 }
--- a/crates/core/src/service/records.rs
+++ b/crates/core/src/service/records.rs
@@ -14,6 +14,14 @@
     Running,
 }
 
+/// Questions asked for one waiting call.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct SampleState {
+    pub(crate) rounds: u8,
+    /// Time until which the reports are waited for.
+    pub(crate) until: Option<Instant>,
+}
+
 /// One call from its arrival until it is answered.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -26,6 +34,7 @@
     pub(crate) state: CallState,
     pub(crate) may_have_run: bool,
     pub(crate) running: [Option<AttemptKey>; 2],
+    pub(crate) sampling: SampleState,
     tried: [Option<TargetKey>; MAX_ATTEMPTS],
 }
 
@@ -40,6 +49,7 @@
             state: CallState::Waiting,
             may_have_run: false,
             running: [None; 2],
+            sampling: SampleState::default(),
             tried: [None; MAX_ATTEMPTS],
         }
     }
--- a/crates/core/src/service/reports.rs
+++ b/crates/core/src/service/reports.rs
@@ -26,9 +26,15 @@
             target.weigh_report(report, attempt);
         }
         target.take_report(now, report);
+        if let Some(percent) = report.work_percent {
+            self.sampler.note_work(percent);
+        }
         if target.is_leaving != report.is_leaving {
             self.set_leaving(now, key, report.is_leaving, out);
         }
+        if attempt.is_none() && self.count_waiting() > 0 {
+            self.pump(now, out);
+        }
     }
 
     /// Notes that a target is leaving, or that it came back.
--- /dev/null
+++ b/crates/core/src/service/sampling.rs
@@ -0,0 +1,184 @@
+//! Questions to targets just before a request is placed.
+//!
+//! Where machines are shared, how long work takes on one changes many times a
+//! second, and a request keeps for its whole run the pace that it met at its
+//! start. No report of an earlier answer is fresh enough to tell, so a few
+//! targets are asked. docs/decisions/0015-sampling.md has the costs.
+
+use super::class::Class;
+use super::pick::Wanted;
+use super::records::CallState;
+use super::{CallKey, Output, Service, TargetKey};
+use crate::Sampling;
+use std::time::{Duration, Instant};
+
+/// What is known about the pace of targets in general, and the room for questions.
+#[derive(Debug)]
+pub(super) struct Sampler {
+    mean_work: f32,
+    tokens: f32,
+    refilled: Option<Instant>,
+}
+
+impl Default for Sampler {
+    fn default() -> Self {
+        Self {
+            mean_work: 1.0,
+            tokens: 0.0,
+            refilled: None,
+        }
+    }
+}
+
+impl Sampler {
+    const WORK_WEIGHT: f32 = 0.05;
+
+    /// Takes in one figure of a target.
+    pub(super) fn note_work(&mut self, percent: u16) {
+        self.mean_work += Self::WORK_WEIGHT * (f32::from(percent) / 100.0 - self.mean_work);
+    }
+
+    /// Takes questions out of the budget; at most a second's worth is saved up.
+    fn spend(&mut self, now: Instant, per_second: f32, wanted: usize) -> usize {
+        let passed = self.refilled.map_or(Duration::from_secs(1), |at| {
+            now.saturating_duration_since(at)
+        });
+        self.refilled = Some(now);
+        self.tokens = (self.tokens + per_second * passed.as_secs_f32()).min(per_second);
+        let granted = wanted.min(self.tokens as usize);
+        self.tokens -= granted as f32;
+        granted
+    }
+}
+
+impl Service {
+    /// Factor of the usual time up to which a target's pace is good enough to
+    /// place a request without asking further.
+    const GOOD_WORK: f32 = 1.5;
+    /// Rounds of questions for one request; after them it goes to the best that is known.
+    const MAX_ROUNDS: u8 = 4;
+    /// VMs assumed as long as the fleet's size is not known.
+    const CAUTIOUS_VMS: f32 = 50.0;
+
+    /// Returns true if a waiting call can be placed now; otherwise questions
+    /// are under way.
+    pub(super) fn is_sampled(&mut self, now: Instant, key: CallKey, out: &mut Vec<Output>) -> bool {
+        let Some(plan) = self.spec.sampling else {
+            return true;
+        };
+        let state = self.calls[key].sampling;
+        let pending = state.until.is_some_and(|until| now < until);
+        let best = self.find_best_work(now, plan, key);
+        if best.is_some_and(|work| work <= Self::GOOD_WORK) {
+            return true;
+        }
+        if pending && self.count_unanswered(now, plan) > 0 {
+            return false;
+        }
+        if state.rounds >= Self::MAX_ROUNDS || !self.has_time_to_ask(now, plan, key) {
+            return true;
+        }
+        let asked = self.ask(now, plan, key, out);
+        if asked == 0 && best.is_none() {
+            return true;
+        }
+        // With nobody left to ask, the pace of those that were asked may change.
+        let pause = if asked == 0 { plan.fresh } else { plan.wait };
+        let sampling = &mut self.calls[key].sampling;
+        sampling.rounds += 1;
+        sampling.until = Some(now + pause);
+        false
+    }
+
+    /// Returns the factor of the usual time that is expected of a target
+    /// without a fresh report; it is never better than one known to be good.
+    pub(super) fn get_unknown_work(&self) -> f32 {
+        match self.spec.sampling {
+            Some(_) => self.sampler.mean_work.max(Self::GOOD_WORK),
+            None => 1.0,
+        }
+    }
+
+    /// Returns when the first waiting call of a class stops to wait for reports.
+    pub(super) fn next_sample(&self, class: &Class) -> Option<Instant> {
+        let front = class.front()?;
+        self.calls.get(front.call)?.sampling.until
+    }
+
+    /// Returns the pace of the best target with a fresh report and room.
+    fn find_best_work(&self, now: Instant, plan: Sampling, key: CallKey) -> Option<f32> {
+        let overview = self.make_overview(now);
+        let call = &self.calls[key];
+        self.targets
+            .iter()
+            .enumerate()
+            .filter(|(index, target)| {
+                target.is_usable()
+                    && !call.has_tried(TargetKey(*index as u16))
+                    && overview.judge(target, Wanted::Free).is_some()
+            })
+            .filter_map(|(_, target)| target.get_report(now, plan.fresh)?.work_percent)
+            .map(|percent| f32::from(percent) / 100.0)
+            .min_by(f32::total_cmp)
+    }
+
+    /// Returns how many targets were asked and may still answer in time.
+    fn count_unanswered(&self, now: Instant, plan: Sampling) -> usize {
+        self.targets
+            .iter()
+            .filter(|target| {
+                target.sampled_at.is_some_and(|asked| {
+                    let is_answered = target.report.is_some_and(|(_, at)| at >= asked);
+                    !is_answered && now.saturating_duration_since(asked) < plan.wait
+                })
+            })
+            .count()
+    }
+
+    /// Returns true if another round leaves time for the work itself.
+    fn has_time_to_ask(&self, now: Instant, plan: Sampling, key: CallKey) -> bool {
+        let call = &self.calls[key];
+        let usual = &self.classes[call.class.get_index()].usual;
+        call.state == CallState::Waiting && now + plan.wait + usual.get_median() < call.useful_until
+    }
+
+    /// Asks the most promising targets without a fresh report.
+    fn ask(&mut self, now: Instant, plan: Sampling, key: CallKey, out: &mut Vec<Output>) -> usize {
+        let overview = self.make_overview(now);
+        let call = &self.calls[key];
+        let mut candidates: Vec<(f32, usize)> = self
+            .targets
+            .iter()
+            .enumerate()
+            .filter(|(index, target)| {
+                let is_known = target.get_report(now, plan.fresh).is_some();
+                let is_asked = target
+                    .sampled_at
+                    .is_some_and(|at| now.saturating_duration_since(at) < plan.wait);
+                target.is_usable()
+                    && !is_known
+                    && !is_asked
+                    && !call.has_tried(TargetKey(*index as u16))
+            })
+            .filter_map(|(index, target)| {
+                let (_, score) = overview.judge(target, Wanted::Free)?;
+                Some((score + self.get_distance(target), index))
+            })
+            .collect();
+        candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
+        candidates.truncate(usize::from(plan.fanout));
+        let vms = match self.vms {
+            0 | 1 => Self::CAUTIOUS_VMS,
+            vms => f32::from(vms),
+        };
+        let per_second = f32::from(self.spec.probes_per_second) / vms;
+        let granted = self.sampler.spend(now, per_second, candidates.len());
+        for (_, index) in &candidates[..granted] {
+            self.targets[*index].sampled_at = Some(now);
+            out.push(Output::Sample {
+                target: TargetKey(*index as u16),
+            });
+        }
+        granted
+    }
+}
--- a/crates/core/src/service/target.rs
+++ b/crates/core/src/service/target.rs
@@ -25,6 +25,10 @@
     /// Time from which the target is warmed up with a rising share of work.
     warming_since: Option<Instant>,
     others: OthersView,
+    /// Last report as it came, with its time.
+    pub(crate) report: Option<(LoadReport, Instant)>,
+    /// Time of the last question for a report.
+    pub(crate) sampled_at: Option<Instant>,
     /// Attempts in flight that each peer reports, by the peer's index.
     pub(crate) peer_counts: Vec<u16>,
     /// Attempts of this VM in flight in the order of their start.
@@ -48,6 +52,8 @@
             is_removed: false,
             warming_since,
             others: OthersView::new(),
+            report: None,
+            sampled_at: None,
             peer_counts: Vec::new(),
             running: Vec::new(),
             spec,
@@ -110,6 +116,14 @@
 
     pub(crate) fn take_report(&mut self, now: Instant, report: LoadReport) {
         self.others.take(now, report.in_flight, self.own);
+        self.report = Some((report, now));
+    }
+
+    /// Returns the last report if it is not older than `age`.
+    pub(crate) fn get_report(&self, now: Instant, age: Duration) -> Option<LoadReport> {
+        self.report
+            .filter(|(_, at)| now.saturating_duration_since(*at) <= age)
+            .map(|(report, _)| report)
     }
 
     /// Notes that the target refused work for lack of room without a report.
--- a/crates/core/src/spec/mod.rs
+++ b/crates/core/src/spec/mod.rs
@@ -9,5 +9,5 @@
 
 pub use class::{ClassKind, ClassSpec, MethodSet, RouteMatch};
 pub use fleet::{FleetSpec, VmName};
-pub use service::{RepeatLimit, ServiceSpec};
+pub use service::{RepeatLimit, Sampling, ServiceSpec};
 pub use target::{DomainName, Note, TargetSpec};
--- a/crates/core/src/spec/service.rs
+++ b/crates/core/src/spec/service.rs
@@ -29,6 +29,19 @@
     pub note: Option<Note>,
     /// Bound on repeats over the whole fleet, if there is one.
     pub repeats: Option<RepeatLimit>,
+    /// Questions to targets before a request is placed, if they are worth it.
+    pub sampling: Option<Sampling>,
+}
+
+/// How targets are asked for their load just before a request is placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Sampling {
+    /// Targets asked at once.
+    pub fanout: u8,
+    /// Age up to which a report says how long work takes now.
+    pub fresh: Duration,
+    /// Longest wait for the reports.
+    pub wait: Duration,
 }
 
 /// Most repeated sends of a service over the whole fleet in any window.
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -36,6 +36,7 @@
     pub refused: Vec<(CallKey, ResultCode)>,
     pub cancelled: Vec<AttemptKey>,
     pub events: Vec<EventKind>,
+    pub asked: Vec<TargetKey>,
     out: Vec<Output>,
 }
 
@@ -85,6 +86,7 @@
         probe_path: "/load".into(),
         note: None,
         repeats: None,
+        sampling: None,
     }
 }
 
@@ -102,6 +104,7 @@
             refused: Vec::new(),
             cancelled: Vec::new(),
             events: Vec::new(),
+            asked: Vec::new(),
             out: Vec::new(),
         }
     }
@@ -193,6 +196,19 @@
         self.take_out();
     }
 
+    /// Takes in the answer to a question.
+    pub fn tell(&mut self, target: TargetKey, report: LoadReport) {
+        self.service
+            .report(self.now, target, None, report, &mut self.out);
+        self.take_out();
+    }
+
+    pub fn take_peer_loads(&mut self, peer: u16, loads: &[(TargetKey, u16)]) {
+        self.service
+            .take_peer_loads(self.now, peer, loads, &mut self.out);
+        self.take_out();
+    }
+
     pub fn cancel(&mut self, call: CallKey) {
         self.service.cancel(self.now, call, &mut self.out);
         self.take_out();
@@ -249,6 +265,7 @@
                 Output::Deliver { call, .. } => self.delivered.push(call),
                 Output::Refuse { call, code } => self.refused.push((call, code)),
                 Output::Cancel { attempt, .. } => self.cancelled.push(attempt),
+                Output::Sample { target } => self.asked.push(target),
                 Output::Event(event) => self.events.push(event),
             }
         }
--- /dev/null
+++ b/crates/core/tests/discovery.rs
@@ -0,0 +1,148 @@
+//! Targets that come and go by what they register.
+
+use gentianridge_core::{Directory, Incarnation, TargetEntry};
+use std::time::{Duration, Instant};
+
+fn entry(id: &str, born_ms: u64) -> TargetEntry {
+    TargetEntry {
+        incarnation: Incarnation {
+            id: id.into(),
+            born_ms,
+        },
+        service: "cart".into(),
+        addr: "10.0.0.1:80".parse().unwrap(),
+        domain: "d1".into(),
+        slots: 3,
+        is_draining: false,
+        cold_left: Duration::from_secs(3),
+    }
+}
+
+struct Bench {
+    directory: Directory,
+    now: Instant,
+    changed: Vec<smol_str::SmolStr>,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let mut bench = Self {
+            directory: Directory::new(),
+            now: Instant::now(),
+            changed: Vec::new(),
+        };
+        bench.put(entry("a", 1));
+        bench.put(entry("b", 1));
+        bench
+    }
+
+    fn put(&mut self, entry: TargetEntry) {
+        self.directory.put(entry, &mut self.changed);
+    }
+
+    fn remove(&mut self, id: &str) {
+        self.directory.remove(self.now, id, &mut self.changed);
+    }
+
+    fn pass(&mut self, time: Duration) {
+        self.now += time;
+        self.directory.expire(self.now, &mut self.changed);
+    }
+
+    fn names(&self) -> Vec<String> {
+        self.directory
+            .get_targets("cart", 10)
+            .iter()
+            .filter(|target| !target.drain)
+            .map(|target| format!("{}/{}", target.name, target.incarnation))
+            .collect()
+    }
+}
+
+#[test]
+fn gone_at_once() {
+    let mut bench = Bench::new();
+    bench.remove("a");
+    assert_eq!(bench.names(), ["b/1"]);
+    assert!(bench.changed.contains(&"cart".into()));
+}
+
+#[test]
+fn lapse_and_return() {
+    let mut bench = Bench::new();
+    bench.directory.set_away();
+    bench.remove("a");
+    bench.pass(Duration::from_secs(10));
+    bench.directory.set_readable(bench.now);
+    bench.remove("b");
+    assert_eq!(bench.names(), ["a/1", "b/1"], "both may have lapsed");
+    bench.pass(Duration::from_millis(1_900));
+    bench.put(entry("a", 1));
+    bench.pass(Duration::from_millis(200));
+    assert_eq!(bench.names(), ["a/1"], "b did not come back in time");
+}
+
+#[test]
+fn whole_list_while_settling() {
+    let mut bench = Bench::new();
+    bench.directory.set_away();
+    bench.directory.set_readable(bench.now);
+    bench.directory.read_all(bench.now, vec![entry("b", 1)]);
+    assert_eq!(bench.names(), ["a/1", "b/1"]);
+    assert_eq!(
+        bench.directory.next_expiry(),
+        Some(bench.now + Directory::SETTLE)
+    );
+    bench.pass(Directory::SETTLE);
+    assert_eq!(bench.names(), ["b/1"]);
+}
+
+#[test]
+fn draining_sticks() {
+    let mut bench = Bench::new();
+    let mut draining = entry("a", 1);
+    draining.is_draining = true;
+    bench.put(draining);
+    bench.put(entry("a", 1));
+    assert_eq!(bench.names(), ["b/1"], "a stale reading takes nothing back");
+    bench.put(entry("a", 2));
+    assert_eq!(
+        bench.names(),
+        ["a/2", "b/1"],
+        "a new start is another target"
+    );
+}
+
+#[test]
+fn older_start() {
+    let mut bench = Bench::new();
+    bench.put(entry("a", 5));
+    bench.put(entry("a", 1));
+    assert_eq!(bench.names(), ["a/5", "b/1"]);
+}
+
+#[test]
+fn replaced_at_address() {
+    let mut bench = Bench::new();
+    let old = entry("a", 1).incarnation;
+    bench.directory.set_replaced(&old, &mut bench.changed);
+    assert_eq!(bench.names(), ["b/1"]);
+    bench.put(entry("a", 1));
+    assert_eq!(
+        bench.names(),
+        ["b/1"],
+        "the entry still names the lost address"
+    );
+    bench.put(entry("a", 2));
+    assert_eq!(bench.names(), ["a/2", "b/1"]);
+}
+
+#[test]
+fn warm_up_counts_once() {
+    let mut bench = Bench::new();
+    let mut later = entry("a", 1);
+    later.cold_left = Duration::from_secs(1);
+    bench.changed.clear();
+    bench.put(later);
+    assert!(bench.changed.is_empty(), "a shrinking rest is no change");
+}
--- /dev/null
+++ b/crates/core/tests/sampling.rs
@@ -0,0 +1,128 @@
+//! Questions to targets before a request is placed.
+
+mod common;
+
+use common::{Bench, SHORT, make_spec};
+use gentianridge_core::{CallKey, LoadReport, Sampling, ServiceSpec, TargetKey};
+use std::time::Duration;
+
+const WAIT_MS: u64 = 30;
+const FRESH_MS: u64 = 60;
+
+fn sampled_spec(targets: usize) -> ServiceSpec {
+    let mut spec = make_spec(targets, 3);
+    spec.probes_per_second = 10_000;
+    spec.sampling = Some(Sampling {
+        fanout: 3,
+        fresh: Duration::from_millis(FRESH_MS),
+        wait: Duration::from_millis(WAIT_MS),
+    });
+    for class in &mut spec.classes {
+        class.objective = Some(Duration::from_millis(600));
+        class.deadline = Duration::from_secs(4);
+    }
+    spec
+}
+
+fn tell(bench: &mut Bench, target: TargetKey, work_percent: u16) {
+    let report = LoadReport {
+        in_flight: 0,
+        slots: Some(3),
+        is_leaving: false,
+        work_percent: Some(work_percent),
+    };
+    bench.tell(target, report);
+}
+
+/// Arrives and returns the targets that were asked.
+fn arrive(bench: &mut Bench) -> (CallKey, Vec<TargetKey>) {
+    let before = bench.asked.len();
+    let call = bench.arrive_within(SHORT, 4_000);
+    (call, bench.asked[before..].to_vec())
+}
+
+#[test]
+fn fast_target() {
+    let mut bench = Bench::with(sampled_spec(6));
+    let (call, asked) = arrive(&mut bench);
+    assert_eq!(asked.len(), 3);
+    assert!(!bench.is_sent(call), "the reports have to come first");
+    bench.pause(5);
+    tell(&mut bench, asked[0], 500);
+    assert!(
+        !bench.is_sent(call),
+        "a slow target is no reason to stop asking"
+    );
+    tell(&mut bench, asked[2], 100);
+    assert_eq!(bench.last_of(call).target, asked[2]);
+}
+
+#[test]
+fn fresh_report() {
+    let mut bench = Bench::with(sampled_spec(6));
+    let (first, asked) = arrive(&mut bench);
+    tell(&mut bench, asked[1], 100);
+    assert!(bench.is_sent(first));
+    bench.pause(10);
+    let (second, more) = arrive(&mut bench);
+    assert!(more.is_empty(), "a report of 10 ms ago is good enough");
+    assert_eq!(bench.last_of(second).target, asked[1]);
+    bench.pause(FRESH_MS);
+    let (_, again) = arrive(&mut bench);
+    assert!(!again.is_empty(), "the pace may have changed since");
+}
+
+#[test]
+fn slow_everywhere() {
+    let mut bench = Bench::with(sampled_spec(3));
+    let (call, asked) = arrive(&mut bench);
+    for target in asked {
+        tell(&mut bench, target, 500);
+    }
+    assert!(
+        !bench.is_sent(call),
+        "the pace may change within the objective"
+    );
+    let mut waited = 0;
+    while !bench.is_sent(call) {
+        bench.pass(10);
+        waited += 10;
+        assert!(waited <= 400, "the work itself needs its time");
+    }
+}
+
+#[test]
+fn silent_targets() {
+    let mut bench = Bench::with(sampled_spec(3));
+    let (call, _) = arrive(&mut bench);
+    bench.pass(WAIT_MS - 1);
+    assert!(!bench.is_sent(call));
+    for _ in 0..10 {
+        bench.pass(WAIT_MS);
+    }
+    assert!(
+        bench.is_sent(call),
+        "a question without an answer is not waited for"
+    );
+}
+
+#[test]
+fn budget_in_a_rush() {
+    let mut spec = sampled_spec(6);
+    spec.probes_per_second = 40;
+    let mut bench = Bench::with(spec);
+    bench.set_fleet(2, 0);
+    for _ in 0..4_000 {
+        arrive(&mut bench);
+        bench.pass(1);
+    }
+    // Half of 40 a second for this VM over 4 s, and one second's worth saved up.
+    assert!(bench.asked.len() <= 100, "{} questions", bench.asked.len());
+}
+
+#[test]
+fn declared_services_ask_nobody() {
+    let mut bench = Bench::new(3, 2);
+    bench.send(SHORT);
+    assert!(bench.asked.is_empty());
+}
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod ready;
 mod request;
 mod run;
+mod samples;
 mod state;
 
 pub use run::run_gateway;
--- /dev/null
+++ b/crates/daemon/src/gateway/samples.rs
@@ -0,0 +1,85 @@
+//! Questions to targets for their load.
+
+use super::links::{Link, Wanted};
+use super::state::Gateway;
+use crate::caller::headers::get_text;
+use crate::service::ServiceHandle;
+use anyhow::Context;
+use bytes::Bytes;
+use gentianridge_adapter::parse_load;
+use gentianridge_core::{Incarnation, TargetKey};
+use http::{HeaderValue, Request, header};
+use http_body_util::{BodyExt, Full};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest time for one question. Its answer is of use only for some tens of
+/// milliseconds; the rest of the time saves the connection of a slow one.
+const TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Asks the targets that the service names until the task is dropped.
+pub(crate) async fn run_samples(gateway: Rc<Gateway>, service: Arc<ServiceHandle>) {
+    let mut wanted = service.open_samples();
+    while let Some(target) = wanted.recv().await {
+        let (gateway, service) = (gateway.clone(), service.clone());
+        tokio::task::spawn_local(async move {
+            gateway.counters.count_sample();
+            let asked = ask(&gateway, &service, target);
+            match tokio::time::timeout(TIMEOUT, asked).await {
+                Ok(Ok(())) => {}
+                Ok(Err(error)) => log::debug!("a target did not tell its load: {error:#}"),
+                Err(_) => log::debug!("a target did not tell its load in time"),
+            }
+        });
+    }
+}
+
+async fn ask(
+    gateway: &Rc<Gateway>,
+    service: &ServiceHandle,
+    target: TargetKey,
+) -> anyhow::Result<()> {
+    let (addr, incarnation) = service
+        .read(|machine, _| find_target(machine.get_target(target)?))
+        .context("the target is gone")?;
+    let path = gateway
+        .get_health_path(&service.name)
+        .context("the service has no health path")?;
+    let now = gateway.clock.now();
+    let mut link = match gateway.links.take(now, &incarnation, Wanted::Kept) {
+        Some(link) => link,
+        None => {
+            gateway.counters.count_opened();
+            Link::open(addr, now).await?
+        }
+    };
+    let mut request = Request::new(Full::<Bytes>::default());
+    *request.uri_mut() = path.parse()?;
+    let host = HeaderValue::from_str(&addr.to_string())?;
+    request.headers_mut().insert(header::HOST, host);
+    let response = link
+        .send(request)
+        .await
+        .map_err(|error| anyhow::anyhow!("{error:?}"))?;
+    let (head, body) = response.into_parts();
+    body.collect().await?;
+    if let Some(report) =
+        get_text(&head.headers, &gateway.headers.load).and_then(|text| parse_load(&text))
+    {
+        service.report(target, None, report);
+    }
+    if link.note_answer(gateway.clock.now(), &head.headers) {
+        gateway.keep_link(incarnation, link);
+    }
+    Ok(())
+}
+
+fn find_target(spec: &gentianridge_core::TargetSpec) -> Option<(SocketAddr, Incarnation)> {
+    let incarnation = Incarnation {
+        id: spec.name.clone(),
+        born_ms: spec.incarnation,
+    };
+    Some((spec.addr, incarnation))
+}
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -2,13 +2,15 @@
 
 use super::links::{Link, Links};
 use super::peers::Peers;
+use super::samples::run_samples;
 use crate::service::ServiceHandle;
 use crate::telemetry::Journal;
 use gentianridge_adapter::{ExchangeHeaders, Store, exchange_headers};
 use gentianridge_config::GatewaySettings;
 use gentianridge_core::{
     CallerLimits, ClassKey, ClassKind, ClassSpec, Clock, Directory, EventKind, Incarnation,
-    MethodSet, ResultCode, RouteMatch, RouteTable, RoutedService, ServiceSpec, TargetSpec,
+    MethodSet, ResultCode, RouteMatch, RouteTable, RoutedService, Sampling, ServiceSpec,
+    TargetSpec,
 };
 use http::{Request, header};
 use rand::RngExt;
@@ -43,6 +45,7 @@
     opened: Cell<u64>,
     reused: Cell<u64>,
     broken: Cell<u64>,
+    samples: Cell<u64>,
 }
 
 impl GatewayCounters {
@@ -54,6 +57,10 @@
         self.reused.set(self.reused.get() + 1);
     }
 
+    pub(crate) fn count_sample(&self) {
+        self.samples.set(self.samples.get() + 1);
+    }
+
     pub(crate) fn count_broken(&self) {
         self.broken.set(self.broken.get() + 1);
     }
@@ -268,6 +275,7 @@
         ));
         handle.set_domain(self.get_settings().domain.clone());
         tokio::task::spawn_local(handle.clone().run_timer());
+        tokio::task::spawn_local(run_samples(self.clone(), handle.clone()));
         Entry {
             handle,
             declared: None,
@@ -281,7 +289,12 @@
         classes: Vec<ClassSpec>,
         targets: Vec<TargetSpec>,
     ) -> ServiceSpec {
-        let percent = self.get_settings().repeats.percent.min(100) as u8;
+        let settings = self.get_settings();
+        let percent = settings.repeats.percent.min(100) as u8;
+        let probes_per_second = settings
+            .probes_per_target
+            .saturating_mul(targets.len() as u16);
+        let sampling = find_sampling(&classes);
         ServiceSpec {
             name: name.clone(),
             route: RouteMatch {
@@ -293,10 +306,11 @@
             retry_percent: percent,
             hedge_percent: percent,
             silence: Duration::ZERO,
-            probes_per_second: 0,
+            probes_per_second,
             probe_path: SmolStr::default(),
             note: None,
-            repeats: Some(self.get_settings().repeats),
+            repeats: Some(settings.repeats),
+            sampling,
         }
     }
 }
@@ -309,6 +323,14 @@
         Some(services[index].handle.clone())
     }
 
+    /// Returns the path of the health check of a service's targets.
+    pub(crate) fn get_health_path(&self, service: &str) -> Option<SmolStr> {
+        let services = self.services.borrow();
+        let index = find(&services, service).ok()?;
+        let declared = services[index].declared.as_ref()?;
+        Some(declared.health_path.clone())
+    }
+
     /// Calls `act` with each service.
     pub(crate) fn for_each_service(&self, mut act: impl FnMut(&Arc<ServiceHandle>)) {
         for entry in self.services.borrow().iter() {
@@ -381,6 +403,16 @@
     }
 }
 
+/// Targets are asked within a small part of the shortest objective.
+fn find_sampling(classes: &[ClassSpec]) -> Option<Sampling> {
+    let shortest = classes.iter().map(ClassSpec::get_objective).min()?;
+    Some(Sampling {
+        fanout: 3,
+        fresh: Duration::from_millis(60),
+        wait: shortest / 20,
+    })
+}
+
 fn find(services: &[Entry], name: &str) -> Result<usize, usize> {
     services.binary_search_by(|entry| entry.handle.name.as_str().cmp(name))
 }
--- a/crates/daemon/src/service/handle.rs
+++ b/crates/daemon/src/service/handle.rs
@@ -27,6 +27,7 @@
     pub(crate) probes: AtomicU64,
     pub(crate) probe_budget: Mutex<ProbeBudget>,
     is_retired: AtomicBool,
+    samples: Mutex<Option<mpsc::UnboundedSender<TargetKey>>>,
     state: Mutex<State>,
     wake: Notify,
     clock: Arc<dyn Clock>,
@@ -62,6 +63,7 @@
             links: Links::new(),
             probes: AtomicU64::new(0),
             is_retired: AtomicBool::new(false),
+            samples: Mutex::new(None),
             probe_budget: Mutex::new(ProbeBudget::new(spec.probes_per_second, max_vms)),
             state: Mutex::new(State {
                 machine: Service::new(spec, seed),
@@ -86,6 +88,13 @@
         self.with(|machine, _, _| machine.set_domain(domain));
     }
 
+    /// Returns the targets that the service wants to be asked for their load.
+    pub(crate) fn open_samples(&self) -> mpsc::UnboundedReceiver<TargetKey> {
+        let (tx, rx) = mpsc::unbounded_channel();
+        *self.samples.lock() = Some(tx);
+        rx
+    }
+
     pub(crate) fn take_peer_loads(&self, peer: u16, loads: &[(TargetKey, u16)]) {
         self.with(|machine, now, out| machine.take_peer_loads(now, peer, loads, out));
     }
@@ -214,6 +223,12 @@
             }
             // A call that is over has no waiter, and its task drops every attempt.
             Output::Cancel { call, attempt } => send(state, call, Command::Cancel { attempt }),
+            Output::Sample { target } => {
+                if let Some(tx) = &*self.samples.lock() {
+                    // Without a receiver the question is not asked, and its wait ends by time.
+                    let _ = tx.send(target);
+                }
+            }
             Output::Event(kind) => self.journal.record(kind),
         }
     }
--- a/examples/measure/calls.rs
+++ b/examples/measure/calls.rs
@@ -84,7 +84,7 @@
                     }
                 }
                 Output::Cancel { attempt, .. } => self.cancel(vm, attempt),
-                Output::Event(_) => {}
+                Output::Sample { .. } | Output::Event(_) => {}
             }
         }
         self.out = out;
--- a/examples/measure/model.rs
+++ b/examples/measure/model.rs
@@ -207,6 +207,7 @@
             probe_path: "/load".into(),
             note: None,
             repeats: None,
+            sampling: None,
         }
     }
 
