feat(core): wait for a good pace, spread returns over the longer pause

Change: with room only on slow machines a request waits and asks again; it goes there only if nobody else waits. Slots from which a target may slow down are taken last. A refused caller whose answer cannot be in time is asked to come back in the second half of the pause that callers honour.

--- a/crates/core/src/service/calls.rs
+++ b/crates/core/src/service/calls.rs
@@ -106,7 +106,7 @@
     pub fn next_wake(&self, now: Instant) -> Option<Instant> {
         let expiry = self.classes.iter().filter_map(|c| c.front()).map(|w| w.due);
         let hedge = self.classes.iter().filter_map(|c| self.next_hedge(c));
-        let sample = self.classes.iter().filter_map(|c| self.next_sample(c));
+        let sample = self.classes.iter().filter_map(|c| self.next_sample(now, c));
         let mut wake = expiry.chain(hedge).chain(sample).min();
         if self.classes.iter().any(|c| c.len() > 0) {
             let recheck = now + self.get_recheck();
--- a/crates/core/src/service/pick.rs
+++ b/crates/core/src/service/pick.rs
@@ -44,6 +44,8 @@
     hold: Duration,
     /// Mean requests of other VMs, for targets whose reports are not trusted.
     others: f32,
+    /// True if targets are asked for their load, so that it is known well.
+    is_sampled: bool,
     /// Age up to which a report says how long work takes now.
     fresh: Duration,
     /// Factor of the usual time that is expected of a target without a fresh report.
@@ -75,6 +77,10 @@
     const FULL_SLOWNESS: f32 = 1.6;
     /// Score added for a target that the call has tried before.
     const TRIED_PENALTY: f32 = 1.0;
+    /// Share of the slots from which a target may slow down, as its service says.
+    const CROWDED_SHARE: f32 = 0.8;
+    /// Score added for taking such a slot: work may take half as long again.
+    const CROWDED_PENALTY: f32 = 0.5;
     /// Score added for a target in another failure domain: bytes between domains
     /// cost more than a tenth of what an answer is worth.
     const REMOTE_PENALTY: f32 = 0.5;
@@ -108,7 +114,8 @@
     fn pick_short(&mut self, now: Instant, key: CallKey) -> Option<TargetKey> {
         let overview = self.make_overview(now);
         let limit = overview.fair_share as f32 * Self::SHARE_FACTOR;
-        let wanted = if (self.own_total as f32) < limit {
+        let is_guess = self.spec.sampling.is_none();
+        let wanted = if is_guess && (self.own_total as f32) < limit {
             Wanted::Any
         } else {
             Wanted::Free
@@ -187,6 +194,7 @@
             now,
             hold: self.get_hold(),
             others: others.get(),
+            is_sampled: self.spec.sampling.is_some(),
             fresh: self.spec.sampling.map_or(Duration::ZERO, |plan| plan.fresh),
             work: self.get_unknown_work(),
             peer_scale: self.peer_loads.get_scale(now, self.vms),
@@ -305,9 +313,14 @@
         }
         let room = find_room(target, wanted, slots, occupancy)?;
         let excess = (occupancy + 1.0 - slots).max(0.0) / slots;
+        let crowding = if self.is_sampled && occupancy + 1.0 > Service::CROWDED_SHARE * slots {
+            Service::CROWDED_PENALTY
+        } else {
+            0.0
+        };
         Some((
             room,
-            slowness * work * (1.0 + excess) + Service::LOAD_WEIGHT * occupancy / slots,
+            slowness * work * (1.0 + excess) + Service::LOAD_WEIGHT * occupancy / slots + crowding,
         ))
     }
 }
--- a/crates/core/src/service/records.rs
+++ b/crates/core/src/service/records.rs
@@ -20,6 +20,8 @@
     pub(crate) rounds: u8,
     /// Time until which the reports are waited for.
     pub(crate) until: Option<Instant>,
+    /// True if nobody was left to ask and the call waits for another pace.
+    pub(crate) is_pause: bool,
 }
 
 /// One call from its arrival until it is answered.
--- a/crates/core/src/service/sampling.rs
+++ b/crates/core/src/service/sampling.rs
@@ -51,42 +51,64 @@
     }
 }
 
+/// The best that is known of the targets with room, from worst to best.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Best {
+    /// No target has room.
+    NoRoom,
+    /// Work would take long on every target with room.
+    Slow,
+    /// Some target with room has not told its pace lately.
+    Unknown,
+    /// Some target with room works at a good pace.
+    Good,
+}
+
 impl Service {
     /// Factor of the usual time up to which a target's pace is good enough to
     /// place a request without asking further.
     const GOOD_WORK: f32 = 1.5;
     /// Rounds of questions for one request; after them it goes to the best that is known.
-    const MAX_ROUNDS: u8 = 4;
+    const MAX_ROUNDS: u8 = 12;
     /// VMs assumed as long as the fleet's size is not known.
     const CAUTIOUS_VMS: f32 = 50.0;
 
     /// Returns true if a waiting call can be placed now; otherwise questions
-    /// are under way.
+    /// are under way, or it waits for a target whose pace lets it answer in time.
+    ///
+    /// Work that starts on a slow machine holds its slot for several times the
+    /// usual time and is late in the end. In a crest the slot is worth more to
+    /// those behind, once the pace has changed.
     pub(super) fn is_sampled(&mut self, now: Instant, key: CallKey, out: &mut Vec<Output>) -> bool {
         let Some(plan) = self.spec.sampling else {
             return true;
         };
-        let state = self.calls[key].sampling;
-        let pending = state.until.is_some_and(|until| now < until);
-        let best = self.find_best_work(now, plan, key);
-        if best.is_some_and(|work| work <= Self::GOOD_WORK) {
-            return true;
+        match self.find_best_work(now, plan, key) {
+            Best::Good => return true,
+            Best::NoRoom => return false,
+            Best::Slow | Best::Unknown => {}
         }
-        if pending && self.count_unanswered(now, plan) > 0 {
+        let state = self.calls[key].sampling;
+        let is_pending = state.until.is_some_and(|until| now < until);
+        if is_pending && (self.count_unanswered(now, plan) > 0 || state.is_pause) {
             return false;
         }
-        if state.rounds >= Self::MAX_ROUNDS || !self.has_time_to_ask(now, plan, key) {
-            return true;
+        let has_time = self.has_time_to_ask(now, plan, key);
+        if state.rounds >= Self::MAX_ROUNDS || !has_time {
+            // An idle slot is better used late than not at all.
+            return self.count_waiting() <= 1 || has_time;
         }
         let asked = self.ask(now, plan, key, out);
-        if asked == 0 && best.is_none() {
-            return true;
-        }
         // With nobody left to ask, the pace of those that were asked may change.
-        let pause = if asked == 0 { plan.fresh } else { plan.wait };
+        let pause = if asked == 0 {
+            plan.fresh / 2
+        } else {
+            plan.wait
+        };
         let sampling = &mut self.calls[key].sampling;
         sampling.rounds += 1;
         sampling.until = Some(now + pause);
+        sampling.is_pause = asked == 0;
         false
     }
 
@@ -100,26 +122,34 @@
     }
 
     /// Returns when the first waiting call of a class stops to wait for reports.
-    pub(super) fn next_sample(&self, class: &Class) -> Option<Instant> {
+    pub(super) fn next_sample(&self, now: Instant, class: &Class) -> Option<Instant> {
         let front = class.front()?;
-        self.calls.get(front.call)?.sampling.until
+        let until = self.calls.get(front.call)?.sampling.until?;
+        (until > now).then_some(until)
     }
 
-    /// Returns the pace of the best target with a fresh report and room.
-    fn find_best_work(&self, now: Instant, plan: Sampling, key: CallKey) -> Option<f32> {
+    /// Returns what is known of the targets that have room for the call.
+    fn find_best_work(&self, now: Instant, plan: Sampling, key: CallKey) -> Best {
         let overview = self.make_overview(now);
         let call = &self.calls[key];
-        self.targets
-            .iter()
-            .enumerate()
-            .filter(|(index, target)| {
-                target.is_usable()
-                    && !call.has_tried(TargetKey(*index as u16))
-                    && overview.judge(target, Wanted::Free).is_some()
-            })
-            .filter_map(|(_, target)| target.get_report(now, plan.fresh)?.work_percent)
-            .map(|percent| f32::from(percent) / 100.0)
-            .min_by(f32::total_cmp)
+        let mut best = Best::NoRoom;
+        for (index, target) in self.targets.iter().enumerate() {
+            let is_open = target.is_usable()
+                && !call.has_tried(TargetKey(index as u16))
+                && overview.judge(target, Wanted::Free).is_some();
+            if !is_open {
+                continue;
+            }
+            let found = match target.get_report(now, plan.fresh) {
+                None => Best::Unknown,
+                Some(report) => match report.work_percent {
+                    Some(percent) if f32::from(percent) / 100.0 > Self::GOOD_WORK => Best::Slow,
+                    Some(_) | None => Best::Good,
+                },
+            };
+            best = best.max(found);
+        }
+        best
     }
 
     /// Returns how many targets were asked and may still answer in time.
--- a/crates/core/tests/sampling.rs
+++ b/crates/core/tests/sampling.rs
@@ -91,6 +91,39 @@
     }
 }
 
+/// In a crest a slot on a slow machine is left for those behind, and the last
+/// of a queue is not placed late in front of them.
+#[test]
+fn crest() {
+    let mut bench = Bench::with(sampled_spec(3));
+    let mut calls = Vec::new();
+    for _ in 0..5 {
+        calls.push(arrive(&mut bench).0);
+        for index in 0..3 {
+            tell(&mut bench, TargetKey::from_index(index), 500);
+        }
+    }
+    bench.pass(150);
+    assert!(calls.iter().all(|call| !bench.is_sent(*call)));
+    tell(&mut bench, TargetKey::from_index(1), 100);
+    let sent = calls.iter().filter(|call| bench.is_sent(**call)).count();
+    assert_eq!(sent, 3, "the slots of the fast machine are all used");
+    assert!(bench.sent.iter().all(|sent| sent.target.get_index() == 1));
+}
+
+/// The timer is never set to a time that has passed.
+#[test]
+fn wake_up_times() {
+    let mut bench = Bench::with(sampled_spec(3));
+    let (call, _) = arrive(&mut bench);
+    while !bench.is_sent(call) {
+        let wake = bench.service.next_wake(bench.now).expect("a call waits");
+        assert!(wake > bench.now, "a timer in the past would spin");
+        bench.now = wake;
+        bench.pass(0);
+    }
+}
+
 #[test]
 fn silent_targets() {
     let mut bench = Bench::with(sampled_spec(3));
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -13,6 +13,9 @@
 use std::time::{Duration, Instant};
 use tokio_util::sync::CancellationToken;
 
+/// Callers honour a pause of up to this part of the time that they have left.
+const CALLERS_PAUSE_DIVISOR: u32 = 3;
+
 /// Answers one request.
 ///
 /// The HTTP server drops this future when the caller has gone.
@@ -95,16 +98,24 @@
     Duration::from_millis(rand::rng().random_range(300..=1_000))
 }
 
-/// Pause after which room is expected, spread so that refused callers do not
-/// come back together, and within what callers honour.
+/// Pause after which the request should come back.
+///
+/// If room is expected while the answer can still meet its objective, that is
+/// when. Otherwise the answer will be late anyway, and the callers are spread
+/// over the longer pause that they honour, so that they do not take the room of
+/// those who can still be in time.
 fn get_pause(cx: &CallContext) -> Duration {
+    let now = cx.gateway.clock.now();
+    let longest = cx.deadline.saturating_duration_since(now) / CALLERS_PAUSE_DIVISOR;
     let room = cx
         .service
         .read(|machine, _| machine.estimate_room(cx.class));
-    let spread = rand::rng().random_range(0.5..1.5);
-    let now = cx.gateway.clock.now();
-    let left = cx.deadline.saturating_duration_since(now);
-    room.mul_f64(spread).min(left / 3)
+    let mut rng = rand::rng();
+    if now + room * 2 < cx.arrived + cx.objective {
+        room.mul_f64(rng.random_range(0.5..1.5)).min(longest)
+    } else {
+        longest.mul_f64(rng.random_range(0.5..1.0))
+    }
 }
 
 fn log_end(routed: &Routed, cx: &CallContext, end: &CallEnd) {
