fix(core): place a request with targets that do not tell their load

Change: when nobody is left to ask, a target that has not answered is used; it is asked again only after the age of a fresh report.

--- a/crates/core/src/service/sampling.rs
+++ b/crates/core/src/service/sampling.rs
@@ -83,7 +83,8 @@
         let Some(plan) = self.spec.sampling else {
             return true;
         };
-        match self.find_best_work(now, plan, key) {
+        let best = self.find_best_work(now, plan, key);
+        match best {
             Best::Good => return true,
             Best::NoRoom => return false,
             Best::Slow | Best::Unknown => {}
@@ -99,6 +100,10 @@
             return self.count_waiting() <= 1 || has_time;
         }
         let asked = self.ask(now, plan, key, out);
+        if asked == 0 && best == Best::Unknown {
+            // Those that do not answer may still work.
+            return true;
+        }
         // With nobody left to ask, the pace of those that were asked may change.
         let pause = if asked == 0 {
             plan.fresh / 2
@@ -184,7 +189,7 @@
                 let is_known = target.get_report(now, plan.fresh).is_some();
                 let is_asked = target
                     .sampled_at
-                    .is_some_and(|at| now.saturating_duration_since(at) < plan.wait);
+                    .is_some_and(|at| now.saturating_duration_since(at) < plan.fresh);
                 target.is_usable()
                     && !is_known
                     && !is_asked
