fix(core): go to a target that did not answer only when nobody is left to ask

Ruled out: the longer time between two questions to one target. Change: a round tells whether anybody was left to ask; a mute target is used when its time to answer has passed.

--- a/crates/core/src/service/sampling.rs
+++ b/crates/core/src/service/sampling.rs
@@ -64,6 +64,15 @@
     Good,
 }
 
+/// What came of a round of questions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Asked {
+    /// So many targets were asked; none if the budget is spent.
+    Targets(usize),
+    /// Every target with room has told its pace or was asked just now.
+    NobodyLeft,
+}
+
 impl Service {
     /// Factor of the usual time up to which a target's pace is good enough to
     /// place a request without asking further.
@@ -100,20 +109,18 @@
             return self.count_waiting() <= 1 || has_time;
         }
         let asked = self.ask(now, plan, key, out);
-        if asked == 0 && best == Best::Unknown {
-            // Those that do not answer may still work.
+        let is_mute = best == Best::Unknown && self.count_unanswered(now, plan) == 0;
+        if asked == Asked::NobodyLeft && is_mute {
+            // Those that did not answer in time may still work.
             return true;
         }
         // With nobody left to ask, the pace of those that were asked may change.
-        let pause = if asked == 0 {
-            plan.fresh / 2
-        } else {
-            plan.wait
-        };
+        let is_pause = matches!(asked, Asked::NobodyLeft | Asked::Targets(0));
+        let pause = if is_pause { plan.fresh / 2 } else { plan.wait };
         let sampling = &mut self.calls[key].sampling;
         sampling.rounds += 1;
         sampling.until = Some(now + pause);
-        sampling.is_pause = asked == 0;
+        sampling.is_pause = is_pause;
         false
     }
 
@@ -178,7 +185,7 @@
     }
 
     /// Asks the most promising targets without a fresh report.
-    fn ask(&mut self, now: Instant, plan: Sampling, key: CallKey, out: &mut Vec<Output>) -> usize {
+    fn ask(&mut self, now: Instant, plan: Sampling, key: CallKey, out: &mut Vec<Output>) -> Asked {
         let overview = self.make_overview(now);
         let call = &self.calls[key];
         let mut candidates: Vec<(f32, usize)> = self
@@ -201,6 +208,9 @@
             })
             .collect();
         candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
+        if candidates.is_empty() {
+            return Asked::NobodyLeft;
+        }
         candidates.truncate(usize::from(plan.fanout));
         let vms = match self.vms {
             0 | 1 => Self::CAUTIOUS_VMS,
@@ -214,6 +224,6 @@
                 target: TargetKey(*index as u16),
             });
         }
-        granted
+        Asked::Targets(granted)
     }
 }
