feat(gateway): one reading of the targets for the whole fleet

Ruled out: a chosen reader, whose loss has to be noticed; a shorter pause between tries alone, which leaves the two seconds. Change: Refresh, a timer that each reading of any VM restarts; the reader tells the changes by datagram, and who misses one reads for itself. Two VMs wait for configurations. Targets whose entries went while the list was away are used only while fewer than half of their service are listed.

--- a/crates/core/src/discovery/directory.rs
+++ b/crates/core/src/discovery/directory.rs
@@ -14,12 +14,27 @@
     is_replaced: bool,
 }
 
+impl Known {
+    /// Carries over what holds for the whole life of a start: it does not stop
+    /// draining, and the time for which it stays slow counts from its first
+    /// reading, since each later one is shorter.
+    fn adapt(&self, entry: &mut TargetEntry) {
+        if entry.incarnation == self.entry.incarnation {
+            entry.is_draining |= self.entry.is_draining;
+            entry.cold_left = self.entry.cold_left;
+        }
+    }
+}
+
 /// Targets by their registered name, and whether the list can be believed.
 ///
 /// - An entry that goes while the list is readable is a target that has gone.
 /// - An entry that goes while the store is away, or within
-///   [`Self::SETTLE`] of its return, may have lapsed for want of a heartbeat:
-///   the target stays in use until the time for its return has passed.
+///   [`Self::SETTLE`] of its return, may have lapsed for want of a heartbeat.
+///   Its target stays known until the time for its return has passed, and it
+///   is used while fewer than half of the service's targets are listed: then
+///   the store has lost heartbeats. A few that are missing have rather gone
+///   while this VM could not see it.
 /// - `draining` holds for a start of a target: a stale reading does not take
 ///   it back, a new start does.
 #[derive(Debug, Default)]
@@ -45,13 +60,53 @@
 
     /// Returns the targets of a service, draining ones included.
     pub fn get_targets(&self, service: &str, connections: u16) -> Vec<TargetSpec> {
-        self.known
-            .iter()
-            .filter(|known| known.entry.service == service && !known.is_replaced)
+        let of_service = || {
+            self.known
+                .iter()
+                .filter(|known| known.entry.service == service && !known.is_replaced)
+        };
+        let listed = of_service().filter(|known| !known.has_lapsed).count();
+        let uses_lapsed = listed * 2 < of_service().count();
+        of_service()
+            .filter(|known| uses_lapsed || !known.has_lapsed)
             .map(|known| known.entry.make_spec(connections))
             .collect()
     }
 
+    /// Returns true if the entry says more than is known.
+    pub fn is_news(&self, entry: &TargetEntry) -> bool {
+        match self.find(&entry.incarnation.id) {
+            Err(_) => true,
+            Ok(index) => {
+                let known = &self.known[index];
+                let mut entry = entry.clone();
+                known.adapt(&mut entry);
+                known.has_lapsed || entry != known.entry
+            }
+        }
+    }
+
+    /// Returns true if a target with the name is known and listed.
+    pub fn is_listed(&self, id: &str) -> bool {
+        self.find(id)
+            .is_ok_and(|index| !self.known[index].has_lapsed)
+    }
+
+    /// Returns how long entries that go may have lapsed, seen from now.
+    pub fn get_settle_left(&self, now: Instant) -> Duration {
+        match self.settled_at {
+            Some(at) if !self.is_away => at.saturating_duration_since(now),
+            _ => Duration::ZERO,
+        }
+    }
+
+    /// Notes that the store returned lately, as a peer tells.
+    pub fn extend_settle(&mut self, now: Instant, left: Duration) {
+        if !left.is_zero() {
+            self.settled_at = Some(self.settled_at.map_or(now + left, |at| at.max(now + left)));
+        }
+    }
+
     /// Notes that the list cannot be read.
     pub fn set_away(&mut self) {
         self.is_away = true;
@@ -105,7 +160,9 @@
             return;
         };
         if self.is_settling(now) {
-            self.known[index].has_lapsed = true;
+            let known = &mut self.known[index];
+            known.has_lapsed = true;
+            changed.push(known.entry.service.clone());
             return;
         }
         let known = self.known.remove(index);
@@ -149,15 +206,12 @@
         if entry.incarnation.born_ms < old.incarnation.born_ms {
             return;
         }
-        let is_same_start = entry.incarnation == old.incarnation;
-        if is_same_start {
-            entry.is_draining |= old.is_draining;
-            // What is left shrinks with each reading; the first one counts from the start.
-            entry.cold_left = old.cold_left;
-        }
-        known.has_lapsed = false;
-        known.is_replaced &= is_same_start && entry.addr == old.addr;
-        if entry != *old {
+        known.adapt(&mut entry);
+        let old = &known.entry;
+        let is_same_place = entry.incarnation == old.incarnation && entry.addr == old.addr;
+        known.is_replaced &= is_same_place;
+        let was_lapsed = std::mem::take(&mut known.has_lapsed);
+        if was_lapsed || entry != *old {
             changed.push(old.service.clone());
             if entry.service != old.service {
                 changed.push(entry.service.clone());
--- a/crates/core/src/discovery/mod.rs
+++ b/crates/core/src/discovery/mod.rs
@@ -4,6 +4,8 @@
 
 mod directory;
 mod entry;
+mod refresh;
 
 pub use directory::Directory;
 pub use entry::{Incarnation, TargetEntry};
+pub use refresh::{Refresh, Relayed};
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,7 +21,7 @@
 
 pub use clock::{Clock, HybridClock, HybridTime};
 pub use code::{ResultCode, RunState};
-pub use discovery::{Directory, Incarnation, TargetEntry};
+pub use discovery::{Directory, Incarnation, Refresh, Relayed, TargetEntry};
 pub use event::{Event, EventKind, EventRing};
 pub use ledger::{
     Claim, ClaimState, Ledger, LedgerAction, LedgerInput, RecordedAnswer, RequestPrint, Version,
--- /dev/null
+++ b/crates/core/tests/refresh.rs
@@ -0,0 +1,91 @@
+//! One reading of the list of targets for the whole fleet.
+
+use gentianridge_core::{Refresh, Relayed};
+use proptest::prelude::*;
+use std::time::{Duration, Instant};
+
+const BOUND: Duration = Duration::from_millis(2_000);
+
+#[test]
+fn gap() {
+    let now = Instant::now();
+    let mut refresh = Refresh::new(BOUND);
+    assert_eq!(
+        refresh.judge(now, 1, 2, 0.5),
+        Relayed::Gap,
+        "nothing is known yet"
+    );
+    refresh.note_read(now, 10, 0.5);
+    assert_eq!(refresh.judge(now, 9, 12, 0.5), Relayed::Applied);
+    assert_eq!(refresh.judge(now, 12, 12, 0.5), Relayed::Known);
+    assert_eq!(refresh.judge(now, 5, 11, 0.5), Relayed::Known);
+    assert!(refresh.get_due().is_some());
+    assert_eq!(refresh.judge(now, 13, 15, 0.5), Relayed::Gap);
+    assert_eq!(
+        refresh.get_due(),
+        None,
+        "a missed word is made good at once"
+    );
+}
+
+/// A late word of a slow peer must not make an old list count as fresh.
+#[test]
+fn late_word() {
+    let now = Instant::now();
+    let mut refresh = Refresh::new(BOUND);
+    refresh.note_read(now, 10, 0.0);
+    let due = refresh.get_due();
+    refresh.judge(now + BOUND / 4, 3, 8, 1.0);
+    assert_eq!(refresh.get_due(), due);
+}
+
+proptest! {
+    /// Whatever words get lost and whichever VM falls silent, no VM's list gets
+    /// older than the bound allows, and the fleet reads little more than one VM would.
+    #[test]
+    fn age_and_calls(
+        vms in 2usize..50,
+        lost in 0u32..40,
+        dead in 0usize..50,
+        seed in any::<u64>(),
+    ) {
+        use rand::{RngExt, SeedableRng};
+        let mut rng = rand_pcg::Pcg32::seed_from_u64(seed);
+        let start = Instant::now();
+        let mut fleet: Vec<Refresh> = (0..vms).map(|_| Refresh::new(BOUND)).collect();
+        let mut fresh = vec![start; vms];
+        let mut version = 1;
+        for refresh in &mut fleet {
+            refresh.note_read(start, version, rng.random());
+        }
+        let mut reads = 0;
+        for step in 1..2_000u64 {
+            let now = start + Duration::from_millis(5 * step);
+            version += 1;
+            for vm in 0..vms {
+                if vm == dead || fleet[vm].get_due().is_some_and(|due| due > now) {
+                    continue;
+                }
+                reads += 1;
+                let base = fleet[vm].get_version().unwrap();
+                fleet[vm].note_read(now, version, rng.random());
+                fresh[vm] = now;
+                for peer in (0..vms).filter(|peer| *peer != vm && *peer != dead) {
+                    if rng.random_range(0..100) >= lost {
+                        let result = fleet[peer].judge(now, base, version, rng.random());
+                        if result != Relayed::Gap {
+                            fresh[peer] = now;
+                        }
+                    }
+                }
+            }
+            for vm in (0..vms).filter(|vm| *vm != dead) {
+                prop_assert!(now - fresh[vm] <= BOUND.mul_f64(0.75));
+            }
+        }
+        if lost == 0 {
+            // 10 s in readings of at least 0.45 of the bound, and a double one now and then.
+            prop_assert!(reads <= 24, "{} readings", reads);
+        }
+    }
+}
--- a/crates/daemon/src/gateway/feeds.rs
+++ b/crates/daemon/src/gateway/feeds.rs
@@ -4,8 +4,10 @@
 use gentianridge_adapter::{
     Changes, Row, Store, StoreError, StoreErrorKind, Table, decode_entry, decode_routes,
 };
-use gentianridge_core::EventKind;
+use gentianridge_core::{EventKind, Refresh, Relayed, TargetEntry};
+use gentianridge_wire::ListNews;
 use rand::RngExt;
+use smol_str::SmolStr;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,13 +18,12 @@
 /// at once when there is one; a connection that was forgotten shows by its
 /// keep-alive, see [`Store`].
 const CONFIG_WAIT: Duration = Duration::from_secs(15);
+/// Time between two looks whether this VM has to wait at the store.
+const WATCH_CHECK: Duration = Duration::from_millis(250);
 /// Shortest and longest pause after a failed call. Jitter keeps VMs from
 /// asking together when the store returns.
 const MIN_PAUSE: Duration = Duration::from_millis(100);
 const MAX_PAUSE: Duration = Duration::from_millis(1_000);
-/// Share of the drain bound after which the list of targets is read again;
-/// what is left covers the call and a request on its way.
-const LIST_SHARE: f64 = 0.6;
 
 /// Whether the store answers, as an event when it changes.
 #[derive(Debug, Default)]
@@ -68,6 +69,13 @@
     let mut after = None;
     let mut backoff = Backoff::new();
     loop {
+        if after.is_some() && !gateway.peers.is_watcher(gateway.clock.now()) {
+            tokio::select! {
+                () = tokio::time::sleep(WATCH_CHECK) => {}
+                () = gateway.peers.wait_newer_version() => after = None,
+            }
+            continue;
+        }
         let store = gateway.get_store();
         let result = tokio::select! {
             result = read_config(&store, after) => result,
@@ -85,6 +93,7 @@
                 for row in &changes.rows {
                     take_config(&gateway, row);
                 }
+                gateway.peers.note_load_change();
             }
             Err(error) if error.get_kind() == StoreErrorKind::HistoryGone => after = None,
             Err(error) => {
@@ -119,11 +128,12 @@
     }
 }
 
-/// Keeps the list of targets.
+/// Keeps the list of targets, by own readings and by those that peers tell.
 pub(crate) async fn follow_targets(gateway: Rc<Gateway>, health: Rc<StoreHealth>) {
-    let mut after = None;
     let mut backoff = Backoff::new();
     loop {
+        wait_until_due(&gateway).await;
+        let after = gateway.with_refresh(|refresh| refresh.get_version());
         let store = gateway.get_store();
         let result = match after {
             None => store.get_all(Table::Targets).await,
@@ -133,39 +143,86 @@
             Ok(changes) => {
                 health.note(&gateway, false);
                 backoff.reset();
-                let is_whole = after.is_none();
-                after = Some(changes.version);
-                take_targets(&gateway, changes, is_whole);
-                pause_until_next(&gateway).await;
+                take_targets(&gateway, changes, after);
+            }
+            Err(error) if error.get_kind() == StoreErrorKind::HistoryGone => {
+                log::info!("the store dropped the history of the targets; all are read");
+                gateway.with_refresh(Refresh::reset);
             }
-            Err(error) if error.get_kind() == StoreErrorKind::HistoryGone => after = None,
             Err(error) => {
                 log::debug!("cannot read the targets: {error}");
                 health.note(&gateway, true);
                 gateway.change_targets(|directory, _| directory.set_away());
-                backoff.pause().await;
+                tokio::select! {
+                    () = backoff.pause() => {}
+                    // A peer that reads the store makes it known to all.
+                    () = gateway.peers.wait_list() => backoff.reset(),
+                }
             }
         }
     }
 }
 
-/// Waits for the next reading and drops lapsed targets that are due meanwhile.
-async fn pause_until_next(gateway: &Gateway) {
-    let period = gateway.get_settings().drain.mul_f64(LIST_SHARE);
-    let next = gateway.clock.now() + period;
-    while let Some(expiry) = gateway.next_expiry().filter(|at| *at < next) {
-        tokio::time::sleep_until(expiry.into()).await;
+/// Waits until this VM has to read the list itself and drops lapsed targets
+/// that are due meanwhile.
+async fn wait_until_due(gateway: &Gateway) {
+    while let Some(due) = gateway.with_refresh(|refresh| refresh.get_due()) {
         let now = gateway.clock.now();
-        gateway.change_targets(|directory, changed| directory.expire(now, changed));
+        if due <= now {
+            return;
+        }
+        let expiry = gateway.next_expiry().filter(|at| *at < due);
+        tokio::select! {
+            () = tokio::time::sleep_until(expiry.unwrap_or(due).into()) => {
+                let now = gateway.clock.now();
+                gateway.change_targets(|directory, changed| directory.expire(now, changed));
+            }
+            () = gateway.peers.wait_list() => {}
+        }
     }
-    tokio::time::sleep_until(next.into()).await;
 }
 
-fn take_targets(gateway: &Gateway, changes: Changes, is_whole: bool) {
+/// Takes in a reading of this VM and tells the peers.
+fn take_targets(gateway: &Gateway, changes: Changes, after: Option<u64>) {
     let now = gateway.clock.now();
-    let mut entries = Vec::with_capacity(changes.rows.len());
+    let (entries, mut gone) = decode_rows(changes.rows);
+    let mut news = ListNews {
+        base: after.unwrap_or(changes.version),
+        version: changes.version,
+        ..ListNews::default()
+    };
+    gateway.change_targets(|directory, changed| {
+        directory.set_readable(now);
+        news.settle_left = directory.get_settle_left(now);
+        gone.retain(|id| directory.is_listed(id));
+        news.entries = entries
+            .iter()
+            .filter(|entry| directory.is_news(entry))
+            .cloned()
+            .collect();
+        if after.is_none() {
+            *changed = directory.read_all(now, entries);
+            return;
+        }
+        for entry in entries {
+            directory.put(entry, changed);
+        }
+        for id in &gone {
+            directory.remove(now, id, changed);
+        }
+    });
+    news.gone = gone;
+    let draw = rand::rng().random();
+    gateway.with_refresh(|refresh| refresh.note_read(now, changes.version, draw));
+    if after.is_some() {
+        gateway.peers.tell_list(news);
+    }
+}
+
+fn decode_rows(rows: Vec<Row>) -> (Vec<TargetEntry>, Vec<SmolStr>) {
+    let mut entries = Vec::with_capacity(rows.len());
     let mut gone = Vec::new();
-    for row in changes.rows {
+    for row in rows {
         let Some(value) = &row.value else {
             gone.push(row.key);
             continue;
@@ -177,17 +234,27 @@
             Err(error) => log::warn!("entry {} cannot be read: {error}", row.key),
         }
     }
-    gateway.change_targets(|directory, changed| {
-        directory.set_readable(now);
-        if is_whole {
-            *changed = directory.read_all(now, entries);
-            return;
-        }
-        for entry in entries {
-            directory.put(entry, changed);
-        }
-        for id in gone {
-            directory.remove(now, &id, changed);
-        }
-    });
+    (entries, gone)
+}
+
+/// Takes in a reading that a peer tells.
+pub(crate) fn take_list_news(gateway: &Gateway, news: &ListNews) {
+    let now = gateway.clock.now();
+    let draw = rand::rng().random();
+    let judged = gateway.with_refresh(|refresh| refresh.judge(now, news.base, news.version, draw));
+    if judged != Relayed::Gap {
+        gateway.change_targets(|directory, changed| {
+            directory.set_readable(now);
+            directory.extend_settle(now, news.settle_left);
+            if judged == Relayed::Applied {
+                for entry in &news.entries {
+                    directory.put(entry.clone(), changed);
+                }
+                for id in &news.gone {
+                    directory.remove(now, id, changed);
+                }
+            }
+        });
+    }
+    gateway.peers.note_list();
 }
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -3,10 +3,11 @@
 //!
 //! docs/decisions/0014-peer-loads.md gives the reasons and the costs.
 
+use super::feeds::take_list_news;
 use super::state::{Gateway, Phase};
 use gentianridge_adapter::{StoreError, Table};
 use gentianridge_core::{EventKind, Incarnation, TargetKey, VmName};
-use gentianridge_wire::{PeerDatagram, TargetLoad};
+use gentianridge_wire::{ListNews, PeerDatagram, TargetLoad};
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
@@ -23,6 +24,12 @@
 const REPEAT: Duration = Duration::from_millis(300);
 /// Silence after which a peer gets only a greeting a second.
 const SILENT: Duration = Duration::from_secs(3);
+/// VMs that wait at the store for a newer configuration; two, so that the loss
+/// of one delays nothing.
+const WATCHERS: usize = 2;
+/// Silence after which a peer does not count as waiting at the store; three
+/// datagrams in a row are lost by then.
+const WATCH_SILENCE: Duration = Duration::from_secs(1);
 /// Time for which the largest fleet seen counts as the fleet's size: a VM that
 /// is cut off from its peers must not take their parts of a shared budget.
 const KEEP_SIZE: Duration = Duration::from_secs(60);
@@ -49,6 +56,9 @@
     me: VmName,
     changed: Notify,
     newer: Notify,
+    list: Notify,
+    /// Reading of the list to tell with the next datagram.
+    news: RefCell<Option<ListNews>>,
     newest: Cell<u64>,
     seq: Cell<u64>,
     incarnation: Cell<u64>,
@@ -69,6 +79,8 @@
             me,
             changed: Notify::new(),
             newer: Notify::new(),
+            list: Notify::new(),
+            news: RefCell::new(None),
             newest: Cell::new(0),
             seq: Cell::new(0),
             incarnation: Cell::new(0),
@@ -87,6 +99,22 @@
         self.newer.notified().await;
     }
 
+    /// Tells the peers a reading of the list of targets.
+    pub(crate) fn tell_list(&self, news: ListNews) {
+        *self.news.borrow_mut() = Some(news);
+        self.changed.notify_one();
+    }
+
+    /// Notes that a peer told a reading.
+    pub(crate) fn note_list(&self) {
+        self.list.notify_one();
+    }
+
+    /// Waits until a peer has told a reading.
+    pub(crate) async fn wait_list(&self) {
+        self.list.notified().await;
+    }
+
     fn add(&self, vm: &VmName, addr: SocketAddr) -> usize {
         let mut peers = self.peers.borrow_mut();
         if let Some(index) = peers.iter().position(|peer| peer.vm == *vm) {
@@ -118,6 +146,20 @@
         }
     }
 
+    /// Returns true if this VM is one of the few that wait at the store for a
+    /// newer configuration; the others hear of it from these. A VM that hears
+    /// no peer waits there itself.
+    pub(crate) fn is_watcher(&self, now: Instant) -> bool {
+        let peers = self.peers.borrow();
+        let before_me = peers.iter().filter(|peer| {
+            let is_heard = peer
+                .heard
+                .is_some_and(|at| now.saturating_duration_since(at) < WATCH_SILENCE);
+            is_heard && !peer.is_leaving && peer.vm < self.me
+        });
+        before_me.count() < WATCHERS
+    }
+
     /// Returns the largest number of VMs that was live lately.
     fn count_vms(&self, now: Instant) -> u16 {
         let live = self.peers.borrow().iter().filter(|p| p.is_live).count() as u16 + 1;
@@ -184,7 +226,7 @@
         let now = gateway.clock.now();
         judge_silence(&gateway, now);
         let mut datagram = make_datagram(&gateway);
-        let bytes = datagram.encode();
+        let bytes = encode_with_list(&gateway.peers, &mut datagram);
         datagram.is_hello = true;
         let greeting = datagram.encode();
         for (addr, is_greeting) in choose_receivers(&gateway.peers, now) {
@@ -197,6 +239,17 @@
     }
 }
 
+/// Adds the reading to tell; one that does not fit is left out, and the peers
+/// read the store themselves.
+fn encode_with_list(peers: &Peers, datagram: &mut PeerDatagram) -> Vec<u8> {
+    datagram.list = peers.news.take();
+    let bytes = datagram.encode();
+    if datagram.list.take().is_some() && bytes.len() > PeerDatagram::MAX_BYTES {
+        return datagram.encode();
+    }
+    bytes
+}
+
 fn choose_receivers(peers: &Peers, now: Instant) -> Vec<(SocketAddr, bool)> {
     let is_within = |at: Option<Instant>, limit: Duration| {
         at.is_some_and(|at| now.saturating_duration_since(at) < limit)
@@ -246,6 +299,7 @@
         is_leaving: gateway.get_phase() == Phase::Stopping,
         loads,
         crashes: Vec::new(),
+        list: None,
     }
 }
 
@@ -297,6 +351,9 @@
         peers.changed.notify_one();
     }
     take_loads(gateway, index as u16, datagram);
+    if let Some(news) = &datagram.list {
+        take_list_news(gateway, news);
+    }
     if datagram.version > gateway.get_version().max(peers.newest.get()) {
         peers.newest.set(datagram.version);
         peers.newer.notify_one();
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -9,7 +9,7 @@
 use gentianridge_config::GatewaySettings;
 use gentianridge_core::{
     CallerLimits, ClassKey, ClassKind, ClassSpec, Clock, Directory, EventKind, Incarnation,
-    MethodSet, ResultCode, RouteMatch, RouteTable, RoutedService, Sampling, ServiceSpec,
+    MethodSet, Refresh, ResultCode, RouteMatch, RouteTable, RoutedService, Sampling, ServiceSpec,
     TargetSpec,
 };
 use http::{Request, header};
@@ -87,6 +87,7 @@
     pub(crate) counters: GatewayCounters,
     routes: RefCell<Option<RouteTable>>,
     directory: RefCell<Directory>,
+    refresh: RefCell<Refresh>,
     services: RefCell<Vec<Entry>>,
     phase: Cell<Phase>,
 }
@@ -118,6 +119,7 @@
             counters: GatewayCounters::default(),
             routes: RefCell::new(None),
             directory: RefCell::new(Directory::new()),
+            refresh: RefCell::new(Refresh::new(settings.drain)),
             services: RefCell::new(Vec::new()),
             phase: Cell::new(Phase::Running),
             settings: RefCell::new(settings),
@@ -147,6 +149,7 @@
                 Err(error) => log::error!("cannot use the store at {}: {error}", settings.store),
             }
         }
+        self.refresh.borrow_mut().set_bound(settings.drain);
         *self.settings.borrow_mut() = settings;
         self.apply_all();
     }
@@ -349,6 +352,11 @@
         }
     }
 
+    /// Uses the timer of the list of targets.
+    pub(crate) fn with_refresh<T>(&self, act: impl FnOnce(&mut Refresh) -> T) -> T {
+        act(&mut self.refresh.borrow_mut())
+    }
+
     /// Returns when a lapsed target is due to be dropped.
     pub(crate) fn next_expiry(&self) -> Option<Instant> {
         self.directory.borrow().next_expiry()
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -1,8 +1,10 @@
 //! The datagram that VMs on the platform send each other.
 
 use crate::{WireError, WireErrorKind};
+use gentianridge_core::{Incarnation, TargetEntry};
 use prost::Message;
 use smol_str::SmolStr;
+use std::time::Duration;
 
 /// Newest format that this process reads and the one that it writes.
 const FORMAT: u32 = 1;
@@ -39,6 +41,58 @@
     /// Fingerprints of requests under which targets crashed, with the crashes
     /// that the sender saw.
     pub crashes: Vec<(u64, u16)>,
+    /// What the sender has just read of the list of targets.
+    pub list: Option<ListNews>,
+}
+
+/// A reading of the list of targets, told to those who then need not read it.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ListNews {
+    /// Version of the store after which the changes follow.
+    pub base: u64,
+    /// Version of the store up to which they reach.
+    pub version: u64,
+    /// Time for which entries that go may have lapsed, because the store
+    /// returned lately.
+    pub settle_left: Duration,
+    /// New or changed entries.
+    pub entries: Vec<TargetEntry>,
+    /// Names of the targets whose entries have gone.
+    pub gone: Vec<SmolStr>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct EncodedList {
+    #[prost(uint64, tag = "1")]
+    base: u64,
+    #[prost(uint64, tag = "2")]
+    version: u64,
+    #[prost(uint32, tag = "3")]
+    settle_left_ms: u32,
+    #[prost(message, repeated, tag = "4")]
+    entries: Vec<EncodedEntry>,
+    #[prost(string, repeated, tag = "5")]
+    gone: Vec<String>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct EncodedEntry {
+    #[prost(string, tag = "1")]
+    id: String,
+    #[prost(uint64, tag = "2")]
+    born_ms: u64,
+    #[prost(string, tag = "3")]
+    service: String,
+    #[prost(string, tag = "4")]
+    addr: String,
+    #[prost(string, tag = "5")]
+    domain: String,
+    #[prost(uint32, tag = "6")]
+    slots: u32,
+    #[prost(bool, tag = "7")]
+    is_draining: bool,
+    #[prost(uint32, tag = "8")]
+    cold_left_ms: u32,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -65,6 +119,8 @@
     crash_prints: Vec<u64>,
     #[prost(uint32, repeated, tag = "11")]
     crash_counts: Vec<u32>,
+    #[prost(message, optional, tag = "12")]
+    list: Option<EncodedList>,
 }
 
 impl PeerDatagram {
@@ -93,6 +149,7 @@
                 .iter()
                 .map(|(_, count)| u32::from(*count))
                 .collect(),
+            list: self.list.as_ref().map(encode_list),
         };
         encoded.encode_to_vec()
     }
@@ -127,10 +184,71 @@
             crashes: crashes
                 .map(|(print, count)| (*print, clamp(*count)))
                 .collect(),
+            list: encoded.list.map(decode_list).transpose()?,
         })
     }
 }
 
+fn encode_list(list: &ListNews) -> EncodedList {
+    EncodedList {
+        base: list.base,
+        version: list.version,
+        settle_left_ms: millis_of(list.settle_left),
+        entries: list.entries.iter().map(encode_entry).collect(),
+        gone: list.gone.iter().map(SmolStr::to_string).collect(),
+    }
+}
+
+fn encode_entry(entry: &TargetEntry) -> EncodedEntry {
+    EncodedEntry {
+        id: entry.incarnation.id.to_string(),
+        born_ms: entry.incarnation.born_ms,
+        service: entry.service.to_string(),
+        addr: entry.addr.to_string(),
+        domain: entry.domain.to_string(),
+        slots: u32::from(entry.slots),
+        is_draining: entry.is_draining,
+        cold_left_ms: millis_of(entry.cold_left),
+    }
+}
+
+fn decode_list(list: EncodedList) -> Result<ListNews, WireError> {
+    let entries: Result<Vec<TargetEntry>, WireError> =
+        list.entries.into_iter().map(decode_entry).collect();
+    Ok(ListNews {
+        base: list.base,
+        version: list.version,
+        settle_left: Duration::from_millis(u64::from(list.settle_left_ms)),
+        entries: entries?,
+        gone: list.gone.into_iter().map(SmolStr::from).collect(),
+    })
+}
+
+fn decode_entry(entry: EncodedEntry) -> Result<TargetEntry, WireError> {
+    let addr = entry.addr.parse().map_err(|error| {
+        WireError::new(
+            WireErrorKind::Malformed,
+            format!("{:?}: {error}", entry.addr),
+        )
+    })?;
+    Ok(TargetEntry {
+        incarnation: Incarnation {
+            id: entry.id.into(),
+            born_ms: entry.born_ms,
+        },
+        service: entry.service.into(),
+        addr,
+        domain: entry.domain.into(),
+        slots: clamp(entry.slots),
+        is_draining: entry.is_draining,
+        cold_left: Duration::from_millis(u64::from(entry.cold_left_ms)),
+    })
+}
+
+fn millis_of(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 fn clamp(count: u32) -> u16 {
     u16::try_from(count).unwrap_or(u16::MAX)
 }
