perf(gateway): fewer connections, and loads to other domains less often

Every change of load went to all 37 peers. Change: a sample's connection is kept before its report is given; peers in another domain hear of loads at most every 290 ms, of lists and versions at once.

--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -6,7 +6,7 @@
 use super::feeds::take_list_news;
 use super::state::{Gateway, Phase};
 use gentianridge_adapter::{StoreError, Table};
-use gentianridge_core::{EventKind, Incarnation, TargetKey, VmName};
+use gentianridge_core::{DomainName, EventKind, Incarnation, TargetKey, VmName};
 use gentianridge_wire::{ListNews, PeerDatagram, TargetLoad};
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
@@ -22,6 +22,9 @@
 const GATHER: Duration = Duration::from_millis(10);
 /// Longest time between two datagrams.
 const REPEAT: Duration = Duration::from_millis(300);
+/// Shortest time between two datagrams to a peer in another failure domain;
+/// three of them fit into the time for which counts are fresh.
+const FAR_REPEAT: Duration = Duration::from_millis(290);
 /// Silence after which a peer gets only a greeting a second.
 const SILENT: Duration = Duration::from_secs(3);
 /// VMs that wait at the store for a newer configuration; two, so that the loss
@@ -41,9 +44,12 @@
 #[derive(Debug)]
 struct Peer {
     vm: VmName,
+    /// Failure domain, unknown until the peer was heard.
+    domain: DomainName,
     addr: SocketAddr,
     incarnation: u64,
     seq: u64,
+    told: Option<Instant>,
     heard: Option<Instant>,
     greeted: Option<Instant>,
     is_leaving: bool,
@@ -125,9 +131,11 @@
         }
         let peer = Peer {
             vm: vm.clone(),
+            domain: DomainName::default(),
             addr,
             incarnation: 0,
             seq: 0,
+            told: None,
             heard: None,
             greeted: None,
             is_leaving: false,
@@ -220,16 +228,20 @@
 }
 
 async fn send(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    let mut told_version = 0;
     loop {
         let _ = tokio::time::timeout(REPEAT, gateway.peers.changed.notified()).await;
         tokio::time::sleep(GATHER).await;
         let now = gateway.clock.now();
         judge_silence(&gateway, now);
         let mut datagram = make_datagram(&gateway);
+        let version = datagram.version;
         let bytes = encode_with_list(&gateway.peers, &mut datagram);
+        let is_urgent = bytes.len() > datagram.encode().len() || version != told_version;
+        told_version = version;
         datagram.is_hello = true;
         let greeting = datagram.encode();
-        for (addr, is_greeting) in choose_receivers(&gateway.peers, now) {
+        for (addr, is_greeting) in choose_receivers(&gateway, now, is_urgent) {
             let bytes = if is_greeting { &greeting } else { &bytes };
             // Loads are told again soon, so that a lost datagram needs no answer.
             if let Err(error) = socket.try_send_to(bytes, addr) {
@@ -250,17 +262,27 @@
     bytes
 }
 
-fn choose_receivers(peers: &Peers, now: Instant) -> Vec<(SocketAddr, bool)> {
+/// Chooses who is told now, and who is only greeted.
+///
+/// Loads matter most within a failure domain, whose targets are preferred.
+/// Peers in another one hear of them less often, since bytes between domains
+/// cost money; what is urgent goes to all at once.
+fn choose_receivers(gateway: &Gateway, now: Instant, is_urgent: bool) -> Vec<(SocketAddr, bool)> {
     let is_within = |at: Option<Instant>, limit: Duration| {
         at.is_some_and(|at| now.saturating_duration_since(at) < limit)
     };
+    let my_domain = gateway.get_settings().domain.clone();
     let mut chosen = Vec::new();
-    for peer in peers.peers.borrow_mut().iter_mut() {
+    for peer in gateway.peers.peers.borrow_mut().iter_mut() {
         if peer.vm.is_empty() {
             continue;
         }
         if is_within(peer.heard, SILENT) {
-            chosen.push((peer.addr, false));
+            let is_far = peer.domain != my_domain;
+            if is_urgent || !is_far || !is_within(peer.told, FAR_REPEAT) {
+                peer.told = Some(now);
+                chosen.push((peer.addr, false));
+            }
         } else if !is_within(peer.greeted, Duration::from_secs(1)) {
             peer.greeted = Some(now);
             chosen.push((peer.addr, true));
@@ -292,6 +314,7 @@
     });
     PeerDatagram {
         vm: peers.me.clone(),
+        domain: gateway.get_settings().domain.clone(),
         incarnation: peers.incarnation.get(),
         seq: peers.seq.get(),
         version: gateway.get_version(),
@@ -337,6 +360,7 @@
         peer.incarnation = datagram.incarnation;
         peer.seq = datagram.seq;
         peer.addr = addr;
+        peer.domain = datagram.domain.clone();
         peer.heard = Some(now);
         peer.is_leaving = datagram.is_leaving;
         !std::mem::replace(&mut peer.is_live, true)
--- a/crates/daemon/src/gateway/samples.rs
+++ b/crates/daemon/src/gateway/samples.rs
@@ -65,14 +65,16 @@
         .map_err(|error| anyhow::anyhow!("{error:?}"))?;
     let (head, body) = response.into_parts();
     body.collect().await?;
+    if link.note_answer(gateway.clock.now(), &head.headers) && link.wait_ready().await {
+        // Kept before the report is given, since the request that waits for it
+        // goes to this target next.
+        gateway.links.keep(&incarnation, link);
+    }
     if let Some(report) =
         get_text(&head.headers, &gateway.headers.load).and_then(|text| parse_load(&text))
     {
         service.report(target, None, report);
     }
-    if link.note_answer(gateway.clock.now(), &head.headers) {
-        gateway.keep_link(incarnation, link);
-    }
     Ok(())
 }
 
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -26,6 +26,8 @@
 pub struct PeerDatagram {
     /// Sender.
     pub vm: SmolStr,
+    /// Failure domain of the sender.
+    pub domain: SmolStr,
     /// Unix time of the sender's start in milliseconds.
     pub incarnation: u64,
     /// Number of the datagram since the start.
@@ -121,6 +123,8 @@
     crash_counts: Vec<u32>,
     #[prost(message, optional, tag = "12")]
     list: Option<EncodedList>,
+    #[prost(string, tag = "13")]
+    domain: String,
 }
 
 impl PeerDatagram {
@@ -150,6 +154,7 @@
                 .map(|(_, count)| u32::from(*count))
                 .collect(),
             list: self.list.as_ref().map(encode_list),
+            domain: self.domain.to_string(),
         };
         encoded.encode_to_vec()
     }
@@ -185,6 +190,7 @@
                 .map(|(print, count)| (*print, clamp(*count)))
                 .collect(),
             list: encoded.list.map(decode_list).transpose()?,
+            domain: encoded.domain.into(),
         })
     }
 }
--- a/crates/wire/tests/datagrams.rs
+++ b/crates/wire/tests/datagrams.rs
@@ -22,6 +22,7 @@
         .prop_map(
             |(vm, incarnation, seq, version, flags, loads, crashes, list)| PeerDatagram {
                 vm: vm.into(),
+                domain: "d1".into(),
                 incarnation,
                 seq,
                 version,
