test(gateway): the data path over sockets against the published calls

Cause: the daemon on the platform had tests of its decisions only; what it says to callers was seen on the bench alone. Change: testkit has a store with rows-get, rows-feed and rows-tx and its faults, targets that lose, cut, mix up or double answers, a caller that sees bytes, and a daemon on a thread of its own. 25 tests: outcomes, wrong answers, leaving and replaced targets, reused addresses, forged entries, configurations upward only, a planned stop, one reading for the fleet, the store away.

--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -18,4 +18,4 @@
 mod samples;
 mod state;
 
-pub use run::run_gateway;
+pub use run::{run_gateway, run_gateway_until};
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -41,7 +41,29 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    runtime.block_on(LocalSet::new().run_until(run(path, settings)))
+    let run = async {
+        let gateway = Gateway::new(settings, Arc::new(SystemClock))?;
+        tokio::task::spawn_local(follow_settings(gateway.clone(), path.to_owned()));
+        serve(gateway, wait_for_signal()?).await
+    };
+    runtime.block_on(LocalSet::new().run_until(run))
+}
+
+/// Runs a daemon with given settings until `stop` is ready, on a thread of its
+/// own that it must have for itself; for tests and tools that embed one.
+///
+/// # Errors
+///
+/// Fails if an address cannot be bound.
+pub fn run_gateway_until(
+    settings: GatewaySettings,
+    stop: impl Future<Output = ()>,
+) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let run = async { serve(Gateway::new(settings, Arc::new(SystemClock))?, stop).await };
+    runtime.block_on(LocalSet::new().run_until(run))
 }
 
 fn load(path: &str) -> anyhow::Result<GatewaySettings> {
@@ -49,13 +71,13 @@
     parse_gateway_settings(&text).map_err(|report| anyhow::anyhow!("{path}:\n{report}"))
 }
 
-async fn run(path: &str, settings: GatewaySettings) -> anyhow::Result<()> {
+async fn serve(gateway: Rc<Gateway>, stop: impl Future<Output = ()>) -> anyhow::Result<()> {
+    let settings = gateway.get_settings().clone();
     let callers = bind(settings.callers).await?;
     let ready = bind(settings.ready).await?;
     let socket = UdpSocket::bind(settings.peers)
         .await
         .with_context(|| format!("cannot bind {}", settings.peers))?;
-    let gateway = Gateway::new(settings, Arc::new(SystemClock))?;
     gateway.journal.record(EventKind::VmStarted);
     let (close, closing) = watch::channel(Closing::No);
     let connections = TaskTracker::new();
@@ -72,8 +94,8 @@
     tokio::task::spawn_local(follow_config(gateway.clone(), health.clone()));
     tokio::task::spawn_local(follow_targets(gateway.clone(), health));
     tokio::task::spawn_local(sweep(gateway.clone()));
-    wait_for_stop(&gateway, path).await?;
-    stop(&gateway, &close, &connections).await;
+    stop.await;
+    end(&gateway, &close, &connections).await;
     accept.abort();
     Ok(())
 }
@@ -92,19 +114,34 @@
     }
 }
 
-/// Waits for a signal to stop and takes in changed settings meanwhile.
-async fn wait_for_stop(gateway: &Gateway, path: &str) -> anyhow::Result<()> {
+/// Returns a future that is ready when the process is asked to stop.
+fn wait_for_signal() -> anyhow::Result<impl Future<Output = ()>> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut hangup = signal(SignalKind::hangup())?;
+    Ok(async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    })
+}
+
+/// Takes in changed settings, at SIGHUP and when the file is another one.
+async fn follow_settings(gateway: Rc<Gateway>, path: String) {
     let mut look = tokio::time::interval(SETTINGS_PERIOD);
+    let mut hangup = match signal(SignalKind::hangup()) {
+        Ok(hangup) => hangup,
+        Err(error) => {
+            log::error!("SIGHUP cannot be watched: {error}");
+            return;
+        }
+    };
     loop {
         tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = hangup.recv() => reload(gateway, path),
-            _ = look.tick() => reload(gateway, path),
+            _ = hangup.recv() => {}
+            _ = look.tick() => {}
         }
+        reload(&gateway, &path);
     }
 }
 
@@ -117,7 +154,7 @@
 }
 
 /// Ends the process without a lost request.
-async fn stop(gateway: &Gateway, close: &watch::Sender<Closing>, connections: &TaskTracker) {
+async fn end(gateway: &Gateway, close: &watch::Sender<Closing>, connections: &TaskTracker) {
     let end = tokio::time::Instant::now() + gateway.get_settings().grace - END_MARGIN;
     gateway.stop();
     close.send_replace(Closing::AfterAnswer);
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -8,6 +8,7 @@
 mod history;
 mod load;
 mod platform;
+mod published;
 mod target;
 
 pub use deployment::{Deployment, DeploymentClass, DeploymentService};
@@ -15,4 +16,8 @@
 pub use history::{History, Leave, RevisionSeen, Submitted, Violation, check_history, run_history};
 pub use load::{CallPlan, CallResult, LoadReportTable, RunState, run_calls};
 pub use platform::{PlatformFaults, PlatformStandIn};
+pub use published::{
+    Answering, CallerConnection, GatewayVm, PublishedStore, PublishedTarget, Reply, StoreFault,
+    TargetEntryValue,
+};
 pub use target::{Runs, ServiceTime, TargetFaults, TargetOptions, TargetStandIn};
--- /dev/null
+++ b/crates/testkit/src/published/caller.rs
@@ -0,0 +1,139 @@
+//! A caller with one connection.
+
+use super::http::MessageStream;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// What a caller was answered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reply {
+    /// Status code.
+    pub status: u16,
+    /// Headers, names in lower case.
+    pub headers: Vec<(String, String)>,
+    /// Bytes of the body.
+    pub body: String,
+    /// False if the connection ended before the stated length.
+    pub is_whole: bool,
+}
+
+impl Reply {
+    /// Returns a header.
+    pub fn get(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(known, _)| known == name);
+        found.map(|(_, value)| value.as_str())
+    }
+
+    /// Returns true if the answer ends its connection.
+    pub fn is_closing(&self) -> bool {
+        self.get("connection") == Some("close")
+    }
+}
+
+/// A caller's connection to a daemon.
+#[derive(Debug)]
+pub struct CallerConnection {
+    messages: MessageStream,
+}
+
+impl CallerConnection {
+    /// Longest time for an answer in a test.
+    const PATIENCE: Duration = Duration::from_secs(15);
+    /// Time that a caller says it waits.
+    const TIME_LEFT_MS: u64 = 4_000;
+
+    /// Connects to a daemon.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the daemon takes no connection.
+    pub async fn open(addr: SocketAddr) -> anyhow::Result<Self> {
+        Ok(Self {
+            messages: MessageStream::new(TcpStream::connect(addr).await?),
+        })
+    }
+
+    /// Sends a request without waiting for its answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection is closed.
+    pub async fn send(
+        &mut self,
+        method: &str,
+        path: &str,
+        id: &str,
+        time_left_ms: u64,
+    ) -> anyhow::Result<()> {
+        let body = if method == "POST" { "a body" } else { "" };
+        self.send_body(method, path, id, time_left_ms, body).await
+    }
+
+    async fn send_body(
+        &mut self,
+        method: &str,
+        path: &str,
+        id: &str,
+        time_left_ms: u64,
+        body: &str,
+    ) -> anyhow::Result<()> {
+        let text = format!(
+            "{method} {path} HTTP/1.1\r\nhost: shop.example\r\ngentianridge-attempt-id: {id}\r\n\
+             gentianridge-deadline-ms: {time_left_ms}\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        self.messages.write(text.as_bytes()).await?;
+        Ok(())
+    }
+
+    /// Waits for an answer; none if the connection ends without one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no answer comes in the time of a test.
+    pub async fn receive(&mut self) -> anyhow::Result<Option<Reply>> {
+        let read = tokio::time::timeout(Self::PATIENCE, self.messages.read()).await?;
+        let Ok(Some(message)) = read else {
+            return Ok(None);
+        };
+        let status = message.start.split(' ').nth(1).unwrap_or_default();
+        Ok(Some(Reply {
+            status: status.parse()?,
+            headers: message.headers,
+            body: String::from_utf8_lossy(&message.body).into_owned(),
+            is_whole: message.is_whole,
+        }))
+    }
+
+    /// Sends a request and waits for its answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection ends without an answer.
+    pub async fn ask(&mut self, method: &str, path: &str, id: &str) -> anyhow::Result<Reply> {
+        self.send(method, path, id, Self::TIME_LEFT_MS).await?;
+        self.expect_reply().await
+    }
+
+    /// Sends a request with a body of its own and waits for its answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection ends without an answer.
+    pub async fn ask_with_body(
+        &mut self,
+        path: &str,
+        id: &str,
+        body: &str,
+    ) -> anyhow::Result<Reply> {
+        self.send_body("POST", path, id, Self::TIME_LEFT_MS, body)
+            .await?;
+        self.expect_reply().await
+    }
+
+    async fn expect_reply(&mut self) -> anyhow::Result<Reply> {
+        let reply = self.receive().await?;
+        reply.ok_or_else(|| anyhow::anyhow!("the connection ended without an answer"))
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/published/mod.rs
@@ -0,0 +1,13 @@
+//! Stand-ins that speak what the users' platform publishes: its store, targets
+//! and callers, and a daemon before them.
+
+mod caller;
+mod http;
+mod store;
+mod target;
+mod vm;
+
+pub use caller::{CallerConnection, Reply};
+pub use store::{PublishedStore, StoreFault};
+pub use target::{Answering, PublishedTarget, TargetEntryValue};
+pub use vm::GatewayVm;
--- /dev/null
+++ b/crates/testkit/src/published/store.rs
@@ -0,0 +1,293 @@
+//! The platform's table service with its published calls and its faults.
+
+use super::http::{Message, MessageStream};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+
+/// How the store misbehaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreFault {
+    /// It answers.
+    None,
+    /// It says that nothing was done.
+    Unavailable,
+    /// It takes calls and never answers.
+    Silent,
+    /// It closes each connection without an answer.
+    Reset,
+}
+
+#[derive(Debug, Clone)]
+struct StoredRow {
+    table: String,
+    key: String,
+    value: Option<Vec<u8>>,
+    ver: u64,
+}
+
+#[derive(Debug)]
+struct State {
+    rows: Vec<StoredRow>,
+    ver: u64,
+    /// Versions up to this one are no longer in the history.
+    compacted: u64,
+    fault: StoreFault,
+    calls: Vec<String>,
+}
+
+/// A store on a loopback address.
+#[derive(Debug)]
+pub struct PublishedStore {
+    addr: SocketAddr,
+    shared: Arc<Shared>,
+    task: JoinHandle<()>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+impl Drop for PublishedStore {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl PublishedStore {
+    /// Starts an empty store.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no loopback address can be bound.
+    pub async fn start() -> anyhow::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let addr = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            state: Mutex::new(State {
+                rows: Vec::new(),
+                ver: 0,
+                compacted: 0,
+                fault: StoreFault::None,
+                calls: Vec::new(),
+            }),
+            changed: Notify::new(),
+        });
+        let task = tokio::spawn(accept(listener, shared.clone()));
+        Ok(Self { addr, shared, task })
+    }
+
+    /// Returns the address of the store.
+    pub fn get_addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Sets how the store misbehaves from now on.
+    pub fn set_fault(&self, fault: StoreFault) {
+        self.shared.state.lock().fault = fault;
+    }
+
+    /// Writes a row as an operator or a target does.
+    pub fn put(&self, table: &str, key: &str, value: &[u8]) {
+        self.write(table, key, Some(value.to_vec()));
+    }
+
+    /// Removes a row.
+    pub fn remove(&self, table: &str, key: &str) {
+        self.write(table, key, None);
+    }
+
+    /// Drops the history, as the platform may at any time.
+    pub fn compact(&self) {
+        let mut state = self.shared.state.lock();
+        state.compacted = state.ver;
+    }
+
+    /// Returns the calls that contain a text.
+    pub fn count_calls(&self, text: &str) -> usize {
+        let state = self.shared.state.lock();
+        state
+            .calls
+            .iter()
+            .filter(|call| call.contains(text))
+            .count()
+    }
+
+    fn write(&self, table: &str, key: &str, value: Option<Vec<u8>>) {
+        self.shared.state.lock().write(table, key, value);
+        self.shared.changed.notify_waiters();
+    }
+}
+
+impl State {
+    fn write(&mut self, table: &str, key: &str, value: Option<Vec<u8>>) {
+        self.ver += 1;
+        self.rows.retain(|row| row.table != table || row.key != key);
+        self.rows.push(StoredRow {
+            table: table.into(),
+            key: key.into(),
+            value,
+            ver: self.ver,
+        });
+    }
+
+    fn read(&self, table: &str, after: Option<u64>, from: &str, to: &str) -> Value {
+        let mut rows: Vec<&StoredRow> = self
+            .rows
+            .iter()
+            .filter(|row| row.table == table)
+            .filter(|row| match after {
+                Some(after) => row.ver > after,
+                None => row.value.is_some(),
+            })
+            .filter(|row| row.key.as_str() >= from && (to.is_empty() || row.key.as_str() < to))
+            .collect();
+        match after {
+            Some(_) => rows.sort_by_key(|row| row.ver),
+            None => rows.sort_by(|a, b| a.key.cmp(&b.key)),
+        }
+        let rows: Vec<Value> = rows.iter().map(|row| row_json(row)).collect();
+        json!({"rows": rows, "has_more": false, "ver": self.ver, "now": "1ms"})
+    }
+}
+
+fn row_json(row: &StoredRow) -> Value {
+    match &row.value {
+        Some(value) => json!({
+            "table": row.table, "part": "", "key": row.key,
+            "value": STANDARD.encode(value), "ver": row.ver,
+        }),
+        None => json!({
+            "table": row.table, "part": "", "key": row.key, "tombstone": true, "ver": row.ver,
+        }),
+    }
+}
+
+async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        tokio::spawn(serve(stream, shared.clone()));
+    }
+}
+
+async fn serve(stream: TcpStream, shared: Arc<Shared>) {
+    let mut messages = MessageStream::new(stream);
+    while let Ok(Some(request)) = messages.read().await {
+        let fault = {
+            let mut state = shared.state.lock();
+            state.calls.push(request.start.clone());
+            state.fault
+        };
+        let (status, body) = match fault {
+            StoreFault::None => answer(&shared, &request).await,
+            StoreFault::Unavailable => (503, Value::Null),
+            StoreFault::Reset => return,
+            StoreFault::Silent => {
+                messages.wait_closed().await;
+                return;
+            }
+        };
+        let body = body.to_string();
+        let text = format!(
+            "HTTP/1.1 {status} x\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        if messages.write(text.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn answer(shared: &Shared, request: &Message) -> (u16, Value) {
+    let target = request.start.split(' ').nth(1).unwrap_or_default();
+    let (path, query) = target.split_once('?').unwrap_or((target, ""));
+    match path {
+        "/api/rows-get" => {
+            let state = shared.state.lock();
+            let rows = state.read(
+                &param(query, "table"),
+                None,
+                &param(query, "from"),
+                &param(query, "to"),
+            );
+            (200, rows)
+        }
+        "/api/rows-feed" => feed(shared, query).await,
+        "/api/rows-tx" => transact(shared, &request.body),
+        _ => (404, Value::Null),
+    }
+}
+
+async fn feed(shared: &Shared, query: &str) -> (u16, Value) {
+    let table = param(query, "table");
+    let after: u64 = param(query, "after").parse().unwrap_or(0);
+    let wait: u64 = param(query, "wait_ms").parse().unwrap_or(0);
+    let end = tokio::time::Instant::now() + Duration::from_millis(wait);
+    loop {
+        let changed = shared.changed.notified();
+        {
+            let state = shared.state.lock();
+            if after < state.compacted {
+                return (410, Value::Null);
+            }
+            let has_news = state
+                .rows
+                .iter()
+                .any(|row| row.table == table && row.ver > after);
+            if has_news || tokio::time::Instant::now() >= end {
+                return (200, state.read(&table, Some(after), "", ""));
+            }
+        }
+        // The end of the wait is judged by the clock above.
+        let _ = tokio::time::timeout_at(end, changed).await;
+    }
+}
+
+fn transact(shared: &Shared, body: &[u8]) -> (u16, Value) {
+    let Ok(body) = serde_json::from_slice::<Value>(body) else {
+        return (400, Value::Null);
+    };
+    let mut state = shared.state.lock();
+    for put in body["puts"].as_array().into_iter().flatten() {
+        let text = |name: &str| put[name].as_str().unwrap_or_default().to_owned();
+        if text("table") == "op" || text("table") == "servers" {
+            return (403, Value::Null);
+        }
+        let value = STANDARD.decode(text("value")).unwrap_or_default();
+        state.write(&text("table"), &text("key"), Some(value));
+    }
+    shared.changed.notify_waiters();
+    (200, json!({"ver": state.ver, "now": "1ms"}))
+}
+
+fn param(query: &str, name: &str) -> String {
+    let value = query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(known, _)| *known == name)
+        .map_or("", |(_, value)| value);
+    unescape(value)
+}
+
+fn unescape(text: &str) -> String {
+    let mut bytes = Vec::with_capacity(text.len());
+    let mut rest = text.bytes();
+    while let Some(byte) = rest.next() {
+        if byte != b'%' {
+            bytes.push(byte);
+            continue;
+        }
+        let digits: Vec<u8> = rest.by_ref().take(2).collect();
+        let code = u8::from_str_radix(&String::from_utf8_lossy(&digits), 16);
+        bytes.push(code.unwrap_or(b'?'));
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
--- /dev/null
+++ b/crates/testkit/src/published/target.rs
@@ -0,0 +1,277 @@
+//! A target of the users' platform, with its faults.
+
+use super::http::{Message, MessageStream};
+use parking_lot::Mutex;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+
+/// What a target does with a request that it has read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Answering {
+    /// It runs the request and answers.
+    Well,
+    /// It says that it has not run the request.
+    NotRun,
+    /// It runs the request, and the connection ends without an answer.
+    LostAnswer,
+    /// It answers with the id of another request.
+    OtherId,
+    /// It answers without its signature.
+    Unsigned,
+    /// It stops in the middle of the body.
+    CutBody,
+    /// It refuses with 503 without a word on the run.
+    PlainRefusal,
+    /// It never answers, on this connection neither later.
+    Mute,
+    /// It answers, and again with the same bytes.
+    Twice,
+}
+
+/// Fields of a target's entry in the store.
+#[derive(Debug, Clone)]
+pub struct TargetEntryValue {
+    /// Service of the target.
+    pub service: String,
+    /// Failure domain.
+    pub zone: String,
+    /// True once it announced that it leaves.
+    pub is_draining: bool,
+    /// Unix milliseconds of its start.
+    pub born: u64,
+}
+
+#[derive(Debug)]
+struct Shared {
+    id: String,
+    answering: Mutex<Answering>,
+    work: Mutex<Duration>,
+    work_percent: Mutex<u16>,
+    runs: Mutex<Vec<Run>>,
+    running: AtomicUsize,
+    cancelled: AtomicUsize,
+    connections: AtomicUsize,
+}
+
+/// One run of a request.
+#[derive(Debug, Clone)]
+struct Run {
+    id: String,
+    time_left_ms: u64,
+    target: String,
+}
+
+/// A target on a loopback address.
+#[derive(Debug)]
+pub struct PublishedTarget {
+    addr: SocketAddr,
+    shared: Arc<Shared>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for PublishedTarget {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl PublishedTarget {
+    /// Starts a target that answers well after some milliseconds.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no loopback address can be bound.
+    pub async fn start(id: &str) -> anyhow::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let addr = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            id: id.into(),
+            answering: Mutex::new(Answering::Well),
+            work: Mutex::new(Duration::from_millis(5)),
+            work_percent: Mutex::new(100),
+            runs: Mutex::new(Vec::new()),
+            running: AtomicUsize::new(0),
+            cancelled: AtomicUsize::new(0),
+            connections: AtomicUsize::new(0),
+        });
+        let task = tokio::spawn(accept(listener, shared.clone()));
+        Ok(Self { addr, shared, task })
+    }
+
+    /// Returns the address of the target.
+    pub fn get_addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Returns the name under which it registers.
+    pub fn get_id(&self) -> &str {
+        &self.shared.id
+    }
+
+    /// Sets what it does with requests from now on.
+    pub fn set_answering(&self, answering: Answering) {
+        *self.shared.answering.lock() = answering;
+    }
+
+    /// Sets how long it works on a request.
+    pub fn set_work(&self, work: Duration) {
+        *self.shared.work.lock() = work;
+    }
+
+    /// Sets the pace that it tells, in percent of the usual time.
+    pub fn set_work_percent(&self, percent: u16) {
+        *self.shared.work_percent.lock() = percent;
+    }
+
+    /// Returns how often it ran the request with the id.
+    pub fn count_runs(&self, id: &str) -> usize {
+        let runs = self.shared.runs.lock();
+        runs.iter().filter(|run| run.id == id).count()
+    }
+
+    /// Returns how many requests it ran.
+    pub fn count_all_runs(&self) -> usize {
+        self.shared.runs.lock().len()
+    }
+
+    /// Returns the time that was left for the request with the id.
+    pub fn get_time_left(&self, id: &str) -> Option<Duration> {
+        let runs = self.shared.runs.lock();
+        let run = runs.iter().find(|run| run.id == id)?;
+        Some(Duration::from_millis(run.time_left_ms))
+    }
+
+    /// Returns the request targets that it ran, in order.
+    pub fn get_paths(&self) -> Vec<String> {
+        let runs = self.shared.runs.lock();
+        runs.iter().map(|run| run.target.clone()).collect()
+    }
+
+    /// Returns how many requests ended because their connection closed.
+    pub fn count_cancelled(&self) -> usize {
+        self.shared.cancelled.load(Ordering::Relaxed)
+    }
+
+    /// Returns how many connections were opened.
+    pub fn count_connections(&self) -> usize {
+        self.shared.connections.load(Ordering::Relaxed)
+    }
+
+    /// Returns the bytes of its entry in the store.
+    pub fn make_entry(&self, value: &TargetEntryValue) -> Vec<u8> {
+        let state = if value.is_draining {
+            "draining"
+        } else {
+            "ready"
+        };
+        let entry = serde_json::json!({
+            "service": value.service, "addr": self.addr.to_string(), "zone": value.zone,
+            "version": "v1", "slots": 3, "state": state, "cold_left": "0ms", "seq": 1,
+            "born": value.born,
+        });
+        entry.to_string().into_bytes()
+    }
+}
+
+async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        shared.connections.fetch_add(1, Ordering::Relaxed);
+        tokio::spawn(serve(stream, shared.clone()));
+    }
+}
+
+async fn serve(stream: TcpStream, shared: Arc<Shared>) {
+    let mut messages = MessageStream::new(stream);
+    while let Ok(Some(request)) = messages.read().await {
+        if !answer(&mut messages, &request, &shared).await {
+            return;
+        }
+    }
+}
+
+/// Answers one request; returns false if the connection ends.
+async fn answer(messages: &mut MessageStream, request: &Message, shared: &Shared) -> bool {
+    let id = request.get("gentianridge-attempt-id").unwrap_or_default();
+    let load = format!(
+        "gentianridge-server-load: {},0,3,{}\r\n",
+        shared.running.load(Ordering::Relaxed),
+        *shared.work_percent.lock()
+    );
+    if request.start.starts_with("GET /health ") {
+        let text = reply(
+            200,
+            &format!("gentianridge-instance-id: {}\r\n{load}", shared.id),
+            "",
+        );
+        return messages.write(text.as_bytes()).await.is_ok();
+    }
+    let expected = request.get("gentianridge-expected-instance");
+    if expected.is_some_and(|expected| expected != shared.id) {
+        return messages.write(reply(421, "", "").as_bytes()).await.is_ok();
+    }
+    let answering = *shared.answering.lock();
+    let echo = format!("gentianridge-attempt-id: {id}\r\n{load}");
+    let signed = format!("{echo}gentianridge-response-signature: {}\r\n", shared.id);
+    match answering {
+        Answering::NotRun => {
+            let text = reply(503, &format!("{echo}gentianridge-not-executed: 1\r\n"), "");
+            return messages.write(text.as_bytes()).await.is_ok();
+        }
+        Answering::Mute => {
+            messages.wait_closed().await;
+            return false;
+        }
+        _ => {}
+    }
+    if !run(messages, request, shared).await {
+        return false;
+    }
+    let body = format!("done by {}", shared.id);
+    let text = match answering {
+        Answering::LostAnswer => return false,
+        Answering::OtherId => reply(200, &signed.replace(id, "another"), &body),
+        Answering::Unsigned => reply(200, &echo, &body),
+        Answering::PlainRefusal => reply(503, &echo, &body),
+        Answering::CutBody => {
+            let whole = reply(200, &signed, &body);
+            // The caller sees by the length that bytes are missing.
+            let _ = messages.write(&whole.as_bytes()[..whole.len() - 4]).await;
+            return false;
+        }
+        Answering::Twice => reply(200, &signed, &body).repeat(2),
+        Answering::Well | Answering::NotRun | Answering::Mute => reply(200, &signed, &body),
+    };
+    messages.write(text.as_bytes()).await.is_ok()
+}
+
+/// Works on a request; returns false if its connection closed meanwhile.
+async fn run(messages: &mut MessageStream, request: &Message, shared: &Shared) -> bool {
+    let text = |name: &str| request.get(name).unwrap_or_default().to_owned();
+    shared.runs.lock().push(Run {
+        id: text("gentianridge-attempt-id"),
+        time_left_ms: text("gentianridge-deadline-ms").parse().unwrap_or(0),
+        target: request.start.split(' ').nth(1).unwrap_or_default().into(),
+    });
+    shared.running.fetch_add(1, Ordering::Relaxed);
+    let work = *shared.work.lock();
+    let is_done = tokio::select! {
+        () = tokio::time::sleep(work) => true,
+        () = messages.wait_closed() => false,
+    };
+    shared.running.fetch_sub(1, Ordering::Relaxed);
+    if !is_done {
+        shared.cancelled.fetch_add(1, Ordering::Relaxed);
+    }
+    is_done
+}
+
+fn reply(status: u16, headers: &str, body: &str) -> String {
+    format!(
+        "HTTP/1.1 {status} x\r\nkeep-alive: timeout=10\r\n{headers}content-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
--- /dev/null
+++ b/crates/testkit/src/published/vm.rs
@@ -0,0 +1,120 @@
+//! A daemon before the stand-ins, on a thread of its own.
+
+use super::CallerConnection;
+use gentianridge_config::GatewaySettings;
+use gentianridge_core::RepeatLimit;
+use gentianridge_daemon::run_gateway_until;
+use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// A running daemon on loopback addresses.
+#[derive(Debug)]
+pub struct GatewayVm {
+    settings: GatewaySettings,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<std::thread::JoinHandle<anyhow::Result<()>>>,
+}
+
+impl GatewayVm {
+    /// Time within which a daemon has to be ready in a test.
+    const START: Duration = Duration::from_secs(10);
+
+    /// Starts a daemon that reads from the store.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no loopback address is free.
+    pub fn start(name: &str, store: SocketAddr) -> anyhow::Result<Self> {
+        let addrs = free_addrs()?;
+        let mut settings = GatewaySettings::new(name, addrs[0], addrs[1], addrs[2], store);
+        settings.domain = "d1".into();
+        settings.probes_per_target = 60;
+        settings.repeats = RepeatLimit {
+            window: Duration::from_secs(10),
+            percent: 20,
+            extra: 1_000,
+        };
+        Ok(Self::start_with(settings))
+    }
+
+    /// Starts a daemon with settings.
+    pub fn start_with(settings: GatewaySettings) -> Self {
+        let (stop, stopped) = oneshot::channel::<()>();
+        let running = settings.clone();
+        let thread = std::thread::spawn(move || {
+            run_gateway_until(running, async {
+                // A dropped sender asks for a stop as well.
+                let _ = stopped.await;
+            })
+        });
+        Self {
+            settings,
+            stop: Some(stop),
+            thread: Some(thread),
+        }
+    }
+
+    /// Returns the settings of the daemon.
+    pub fn get_settings(&self) -> &GatewaySettings {
+        &self.settings
+    }
+
+    /// Returns the answer to the balancer's question, none without one.
+    pub async fn ask_ready(&self) -> Option<u16> {
+        let mut connection = CallerConnection::open(self.settings.ready).await.ok()?;
+        let reply = connection.ask("GET", "/api/readiness", "ready").await;
+        reply.ok().map(|reply| reply.status)
+    }
+
+    /// Waits until the daemon says that it is ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not within some seconds.
+    pub async fn wait_ready(&self) -> anyhow::Result<()> {
+        let end = tokio::time::Instant::now() + Self::START;
+        while self.ask_ready().await != Some(200) {
+            anyhow::ensure!(tokio::time::Instant::now() < end, "the daemon is not ready");
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        Ok(())
+    }
+
+    /// Opens a caller's connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the daemon takes no connection.
+    pub async fn open(&self) -> anyhow::Result<CallerConnection> {
+        CallerConnection::open(self.settings.callers).await
+    }
+
+    /// Asks the daemon to stop in the planned way.
+    pub fn stop(&mut self) {
+        self.stop = None;
+    }
+
+    /// Returns true if the daemon has ended.
+    pub fn is_over(&self) -> bool {
+        self.thread
+            .as_ref()
+            .is_none_or(|thread| thread.is_finished())
+    }
+}
+
+impl Drop for GatewayVm {
+    /// Lets the daemon end by itself; its thread ends with the process at the latest.
+    fn drop(&mut self) {
+        self.stop = None;
+    }
+}
+
+/// Finds three ports that are free at the moment.
+fn free_addrs() -> anyhow::Result<Vec<SocketAddr>> {
+    let held: Vec<TcpListener> = (0..3)
+        .map(|_| TcpListener::bind("127.0.0.1:0"))
+        .collect::<Result<_, _>>()?;
+    let addrs: Result<Vec<SocketAddr>, _> = held.iter().map(TcpListener::local_addr).collect();
+    Ok(addrs?)
+}
--- /dev/null
+++ b/tests/gateway/main.rs
@@ -0,0 +1,9 @@
+//! The daemon on the users' platform, over sockets against stand-ins.
+
+mod answers;
+mod configuration;
+mod discovery;
+mod leaving;
+mod peers;
+mod site;
+mod store_faults;
--- /dev/null
+++ b/tests/gateway/peers.rs
@@ -0,0 +1,58 @@
+//! What the VMs of a fleet tell each other.
+
+use crate::site::{Site, put_config, register};
+use gentianridge_testkit::GatewayVm;
+use std::time::Duration;
+
+const DRAIN: Duration = Duration::from_secs(2);
+
+/// The list of targets is read about once for the whole fleet, and a leave
+/// reaches the VMs that did not read it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn one_reading() {
+    let site = Site::start(2).await;
+    let vms: Vec<GatewayVm> = (2..5)
+        .map(|index| GatewayVm::start(&format!("vm-{index}"), site.store.get_addr()).unwrap())
+        .collect();
+    for vm in &vms {
+        vm.wait_ready().await.unwrap();
+    }
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let before = site.store.count_calls("table=servers");
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let calls = site.store.count_calls("table=servers") - before;
+    assert!((2..=8).contains(&calls), "{calls} readings by 4 VMs in 4 s");
+    register(&site.store, &site.targets[0], true, 1);
+    tokio::time::sleep(DRAIN).await;
+    for vm in &vms {
+        for index in 0..4 {
+            let mut caller = vm.open().await.unwrap();
+            let reply = caller
+                .ask("GET", "/look/x", &format!("a{index}"))
+                .await
+                .unwrap();
+            assert_eq!(reply.body, "done by t1");
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn configuration_everywhere() {
+    let site = Site::start(1).await;
+    let vms: Vec<GatewayVm> = (2..6)
+        .map(|index| GatewayVm::start(&format!("vm-{index}"), site.store.get_addr()).unwrap())
+        .collect();
+    for vm in &vms {
+        vm.wait_ready().await.unwrap();
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let more = r#",{"name":"new","path_prefix":"/new/","kind":"idempotent","timeout":"2000ms",
+        "slo_latency":"600ms","priority":1,"service":"cart","max_attempts":2}"#;
+    put_config(&site.store, 9, more);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    for vm in &vms {
+        let mut caller = vm.open().await.unwrap();
+        let reply = caller.ask("GET", "/new/x", "a1").await.unwrap();
+        assert_eq!(reply.status, 200);
+    }
+}
