--- a/crates/core/src/discovery/directory.rs
+++ b/crates/core/src/discovery/directory.rs
@@ -86,6 +86,15 @@
         }
     }
 
+    /// Returns the names of known targets that a whole list does not hold.
+    pub fn find_missing(&self, entries: &[TargetEntry]) -> Vec<SmolStr> {
+        self.known
+            .iter()
+            .map(|known| known.entry.incarnation.id.clone())
+            .filter(|id| entries.iter().all(|entry| entry.incarnation.id != *id))
+            .collect()
+    }
+
     /// Returns true if a target with the name is known and listed.
     pub fn is_listed(&self, id: &str) -> bool {
         self.find(id)
@@ -122,13 +131,7 @@
     /// Takes in the whole list; returns the services that changed.
     pub fn read_all(&mut self, now: Instant, entries: Vec<TargetEntry>) -> Vec<SmolStr> {
         let mut changed = Vec::new();
-        let gone: Vec<SmolStr> = self
-            .known
-            .iter()
-            .map(|known| known.entry.incarnation.id.clone())
-            .filter(|id| entries.iter().all(|entry| entry.incarnation.id != *id))
-            .collect();
-        for id in gone {
+        for id in self.find_missing(&entries) {
             self.remove(now, &id, &mut changed);
         }
         for entry in entries {
--- a/crates/core/src/discovery/refresh.rs
+++ b/crates/core/src/discovery/refresh.rs
@@ -85,9 +85,8 @@
         Relayed::Applied
     }
 
-    /// Forgets the version, so that the whole list is read.
-    pub fn reset(&mut self) {
-        self.version = None;
+    /// Ends the timer, for a reading that has failed in part.
+    pub fn hurry(&mut self) {
         self.due = None;
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -39,7 +39,7 @@
 };
 pub use service::{
     Arrival, AttemptKey, AttemptKind, CallKey, ClassKey, Counters, LoadReport, Outcome, Output,
-    Service, TargetCondition, TargetKey, TargetStatus,
+    Placement, Service, TargetCondition, TargetKey, TargetStatus,
 };
 pub use spec::{
     ClassKind, ClassSpec, DomainName, FleetSpec, MethodSet, Note, RepeatLimit, RouteMatch,
--- a/crates/core/src/service/status.rs
+++ b/crates/core/src/service/status.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
+use std::time::Duration;
 
 /// Whether a target gets work, and if not why.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -41,3 +42,20 @@
     /// Author that the file gives.
     pub author: Option<SmolStr>,
 }
+
+/// What the choice of a target rests on, for the line that tells it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Placement {
+    /// Attempts of this VM in flight on the target.
+    pub own: u16,
+    /// Attempts of the peers in flight, as they told last.
+    pub peers: u16,
+    /// Slots that the target declares.
+    pub slots: u16,
+    /// Age of the target's last report.
+    pub report_age: Option<Duration>,
+    /// Pace that the last report told, in percent of the usual time.
+    pub work_percent: Option<u16>,
+    /// Calls of the service that wait on this VM.
+    pub waiting: usize,
+}
--- a/crates/core/src/service/view.rs
+++ b/crates/core/src/service/view.rs
@@ -2,7 +2,7 @@
 
 use super::class::Class;
 use super::target::Target;
-use super::{ClassKey, Counters, Service, TargetCondition, TargetKey, TargetStatus};
+use super::{ClassKey, Counters, Placement, Service, TargetCondition, TargetKey, TargetStatus};
 use crate::ServiceSpec;
 use std::time::{Duration, Instant};
 
@@ -71,6 +71,19 @@
         self.targets[key.get_index()].get_report_age(now)
     }
 
+    /// Returns what a choice of the target rests on now.
+    pub fn get_placement(&self, now: Instant, key: TargetKey) -> Placement {
+        let target = &self.targets[key.get_index()];
+        Placement {
+            own: target.own,
+            peers: target.count_peer_attempts(),
+            slots: target.spec.get_slots(),
+            report_age: target.get_report_age(now),
+            work_percent: target.report.and_then(|(report, _)| report.work_percent),
+            waiting: self.count_waiting(),
+        }
+    }
+
     /// Returns true if the target said that it is going to stop.
     pub fn is_leaving(&self, key: TargetKey) -> bool {
         self.targets[key.get_index()].is_leaving
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -112,7 +112,7 @@
             ClassKind::Interactive | ClassKind::Background => Wanted::Kept,
         };
         if let Some(mut link) = self.gateway.links.take(now, &goal.incarnation, wanted) {
-            self.gateway.counters.count_reused();
+            self.gateway.metrics.record_connection("reused");
             match self.send_on(goal, &mut link).await {
                 Err(SendFailure::Nothing) => {}
                 Err(SendFailure::Final(failure)) => return Err(failure),
@@ -134,7 +134,7 @@
         let now = self.gateway.clock.now();
         let limit = (self.objective / Self::CONNECT_DIVISOR).max(Self::MIN_CONNECT);
         let until = self.deadline.min(now + limit);
-        self.gateway.counters.count_opened();
+        self.gateway.metrics.record_connection("opened");
         match timeout_at(until.into(), Link::open(goal.addr, now)).await {
             Ok(Ok(link)) => Ok(link),
             Ok(Err(error)) => Err(failure(Outcome::Refused, format!("no connection: {error}"))),
--- a/crates/daemon/src/gateway/call.rs
+++ b/crates/daemon/src/gateway/call.rs
@@ -9,10 +9,9 @@
 use futures_util::stream::FuturesUnordered;
 use futures_util::{FutureExt, StreamExt};
 use gentianridge_core::{
-    Arrival, AttemptKey, AttemptKind, CallKey, ClassKey, ClassKind, Outcome, ResultCode, RunState,
-    TargetKey,
+    Arrival, AttemptKey, AttemptKind, CallKey, ClassKey, ClassKind, ResultCode, TargetKey,
 };
-use std::fmt::Write;
+use smol_str::SmolStr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -36,6 +35,8 @@
 /// An attempt under way, aborted by dropping it.
 struct Running {
     attempt: AttemptKey,
+    target: SmolStr,
+    started: Instant,
     abort: CancellationToken,
 }
 
@@ -49,8 +50,8 @@
     futures: FuturesUnordered<LocalBoxFuture<'static, Option<AttemptEnd>>>,
     running: Vec<Running>,
     ready: Vec<(AttemptKey, Answer)>,
-    /// What was tried, for the log line of the request.
-    trace: String,
+    /// Attempts made so far.
+    attempts: u32,
 }
 
 impl Drop for Call {
@@ -65,7 +66,7 @@
 /// How a request ended.
 pub(crate) struct CallEnd {
     pub(crate) result: Result<(Answer, SlotGuard), ResultCode>,
-    pub(crate) trace: String,
+    pub(crate) attempts: u32,
 }
 
 impl Call {
@@ -86,7 +87,7 @@
             futures: FuturesUnordered::new(),
             running: Vec::new(),
             ready: Vec::new(),
-            trace: String::new(),
+            attempts: 0,
         }
     }
 
@@ -100,7 +101,7 @@
         self.is_over |= result.is_ok();
         CallEnd {
             result,
-            trace: std::mem::take(&mut self.trace),
+            attempts: self.attempts,
         }
     }
 
@@ -153,20 +154,37 @@
 
     fn launch(&mut self, attempt: AttemptKey, target: TargetKey, kind: AttemptKind) {
         let cx = &self.cx;
-        let name = cx
-            .service
-            .read(|machine, _| machine.get_target(target).map(|t| t.name.clone()))
-            .unwrap_or_default();
-        let elapsed = cx.gateway.clock.now().saturating_duration_since(cx.arrived);
-        // Writing to a string cannot fail.
-        let _ = write!(
-            self.trace,
-            "{}{}@{}+{}ms",
-            if self.trace.is_empty() { "" } else { "; " },
-            kind.as_str(),
-            name,
-            elapsed.as_millis()
+        let now = cx.gateway.clock.now();
+        let (name, placement) = cx.service.read(|machine, now| {
+            let name = machine.get_target(target).map(|t| t.name.clone());
+            (name.unwrap_or_default(), machine.get_placement(now, target))
+        });
+        self.attempts += 1;
+        let waited = now.saturating_duration_since(cx.arrived);
+        cx.gateway
+            .metrics
+            .record_send(&cx.service.name, kind, waited);
+        log::info!(
+            target: "attempt",
+            request = cx.request.id.as_str(),
+            service = cx.service.name.as_str(),
+            target = name.as_str(),
+            kind = kind.as_str(),
+            waited_ms = waited.as_millis() as u64,
+            own = placement.own,
+            peers = placement.peers,
+            slots = placement.slots,
+            waiting = placement.waiting,
+            report_age_ms = placement.report_age.map(|age| age.as_millis() as u64),
+            work_percent = placement.work_percent;
+            "sent"
         );
+        self.running.push(Running {
+            attempt,
+            target: name,
+            started: now,
+            abort: CancellationToken::new(),
+        });
         let plan = AttemptPlan {
             gateway: cx.gateway.clone(),
             service: cx.service.clone(),
@@ -177,11 +195,8 @@
             deadline: cx.deadline,
             objective: cx.objective,
         };
-        let abort = CancellationToken::new();
-        self.running.push(Running {
-            attempt,
-            abort: abort.clone(),
-        });
+        let abort = self.running.last().map(|running| running.abort.clone());
+        let abort = abort.unwrap_or_default();
         let future = async move {
             tokio::select! {
                 end = plan.run() => Some(end),
@@ -200,40 +215,56 @@
     }
 
     fn take_end(&mut self, end: AttemptEnd) {
-        self.running
-            .retain(|running| running.attempt != end.attempt);
+        let index = self.running.iter().position(|r| r.attempt == end.attempt);
+        let Some(running) = index.map(|index| self.running.swap_remove(index)) else {
+            return;
+        };
         let cx = &self.cx;
         if let Some(report) = end.report {
             cx.service.report(end.target, Some(end.attempt), report);
         }
+        let now = cx.gateway.clock.now();
+        let took = now.saturating_duration_since(running.started);
+        let took_ms = took.as_millis() as u64;
+        let outcome = match &end.result {
+            Ok(_) => "answered",
+            Err(failure) => failure.outcome.as_str(),
+        };
+        cx.gateway
+            .metrics
+            .record_attempt(&cx.service.name, outcome, took);
         match end.result {
             Ok(answer) => {
-                let _ = write!(self.trace, " {}", answer.status.as_u16());
+                log::info!(
+                    target: "attempt",
+                    request = cx.request.id.as_str(),
+                    target = running.target.as_str(),
+                    status = answer.status.as_u16(),
+                    took_ms = took_ms;
+                    "answered"
+                );
                 let is_error = answer.status.is_server_error() && cx.kind.is_idempotent();
                 self.ready.push((end.attempt, answer));
                 cx.service.answered(end.attempt, is_error, false);
             }
             Err(failure) => {
                 self.may_have_run |= !failure.outcome.is_not_run();
-                let _ = write!(
-                    self.trace,
-                    " {} ({})",
-                    failure.outcome.as_str(),
+                log::warn!(
+                    target: "attempt",
+                    request = cx.request.id.as_str(),
+                    target = running.target.as_str(),
+                    outcome = failure.outcome.as_str(),
+                    may_have_run = !failure.outcome.is_not_run(),
+                    took_ms = took_ms;
+                    "failed: {}",
                     failure.detail
                 );
-                self.note_crash(failure.outcome);
                 cx.service.failed(end.attempt, failure.outcome);
             }
         }
         cx.gateway.peers.note_load_change();
     }
 
-    fn note_crash(&self, outcome: Outcome) {
-        if outcome == Outcome::Broken {
-            self.cx.gateway.counters.count_broken();
-        }
-    }
-
     fn deliver(&mut self, attempt: AttemptKey) -> Result<(Answer, SlotGuard), ResultCode> {
         let slot = SlotGuard {
             service: self.cx.service.clone(),
@@ -246,10 +277,3 @@
         }
     }
 }
-
-impl CallEnd {
-    /// Returns whether the request may have run, if it was refused.
-    pub(crate) fn get_run_state(&self) -> Option<RunState> {
-        self.result.as_ref().err().map(|code| code.run_state())
-    }
-}
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -4,6 +4,7 @@
 use super::call::{Call, CallContext, CallEnd};
 use super::request::CallerRequest;
 use super::state::{Gateway, Phase, Routed};
+use crate::caller::headers::get_text;
 use gentianridge_core::{ClassKind, ResultCode};
 use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
@@ -24,9 +25,22 @@
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Infallible> {
     let arrived = gateway.clock.now();
+    let id = get_text(request.headers(), &gateway.headers.attempt_id).unwrap_or_default();
     let mut response = match exchange(&gateway, arrived, request).await {
         Ok(response) => response,
-        Err(code) => refuse(code, Some(get_plain_pause())),
+        Err(code) => {
+            gateway.metrics.record_refusal(code);
+            log::warn!(
+                target: "request",
+                request = id.as_str(),
+                status = code.http_status(),
+                code = code.number(),
+                version = gateway.get_version();
+                "{}",
+                code.text()
+            );
+            refuse(code, Some(get_plain_pause()))
+        }
     };
     if gateway.get_phase() == Phase::Stopping {
         // Announced with an answer, the end of a connection crosses no request.
@@ -53,7 +67,10 @@
     log_end(&routed, &cx, &end);
     match end.result {
         Ok((answer, slot)) => Ok(answer.into_response(slot)),
-        Err(code) => Ok(refuse(code, Some(get_pause(&cx)))),
+        Err(code) => {
+            gateway.metrics.record_refusal(code);
+            Ok(refuse(code, Some(get_pause(&cx))))
+        }
     }
 }
 
@@ -87,7 +104,7 @@
         log::error!("a call ended without a result: {error}");
         CallEnd {
             result: Err(ResultCode::AttemptFailed),
-            trace: String::new(),
+            attempts: 0,
         }
     })
 }
@@ -118,29 +135,32 @@
     }
 }
 
+/// Writes the line of a request: how it ended, after what time and by which
+/// configuration.
 fn log_end(routed: &Routed, cx: &CallContext, end: &CallEnd) {
-    let elapsed = cx.gateway.clock.now().saturating_duration_since(cx.arrived);
-    match &end.result {
-        Ok((answer, _)) => log::debug!(
-            "request {} on {} by {}: {} after {} ms; {}",
-            cx.request.id,
-            routed.route,
-            routed.service.name,
-            answer.status.as_u16(),
-            elapsed.as_millis(),
-            end.trace
-        ),
-        Err(code) => log::info!(
-            "request {} on {} by {}: refused {} ({}, {}) after {} ms; {}",
-            cx.request.id,
-            routed.route,
-            routed.service.name,
-            code.number(),
-            code.text(),
-            end.get_run_state()
-                .map_or("answered", |state| state.as_str()),
-            elapsed.as_millis(),
-            end.trace
-        ),
-    }
+    let took = cx.gateway.clock.now().saturating_duration_since(cx.arrived);
+    let (level, status, code) = match &end.result {
+        Ok((answer, _)) => (log::Level::Info, answer.status.as_u16(), None),
+        Err(code) => (log::Level::Warn, code.http_status(), Some(*code)),
+    };
+    cx.gateway
+        .metrics
+        .record_request(&routed.route, routed.kind.as_str(), status, took);
+    log::log!(
+        target: "request",
+        level,
+        request = cx.request.id.as_str(),
+        route = routed.route.as_str(),
+        service = routed.service.name.as_str(),
+        kind = routed.kind.as_str(),
+        status = status,
+        code = code.map(gentianridge_core::ResultCode::number),
+        run = code.map(|code| code.run_state().as_str()),
+        took_ms = took.as_millis() as u64,
+        time_left_ms = cx.request.time_left.map(|left| left.as_millis() as u64),
+        attempts = end.attempts,
+        version = routed.version;
+        "{}",
+        code.map_or("answered", gentianridge_core::ResultCode::text)
+    );
 }
--- a/crates/daemon/src/gateway/feeds.rs
+++ b/crates/daemon/src/gateway/feeds.rs
@@ -1,48 +1,24 @@
 //! Following the platform's store: the configuration and the targets.
 
 use super::state::Gateway;
+use crate::telemetry::BELIEF;
 use gentianridge_adapter::{
-    Changes, Row, Store, StoreError, StoreErrorKind, Table, decode_entry, decode_routes,
+    Changes, Row, StoreError, StoreErrorKind, Table, decode_entry, decode_routes,
 };
 use gentianridge_core::{EventKind, Refresh, Relayed, TargetEntry};
 use gentianridge_wire::ListNews;
 use rand::RngExt;
 use smol_str::SmolStr;
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 /// Key of the configuration among what operators wrote.
 const CONFIG_KEY: &str = "config";
-/// Longest wait of one question for a newer configuration. The store answers
-/// at once when there is one; a connection that was forgotten shows by its
-/// keep-alive, see [`Store`].
-const CONFIG_WAIT: Duration = Duration::from_secs(15);
-/// Time between two looks whether this VM has to wait at the store.
-const WATCH_CHECK: Duration = Duration::from_millis(250);
 /// Shortest and longest pause after a failed call. Jitter keeps VMs from
 /// asking together when the store returns.
 const MIN_PAUSE: Duration = Duration::from_millis(100);
 const MAX_PAUSE: Duration = Duration::from_millis(1_000);
 
-/// Whether the store answers, as an event when it changes.
-#[derive(Debug, Default)]
-pub(crate) struct StoreHealth {
-    is_down: Cell<bool>,
-}
-
-impl StoreHealth {
-    fn note(&self, gateway: &Gateway, is_down: bool) {
-        if self.is_down.replace(is_down) != is_down {
-            gateway.journal.record(if is_down {
-                EventKind::StoreDown
-            } else {
-                EventKind::StoreUp
-            });
-        }
-    }
-}
-
 /// Pauses between failed calls that grow and are never equal on two VMs.
 struct Backoff {
     next: Duration,
@@ -64,54 +40,6 @@
     }
 }
 
-/// Keeps the newest configuration in force.
-pub(crate) async fn follow_config(gateway: Rc<Gateway>, health: Rc<StoreHealth>) {
-    let mut after = None;
-    let mut backoff = Backoff::new();
-    loop {
-        if after.is_some() && !gateway.peers.is_watcher(gateway.clock.now()) {
-            tokio::select! {
-                () = tokio::time::sleep(WATCH_CHECK) => {}
-                () = gateway.peers.wait_newer_version() => after = None,
-            }
-            continue;
-        }
-        let store = gateway.get_store();
-        let result = tokio::select! {
-            result = read_config(&store, after) => result,
-            () = gateway.peers.wait_newer_version() => {
-                // A peer has a newer one, so that this long poll must be stuck.
-                after = None;
-                continue;
-            }
-        };
-        match result {
-            Ok(changes) => {
-                health.note(&gateway, false);
-                backoff.reset();
-                after = Some(changes.version);
-                for row in &changes.rows {
-                    take_config(&gateway, row);
-                }
-                gateway.peers.note_load_change();
-            }
-            Err(error) if error.get_kind() == StoreErrorKind::HistoryGone => after = None,
-            Err(error) => {
-                log::debug!("cannot read the configuration: {error}");
-                health.note(&gateway, true);
-                backoff.pause().await;
-            }
-        }
-    }
-}
-
-async fn read_config(store: &Store, after: Option<u64>) -> Result<Changes, StoreError> {
-    match after {
-        None => store.get(Table::Operators, CONFIG_KEY).await,
-        Some(after) => store.feed(Table::Operators, after, CONFIG_WAIT).await,
-    }
-}
-
 fn take_config(gateway: &Rc<Gateway>, row: &Row) {
     if row.key != CONFIG_KEY {
         return;
@@ -128,48 +56,59 @@
     }
 }
 
-/// Keeps the list of targets, by own readings and by those that peers tell.
-pub(crate) async fn follow_targets(gateway: Rc<Gateway>, health: Rc<StoreHealth>) {
-    let mut backoff = Backoff::new();
+/// Why a VM turns to the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Reason {
+    /// Its timer ended: it reads for the fleet.
+    Due,
+    /// A peer has a newer configuration in force.
+    NewerConfig,
+}
+
+/// Keeps the configuration and the list of targets, by own readings and by
+/// those that peers tell.
+///
+/// A long poll would hear of a configuration sooner, but a store that turns
+/// this VM away by silence cannot be told from one with nothing to say.
+pub(crate) async fn follow_store(gateway: Rc<Gateway>) {
+    let mut follower = Follower {
+        gateway,
+        is_down: false,
+        config_after: None,
+        backoff: Backoff::new(),
+    };
     loop {
-        wait_until_due(&gateway).await;
-        let after = gateway.with_refresh(|refresh| refresh.get_version());
-        let store = gateway.get_store();
-        let result = match after {
-            None => store.get_all(Table::Targets).await,
-            Some(after) => store.feed(Table::Targets, after, Duration::ZERO).await,
+        let is_good = match wait_for_reason(&follower.gateway).await {
+            Reason::Due => follower.read_all().await,
+            Reason::NewerConfig => follower.read_config(None).await,
         };
-        match result {
-            Ok(changes) => {
-                health.note(&gateway, false);
-                backoff.reset();
-                take_targets(&gateway, changes, after);
-            }
-            Err(error) if error.get_kind() == StoreErrorKind::HistoryGone => {
-                log::info!("the store dropped the history of the targets; all are read");
-                gateway.with_refresh(Refresh::reset);
-            }
-            Err(error) => {
-                log::debug!("cannot read the targets: {error}");
-                health.note(&gateway, true);
-                gateway.change_targets(|directory, _| directory.set_away());
-                tokio::select! {
-                    () = backoff.pause() => {}
-                    // A peer that reads the store makes it known to all.
-                    () = gateway.peers.wait_list() => backoff.reset(),
-                }
-            }
+        follower.note(is_good);
+        if is_good {
+            follower.backoff.reset();
+            continue;
+        }
+        let gateway = follower.gateway.clone();
+        tokio::select! {
+            () = follower.backoff.pause() => {}
+            // A peer that reads the store makes its state known to all.
+            () = gateway.peers.wait_list() => follower.backoff.reset(),
         }
     }
 }
 
-/// Waits until this VM has to read the list itself and drops lapsed targets
-/// that are due meanwhile.
-async fn wait_until_due(gateway: &Gateway) {
-    while let Some(due) = gateway.with_refresh(|refresh| refresh.get_due()) {
+/// Waits until this VM has to turn to the store and drops lapsed targets that
+/// are due meanwhile.
+async fn wait_for_reason(gateway: &Gateway) -> Reason {
+    loop {
+        if gateway.peers.get_newest_version() > gateway.get_version() {
+            return Reason::NewerConfig;
+        }
         let now = gateway.clock.now();
+        let Some(due) = gateway.with_refresh(|refresh| refresh.get_due()) else {
+            return Reason::Due;
+        };
         if due <= now {
-            return;
+            return Reason::Due;
         }
         let expiry = gateway.next_expiry().filter(|at| *at < due);
         tokio::select! {
@@ -178,12 +117,117 @@
                 gateway.change_targets(|directory, changed| directory.expire(now, changed));
             }
             () = gateway.peers.wait_list() => {}
+            () = gateway.peers.wait_newer_version() => {}
+        }
+    }
+}
+
+/// The state of following the store.
+struct Follower {
+    gateway: Rc<Gateway>,
+    is_down: bool,
+    /// Version of the store up to which the configuration is known.
+    config_after: Option<u64>,
+    backoff: Backoff,
+}
+
+impl Follower {
+    /// Reads what has changed of the configuration and of the targets; returns
+    /// false if either cannot be read.
+    async fn read_all(&mut self) -> bool {
+        let gateway = self.gateway.clone();
+        let (config, targets) =
+            tokio::join!(self.read_config(self.config_after), read_targets(&gateway));
+        if !(config && targets) {
+            gateway.with_refresh(Refresh::hurry);
+            gateway.change_targets(|directory, _| directory.set_away());
+        }
+        config && targets
+    }
+
+    async fn read_config(&mut self, after: Option<u64>) -> bool {
+        let store = self.gateway.get_store();
+        let changed = match after {
+            None => None,
+            Some(after) => {
+                let fed = store.feed(Table::Operators, after, Duration::ZERO).await;
+                unless_history_gone(fed)
+            }
+        };
+        let result = match changed {
+            Some(result) => result,
+            None => store.get(Table::Operators, CONFIG_KEY).await,
+        };
+        self.gateway
+            .metrics
+            .record_store_call("config", result.is_ok());
+        match result {
+            Ok(changes) => {
+                self.config_after = Some(changes.version);
+                for row in &changes.rows {
+                    take_config(&self.gateway, row);
+                }
+                true
+            }
+            Err(error) => {
+                log::debug!("cannot read the configuration: {error}");
+                false
+            }
+        }
+    }
+
+    fn note(&mut self, is_good: bool) {
+        if std::mem::replace(&mut self.is_down, !is_good) == is_good {
+            self.gateway.journal.record(if is_good {
+                EventKind::StoreUp
+            } else {
+                EventKind::StoreDown
+            });
+        }
+    }
+}
+
+/// Returns the result of a feed, none if the table has to be read whole: the
+/// store may drop its history at any time, which is no outage.
+fn unless_history_gone(fed: Result<Changes, StoreError>) -> Option<Result<Changes, StoreError>> {
+    let is_gone = |error: &StoreError| error.get_kind() == StoreErrorKind::HistoryGone;
+    if fed.as_ref().is_err_and(is_gone) {
+        log::info!(target: BELIEF, "the store dropped its history; a table is read whole");
+        return None;
+    }
+    Some(fed)
+}
+
+async fn read_targets(gateway: &Gateway) -> bool {
+    let after = gateway.with_refresh(|refresh| refresh.get_version());
+    let store = gateway.get_store();
+    let changed = match after {
+        None => None,
+        Some(after) => {
+            let fed = store.feed(Table::Targets, after, Duration::ZERO).await;
+            unless_history_gone(fed)
+        }
+    };
+    let is_whole = changed.is_none();
+    let result = match changed {
+        Some(result) => result,
+        None => store.get_all(Table::Targets).await,
+    };
+    gateway.metrics.record_store_call("targets", result.is_ok());
+    match result {
+        Ok(changes) => {
+            take_targets(gateway, changes, after, is_whole);
+            true
+        }
+        Err(error) => {
+            log::debug!("cannot read the targets: {error}");
+            false
         }
     }
 }
 
 /// Takes in a reading of this VM and tells the peers.
-fn take_targets(gateway: &Gateway, changes: Changes, after: Option<u64>) {
+fn take_targets(gateway: &Gateway, changes: Changes, after: Option<u64>, is_whole: bool) {
     let now = gateway.clock.now();
     let (entries, mut gone) = decode_rows(changes.rows);
     let mut news = ListNews {
@@ -194,13 +238,16 @@
     gateway.change_targets(|directory, changed| {
         directory.set_readable(now);
         news.settle_left = directory.get_settle_left(now);
+        if is_whole {
+            gone = directory.find_missing(&entries);
+        }
         gone.retain(|id| directory.is_listed(id));
         news.entries = entries
             .iter()
             .filter(|entry| directory.is_news(entry))
             .cloned()
             .collect();
-        if after.is_none() {
+        if is_whole {
             *changed = directory.read_all(now, entries);
             return;
         }
@@ -212,6 +259,7 @@
         }
     });
     news.gone = gone;
+    log_news(&news, "store");
     let draw = rand::rng().random();
     gateway.with_refresh(|refresh| refresh.note_read(now, changes.version, draw));
     if after.is_some() {
@@ -242,6 +290,9 @@
     let now = gateway.clock.now();
     let draw = rand::rng().random();
     let judged = gateway.with_refresh(|refresh| refresh.judge(now, news.base, news.version, draw));
+    if judged == Relayed::Applied {
+        log_news(news, "peer");
+    }
     if judged != Relayed::Gap {
         gateway.change_targets(|directory, changed| {
             directory.set_readable(now);
@@ -258,3 +309,30 @@
     }
     gateway.peers.note_list();
 }
+
+/// Writes a line for each target about which the VM believes something new.
+fn log_news(news: &ListNews, source: &str) {
+    for entry in &news.entries {
+        log::info!(
+            target: BELIEF,
+            target = entry.incarnation.id.as_str(),
+            service = entry.service.as_str(),
+            addr = entry.addr.to_string().as_str(),
+            born_ms = entry.incarnation.born_ms,
+            is_draining = entry.is_draining,
+            source = source,
+            store_version = news.version;
+            "target listed"
+        );
+    }
+    for id in &news.gone {
+        log::info!(
+            target: BELIEF,
+            target = id.as_str(),
+            source = source,
+            store_version = news.version,
+            settle_left_ms = news.settle_left.as_millis() as u64;
+            "target no longer listed"
+        );
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -0,0 +1,230 @@
+//! What a daemon on the platform counts and measures.
+
+use super::state::Gateway;
+use crate::telemetry::{Exposition, LineCounts, counter, gauge, time_histogram};
+use gentianridge_core::{AttemptKind, ResultCode, TargetCondition};
+use http::StatusCode;
+use http_body_util::Full;
+use hyper::body::{Bytes, Incoming};
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram};
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+/// Path at which the metrics are read.
+const PATH: &str = "/metrics";
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// The instruments of one daemon; docs/METRICS-AND-LOGS.md explains each.
+#[derive(Debug)]
+pub(crate) struct GatewayMetrics {
+    exposition: Exposition,
+    lines: Option<Arc<LineCounts>>,
+    requests: Histogram<f64>,
+    waits: Histogram<f64>,
+    attempts: Histogram<f64>,
+    sends: Counter<u64>,
+    refusals: Counter<u64>,
+    connections: Counter<u64>,
+    samples: Counter<u64>,
+    store_calls: Counter<u64>,
+    targets: Gauge<f64>,
+    waiting: Gauge<f64>,
+    version: Gauge<f64>,
+    vms: Gauge<f64>,
+    list_due: Gauge<f64>,
+    log_lines: Gauge<f64>,
+}
+
+impl GatewayMetrics {
+    pub(crate) fn new(lines: Option<Arc<LineCounts>>) -> anyhow::Result<Self> {
+        let exposition = Exposition::new()?;
+        let meter = exposition.get_meter();
+        Ok(Self {
+            requests: time_histogram(
+                &meter,
+                "http.server.request.duration",
+                "Time until the answer or refusal",
+            ),
+            waits: time_histogram(
+                &meter,
+                "gentianridge.queue.duration",
+                "Time from the arrival of a request to each send",
+            ),
+            attempts: time_histogram(
+                &meter,
+                "gentianridge.attempt.duration",
+                "Time of one attempt at a target",
+            ),
+            sends: counter(&meter, "gentianridge.attempts", "Attempts by kind"),
+            refusals: counter(&meter, "gentianridge.refusals", "Refusals by result code"),
+            connections: counter(
+                &meter,
+                "gentianridge.connections",
+                "Connections to targets, opened and used again",
+            ),
+            samples: counter(
+                &meter,
+                "gentianridge.samples",
+                "Questions to targets for their load",
+            ),
+            store_calls: counter(&meter, "gentianridge.store.calls", "Calls by outcome"),
+            targets: gauge(&meter, "gentianridge.targets", "Targets by condition"),
+            waiting: gauge(&meter, "gentianridge.queue.length", "Requests that wait"),
+            version: gauge(
+                &meter,
+                "gentianridge.config.version",
+                "Configuration in force",
+            ),
+            vms: gauge(&meter, "gentianridge.peers", "Peers that are heard"),
+            list_due: gauge(
+                &meter,
+                "gentianridge.list.due",
+                "Time until this VM reads the list of targets; below zero it is late",
+            ),
+            log_lines: gauge(&meter, "gentianridge.log.lines", "Log lines by fate"),
+            lines,
+            exposition,
+        })
+    }
+
+    pub(crate) fn record_request(
+        &self,
+        route: &str,
+        kind: &'static str,
+        status: u16,
+        took: Duration,
+    ) {
+        let labels = [
+            KeyValue::new("http.route", route.to_owned()),
+            KeyValue::new("kind", kind),
+            KeyValue::new("http.response.status_code", i64::from(status)),
+        ];
+        self.requests.record(took.as_secs_f64(), &labels);
+    }
+
+    pub(crate) fn record_send(&self, service: &str, kind: AttemptKind, waited: Duration) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.waits
+            .record(waited.as_secs_f64(), std::slice::from_ref(&service));
+        self.sends
+            .add(1, &[service, KeyValue::new("kind", kind.as_str())]);
+    }
+
+    pub(crate) fn record_attempt(&self, service: &str, outcome: &'static str, took: Duration) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.attempts.record(took.as_secs_f64(), &labels);
+    }
+
+    pub(crate) fn record_refusal(&self, code: ResultCode) {
+        self.refusals
+            .add(1, &[KeyValue::new("code", i64::from(code.number()))]);
+    }
+
+    pub(crate) fn record_connection(&self, use_: &'static str) {
+        self.connections.add(1, &[KeyValue::new("use", use_)]);
+    }
+
+    pub(crate) fn record_sample(&self) {
+        self.samples.add(1, &[]);
+    }
+
+    pub(crate) fn record_store_call(&self, call: &'static str, is_good: bool) {
+        let outcome = if is_good { "ok" } else { "failed" };
+        let labels = [
+            KeyValue::new("call", call),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.store_calls.add(1, &labels);
+    }
+
+    /// Reads the state of the daemon and returns everything as text.
+    pub(crate) fn render(&self, gateway: &Gateway) -> String {
+        self.observe_services(gateway);
+        self.version.record(gateway.get_version() as f64, &[]);
+        self.vms.record(gateway.peers.count_live() as f64, &[]);
+        if let Some(due) = gateway.with_refresh(|refresh| refresh.get_due()) {
+            let now = gateway.clock.now();
+            let ahead = due.saturating_duration_since(now).as_secs_f64();
+            let behind = now.saturating_duration_since(due).as_secs_f64();
+            self.list_due.record(ahead - behind, &[]);
+        }
+        if let Some(lines) = &self.lines {
+            let fates = [
+                ("written", lines.get_written()),
+                ("left out", lines.get_left_out()),
+            ];
+            for (fate, count) in fates {
+                self.log_lines
+                    .record(count as f64, &[KeyValue::new("fate", fate)]);
+            }
+        }
+        self.exposition.render()
+    }
+
+    fn observe_services(&self, gateway: &Gateway) {
+        gateway.for_each_service(|service| {
+            let (status, waiting) =
+                service.read(|machine, now| (machine.get_status(now), machine.count_waiting()));
+            let label = KeyValue::new("service", service.name.to_string());
+            self.waiting
+                .record(waiting as f64, std::slice::from_ref(&label));
+            let conditions = [
+                ("active", TargetCondition::Active),
+                ("ejected", TargetCondition::Ejected),
+                ("leaving", TargetCondition::Leaving),
+                ("drained", TargetCondition::Drained),
+            ];
+            for (name, condition) in conditions {
+                let count = status.iter().filter(|t| t.condition == condition).count();
+                let labels = [label.clone(), KeyValue::new("condition", name)];
+                self.targets.record(count as f64, &labels);
+            }
+        });
+    }
+}
+
+/// Serves the metrics until the task is dropped.
+pub(crate) async fn run_metrics(gateway: Rc<Gateway>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let gateway = gateway.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|request| {
+                let response = answer(&gateway, &request);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                log::debug!("a connection for metrics ended: {error}");
+            }
+        });
+    }
+}
+
+fn answer(gateway: &Gateway, request: &http::Request<Incoming>) -> http::Response<Full<Bytes>> {
+    let is_found = request.uri().path() == PATH;
+    let text = if is_found {
+        gateway.metrics.render(gateway)
+    } else {
+        String::new()
+    };
+    let mut response = http::Response::new(Full::from(text));
+    if !is_found {
+        *response.status_mut() = StatusCode::NOT_FOUND;
+    }
+    response
+}
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod exchange;
 mod feeds;
 mod links;
+mod metrics;
 mod peers;
 mod ready;
 mod request;
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -27,12 +27,6 @@
 const FAR_REPEAT: Duration = Duration::from_millis(290);
 /// Silence after which a peer gets only a greeting a second.
 const SILENT: Duration = Duration::from_secs(3);
-/// VMs that wait at the store for a newer configuration; two, so that the loss
-/// of one delays nothing.
-const WATCHERS: usize = 2;
-/// Silence after which a peer does not count as waiting at the store; three
-/// datagrams in a row are lost by then.
-const WATCH_SILENCE: Duration = Duration::from_secs(1);
 /// Time for which the largest fleet seen counts as the fleet's size: a VM that
 /// is cut off from its peers must not take their parts of a shared budget.
 const KEEP_SIZE: Duration = Duration::from_secs(60);
@@ -154,23 +148,19 @@
         }
     }
 
-    /// Returns true if this VM is one of the few that wait at the store for a
-    /// newer configuration; the others hear of it from these. A VM that hears
-    /// no peer waits there itself.
-    pub(crate) fn is_watcher(&self, now: Instant) -> bool {
-        let peers = self.peers.borrow();
-        let before_me = peers.iter().filter(|peer| {
-            let is_heard = peer
-                .heard
-                .is_some_and(|at| now.saturating_duration_since(at) < WATCH_SILENCE);
-            is_heard && !peer.is_leaving && peer.vm < self.me
-        });
-        before_me.count() < WATCHERS
+    /// Returns the newest configuration that a peer has in force.
+    pub(crate) fn get_newest_version(&self) -> u64 {
+        self.newest.get()
+    }
+
+    /// Returns the number of peers that are heard.
+    pub(crate) fn count_live(&self) -> usize {
+        self.peers.borrow().iter().filter(|p| p.is_live).count()
     }
 
     /// Returns the largest number of VMs that was live lately.
     fn count_vms(&self, now: Instant) -> u16 {
-        let live = self.peers.borrow().iter().filter(|p| p.is_live).count() as u16 + 1;
+        let live = self.count_live() as u16 + 1;
         let mut sizes = self.sizes.borrow_mut();
         sizes.retain(|(at, size)| now.saturating_duration_since(*at) < KEEP_SIZE && *size > live);
         sizes.push((now, live));
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -1,12 +1,13 @@
 //! The life of a daemon on the platform.
 
 use super::callers::{Closing, run_callers};
-use super::feeds::{StoreHealth, follow_config, follow_targets};
+use super::feeds::follow_store;
+use super::metrics::run_metrics;
 use super::peers::{register, run_peers};
 use super::ready::run_ready;
 use super::state::Gateway;
 use crate::clock::SystemClock;
-use crate::telemetry::start_logging;
+use crate::telemetry::{BELIEF, start_logging};
 use anyhow::Context;
 use gentianridge_config::{GatewaySettings, parse_gateway_settings};
 use gentianridge_core::EventKind;
@@ -37,12 +38,12 @@
 /// Fails if the settings are wrong or an address cannot be bound.
 pub fn run_gateway(path: &str) -> anyhow::Result<()> {
     let settings = load(path)?;
-    start_logging(&settings.log_level, settings.log_format);
+    let lines = start_logging(&settings.log_level, settings.log_format);
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
     let run = async {
-        let gateway = Gateway::new(settings, Arc::new(SystemClock))?;
+        let gateway = Gateway::new(settings, Arc::new(SystemClock), Some(lines))?;
         tokio::task::spawn_local(follow_settings(gateway.clone(), path.to_owned()));
         serve(gateway, wait_for_signal()?).await
     };
@@ -62,7 +63,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    let run = async { serve(Gateway::new(settings, Arc::new(SystemClock))?, stop).await };
+    let run = async { serve(Gateway::new(settings, Arc::new(SystemClock), None)?, stop).await };
     runtime.block_on(LocalSet::new().run_until(run))
 }
 
@@ -79,9 +80,17 @@
         .await
         .with_context(|| format!("cannot bind {}", settings.peers))?;
     gateway.journal.record(EventKind::VmStarted);
+    log::info!(
+        target: BELIEF,
+        vm = settings.vm.as_str(),
+        domain = settings.domain.as_str(),
+        callers = settings.callers.to_string().as_str(),
+        store = settings.store.to_string().as_str();
+        "gentianridged {} serves callers",
+        env!("CARGO_PKG_VERSION")
+    );
     let (close, closing) = watch::channel(Closing::No);
     let connections = TaskTracker::new();
-    let health = Rc::new(StoreHealth::default());
     let accept = tokio::task::spawn_local(run_callers(
         gateway.clone(),
         callers,
@@ -89,10 +98,18 @@
         connections.clone(),
     ));
     tokio::task::spawn_local(run_ready(gateway.clone(), ready));
+    if let Some(addr) = settings.metrics {
+        match bind(addr).await {
+            Ok(listener) => {
+                tokio::task::spawn_local(run_metrics(gateway.clone(), listener));
+            }
+            // Requests go before metrics.
+            Err(error) => log::error!("metrics are not served: {error:#}"),
+        }
+    }
     tokio::task::spawn_local(run_peers(gateway.clone(), socket));
     tokio::task::spawn_local(register(gateway.clone()));
-    tokio::task::spawn_local(follow_config(gateway.clone(), health.clone()));
-    tokio::task::spawn_local(follow_targets(gateway.clone(), health));
+    tokio::task::spawn_local(follow_store(gateway.clone()));
     tokio::task::spawn_local(sweep(gateway.clone()));
     stop.await;
     end(&gateway, &close, &connections).await;
--- a/crates/daemon/src/gateway/samples.rs
+++ b/crates/daemon/src/gateway/samples.rs
@@ -25,7 +25,7 @@
     while let Some(target) = wanted.recv().await {
         let (gateway, service) = (gateway.clone(), service.clone());
         tokio::task::spawn_local(async move {
-            gateway.counters.count_sample();
+            gateway.metrics.record_sample();
             let asked = ask(&gateway, &service, target);
             match tokio::time::timeout(TIMEOUT, asked).await {
                 Ok(Ok(())) => {}
@@ -51,7 +51,7 @@
     let mut link = match gateway.links.take(now, &incarnation, Wanted::Kept) {
         Some(link) => link,
         None => {
-            gateway.counters.count_opened();
+            gateway.metrics.record_connection("opened");
             Link::open(addr, now).await?
         }
     };
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -1,10 +1,11 @@
 //! What a daemon on the platform knows and believes.
 
 use super::links::{Link, Links};
+use super::metrics::GatewayMetrics;
 use super::peers::Peers;
 use super::samples::run_samples;
 use crate::service::ServiceHandle;
-use crate::telemetry::Journal;
+use crate::telemetry::{Journal, LineCounts};
 use gentianridge_adapter::{ExchangeHeaders, Store, exchange_headers};
 use gentianridge_config::GatewaySettings;
 use gentianridge_core::{
@@ -32,6 +33,8 @@
 #[derive(Debug)]
 pub(crate) struct Routed {
     pub(crate) route: SmolStr,
+    /// Configuration by which the request was routed.
+    pub(crate) version: u64,
     pub(crate) service: Arc<ServiceHandle>,
     pub(crate) class: ClassKey,
     pub(crate) kind: ClassKind,
@@ -39,33 +42,6 @@
     pub(crate) objective: Duration,
 }
 
-/// Totals of the data path.
-#[derive(Debug, Default)]
-pub(crate) struct GatewayCounters {
-    opened: Cell<u64>,
-    reused: Cell<u64>,
-    broken: Cell<u64>,
-    samples: Cell<u64>,
-}
-
-impl GatewayCounters {
-    pub(crate) fn count_opened(&self) {
-        self.opened.set(self.opened.get() + 1);
-    }
-
-    pub(crate) fn count_reused(&self) {
-        self.reused.set(self.reused.get() + 1);
-    }
-
-    pub(crate) fn count_sample(&self) {
-        self.samples.set(self.samples.get() + 1);
-    }
-
-    pub(crate) fn count_broken(&self) {
-        self.broken.set(self.broken.get() + 1);
-    }
-}
-
 /// A service with the classes that requests under way may still be in.
 #[derive(Debug)]
 struct Entry {
@@ -84,7 +60,7 @@
     pub(crate) journal: Arc<Journal>,
     pub(crate) links: Links,
     pub(crate) peers: Peers,
-    pub(crate) counters: GatewayCounters,
+    pub(crate) metrics: GatewayMetrics,
     routes: RefCell<Option<RouteTable>>,
     directory: RefCell<Directory>,
     refresh: RefCell<Refresh>,
@@ -98,7 +74,8 @@
     /// of a second, and one that takes longer is as good as away.
     const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-    /// Creates the state of a daemon that knows nothing yet.
+    /// Creates the state of a daemon that knows nothing yet; `lines` are the
+    /// counts of the log, if this process writes one.
     ///
     /// # Errors
     ///
@@ -106,6 +83,7 @@
     pub(crate) fn new(
         settings: GatewaySettings,
         clock: Arc<dyn Clock>,
+        lines: Option<Arc<LineCounts>>,
     ) -> anyhow::Result<Rc<Self>> {
         let store = Store::new(settings.store, Self::STORE_TIMEOUT)?;
         let journal = Arc::new(Journal::new(settings.vm.clone(), clock.clone()));
@@ -116,10 +94,10 @@
             journal,
             links: Links::default(),
             peers: Peers::new(settings.vm.clone()),
-            counters: GatewayCounters::default(),
+            metrics: GatewayMetrics::new(lines)?,
             routes: RefCell::new(None),
             directory: RefCell::new(Directory::new()),
-            refresh: RefCell::new(Refresh::new(settings.drain)),
+            refresh: RefCell::new(Refresh::new(get_list_bound(&settings))),
             services: RefCell::new(Vec::new()),
             phase: Cell::new(Phase::Running),
             settings: RefCell::new(settings),
@@ -149,7 +127,8 @@
                 Err(error) => log::error!("cannot use the store at {}: {error}", settings.store),
             }
         }
-        self.refresh.borrow_mut().set_bound(settings.drain);
+        let bound = get_list_bound(&settings);
+        self.refresh.borrow_mut().set_bound(bound);
         *self.settings.borrow_mut() = settings;
         self.apply_all();
     }
@@ -217,6 +196,7 @@
             .ok_or(ResultCode::NoTarget)?;
         Ok(Routed {
             route: route.name.clone(),
+            version: table.get_version(),
             service,
             class,
             kind: route.kind,
@@ -411,6 +391,11 @@
     }
 }
 
+/// Returns the bound on the age of what is read from the store.
+fn get_list_bound(settings: &GatewaySettings) -> Duration {
+    settings.drain.min(settings.apply)
+}
+
 /// Targets are asked within a small part of the shortest objective.
 fn find_sampling(classes: &[ClassSpec]) -> Option<Sampling> {
     let shortest = classes.iter().map(ClassSpec::get_objective).min()?;
--- /dev/null
+++ b/crates/daemon/src/telemetry/lines.rs
@@ -0,0 +1,148 @@
+//! Lines on standard output that never hold up a request.
+
+use logforth::record::{Level, Record};
+use logforth::{Append, Diagnostic, Error, Layout};
+use parking_lot::Mutex;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::time::{Duration, Instant};
+
+/// Target of lines that tell a change of what the process believes.
+pub(crate) const BELIEF: &str = "belief";
+
+/// Lines of a second that tell how a request went well.
+const ROUTINE_PER_SECOND: u32 = 200;
+/// Lines of a second that tell a refusal, a failure or a change of belief;
+/// they have room of their own, so that routine never crowds them out.
+const NOTABLE_PER_SECOND: u32 = 400;
+/// Lines that wait for a slow reader; some hundred kilobytes at the most.
+const QUEUE: usize = 1_000;
+
+/// How many lines were written and left out.
+#[derive(Debug, Default)]
+pub struct LineCounts {
+    written: AtomicU64,
+    left_out: AtomicU64,
+}
+
+impl LineCounts {
+    /// Returns the lines that were handed to the writer.
+    pub fn get_written(&self) -> u64 {
+        self.written.load(Ordering::Relaxed)
+    }
+
+    /// Returns the lines that were left out for their number or a slow reader.
+    pub fn get_left_out(&self) -> u64 {
+        self.left_out.load(Ordering::Relaxed)
+    }
+}
+
+/// Appender with a bound on the lines of a second and a thread that writes.
+///
+/// A line that does not fit is counted and left out; the next one that fits
+/// comes after a line with the count.
+#[derive(Debug)]
+pub struct BoundedLines {
+    layout: Box<dyn Layout>,
+    tx: SyncSender<Vec<u8>>,
+    window: Mutex<Window>,
+    counts: Arc<LineCounts>,
+}
+
+#[derive(Debug)]
+struct Window {
+    began: Instant,
+    routine: u32,
+    notable: u32,
+    left_out: u64,
+}
+
+impl BoundedLines {
+    /// Starts the thread that writes to `out`.
+    pub fn new(layout: impl Into<Box<dyn Layout>>, out: impl Write + Send + 'static) -> Self {
+        let (tx, rx) = sync_channel(QUEUE);
+        // The thread ends with the appender, when the last sender is dropped.
+        std::thread::spawn(move || write_lines(&rx, out));
+        Self {
+            layout: layout.into(),
+            tx,
+            window: Mutex::new(Window {
+                began: Instant::now(),
+                routine: 0,
+                notable: 0,
+                left_out: 0,
+            }),
+            counts: Arc::default(),
+        }
+    }
+
+    /// Returns the counts, which live as long as they are held.
+    pub fn get_counts(&self) -> Arc<LineCounts> {
+        self.counts.clone()
+    }
+
+    /// Takes room for a line; returns how many were left out before it.
+    fn admit(&self, is_notable: bool) -> Option<u64> {
+        let mut window = self.window.lock();
+        if window.began.elapsed() >= Duration::from_secs(1) {
+            window.began = Instant::now();
+            window.routine = 0;
+            window.notable = 0;
+        }
+        let (used, limit) = if is_notable {
+            (&mut window.notable, NOTABLE_PER_SECOND)
+        } else {
+            (&mut window.routine, ROUTINE_PER_SECOND)
+        };
+        if *used >= limit {
+            self.leave_out(&mut window);
+            return None;
+        }
+        *used += 1;
+        Some(std::mem::take(&mut window.left_out))
+    }
+
+    fn leave_out(&self, window: &mut Window) {
+        window.left_out += 1;
+        self.counts.left_out.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn send(&self, line: Vec<u8>) {
+        if self.tx.try_send(line).is_ok() {
+            self.counts.written.fetch_add(1, Ordering::Relaxed);
+        } else {
+            self.leave_out(&mut self.window.lock());
+        }
+    }
+}
+
+impl Append for BoundedLines {
+    fn append(&self, record: &Record<'_>, diags: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
+        let is_notable = record.level() >= Level::Warn || record.target() == BELIEF;
+        let Some(left_out) = self.admit(is_notable) else {
+            return Ok(());
+        };
+        if left_out > 0 {
+            self.send(format!("{{\"left_out\":{left_out}}}\n").into_bytes());
+        }
+        let mut line = self.layout.format(record, diags)?;
+        line.push(b'\n');
+        self.send(line);
+        Ok(())
+    }
+
+    fn flush(&self) -> Result<(), Error> {
+        Ok(())
+    }
+}
+
+fn write_lines(rx: &Receiver<Vec<u8>>, mut out: impl Write) {
+    while let Ok(line) = rx.recv() {
+        // Nobody is left to tell when the lines themselves cannot be written.
+        if out.write_all(&line).is_err() {
+            return;
+        }
+    }
+}
--- a/crates/daemon/src/telemetry/logging.rs
+++ b/crates/daemon/src/telemetry/logging.rs
@@ -1,32 +1,28 @@
 //! Log lines.
 
+use super::lines::{BoundedLines, LineCounts};
 use gentianridge_config::LogFormat;
-use logforth::append::Stderr;
+use logforth::Layout;
 use logforth::layout::{JsonLayout, TextLayout};
 use logforth::record::{Level, LevelFilter};
+use std::sync::Arc;
 
-/// Starts writing log lines to the standard error stream.
+/// Starts writing log lines to standard output and returns their counts.
 ///
-/// Lines are written only for changes of state; what happens per call is
-/// counted instead. docs/METRICS-AND-LOGS.md lists both.
-pub fn start_logging(level: &str, format: LogFormat) {
+/// What is written when, and the bound on it, is listed in
+/// docs/METRICS-AND-LOGS.md.
+pub fn start_logging(level: &str, format: LogFormat) -> Arc<LineCounts> {
     let filter = LevelFilter::MoreSevereEqual(level_of(level));
-    let builder = logforth::starter_log::builder();
-    match format {
-        LogFormat::Text => builder
-            .dispatch(|d| {
-                let layout = TextLayout::default().no_color();
-                d.filter(filter)
-                    .append(Stderr::default().with_layout(layout))
-            })
-            .apply(),
-        LogFormat::Json => builder
-            .dispatch(|d| {
-                d.filter(filter)
-                    .append(Stderr::default().with_layout(JsonLayout::default()))
-            })
-            .apply(),
-    }
+    let layout: Box<dyn Layout> = match format {
+        LogFormat::Text => TextLayout::default().no_color().into(),
+        LogFormat::Json => JsonLayout::default().into(),
+    };
+    let lines = BoundedLines::new(layout, std::io::stdout());
+    let counts = lines.get_counts();
+    logforth::starter_log::builder()
+        .dispatch(|dispatch| dispatch.filter(filter).append(lines))
+        .apply();
+    counts
 }
 
 fn level_of(name: &str) -> Level {
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -1,12 +1,11 @@
 //! Metrics in the form that Prometheus reads.
 
+use super::exposition::{Exposition, counter, time_histogram};
 use crate::fleet::Routes;
 use gentianridge_core::{Counters, ResultCode};
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider, ObservableCounter};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
+use opentelemetry::metrics::{Counter, Histogram, Meter, ObservableCounter};
 use parking_lot::RwLock;
-use prometheus::{Encoder, Registry, TextEncoder};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -27,8 +26,7 @@
 /// explained in docs/METRICS-AND-LOGS.md.
 #[derive(Debug)]
 pub(crate) struct Metrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    exposition: Exposition,
     duration: Histogram<f64>,
     queued: Histogram<f64>,
     refusals: Counter<u64>,
@@ -42,18 +40,9 @@
 pub(crate) type RoutesCell = Arc<RwLock<Option<Arc<Routes>>>>;
 
 impl Metrics {
-    /// Bounds of the time histograms in seconds.
-    const BOUNDS: [f64; 14] = [
-        0.000_5, 0.001, 0.002_5, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0,
-    ];
-
     pub(crate) fn new(routes: &RoutesCell) -> anyhow::Result<Self> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("gentianridge");
+        let exposition = Exposition::new()?;
+        let meter = exposition.get_meter();
         Ok(Self {
             duration: time_histogram(
                 &meter,
@@ -78,8 +67,7 @@
                 "Operations of the platform's store",
             ),
             _totals: observe_totals(&meter, routes),
-            _provider: provider,
-            registry,
+            exposition,
         })
     }
 
@@ -116,31 +104,10 @@
 
     /// Returns all metrics as Prometheus text.
     pub(crate) fn render(&self) -> String {
-        let mut text = Vec::new();
-        let encoder = TextEncoder::new();
-        if let Err(error) = encoder.encode(&self.registry.gather(), &mut text) {
-            log::warn!("metrics cannot be written: {error}");
-        }
-        String::from_utf8_lossy(&text).into_owned()
+        self.exposition.render()
     }
 }
 
-fn time_histogram(meter: &Meter, name: &'static str, description: &'static str) -> Histogram<f64> {
-    meter
-        .f64_histogram(name)
-        .with_unit("s")
-        .with_description(description)
-        .with_boundaries(Metrics::BOUNDS.to_vec())
-        .build()
-}
-
-fn counter(meter: &Meter, name: &'static str, description: &'static str) -> Counter<u64> {
-    meter
-        .u64_counter(name)
-        .with_description(description)
-        .build()
-}
-
 /// A total of a service with its metric name.
 struct Total {
     name: &'static str,
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -17,7 +17,7 @@
 pub use load::{CallPlan, CallResult, LoadReportTable, RunState, run_calls};
 pub use platform::{PlatformFaults, PlatformStandIn};
 pub use published::{
-    Answering, CallerConnection, GatewayVm, PublishedStore, PublishedTarget, Reply, StoreFault,
-    TargetEntryValue,
+    Answering, CallerConnection, GatewayVm, PublishedStore, PublishedTarget, Reply, StoreDoor,
+    StoreFault, TargetEntryValue,
 };
 pub use target::{Runs, ServiceTime, TargetFaults, TargetOptions, TargetStandIn};
--- a/crates/testkit/src/published/mod.rs
+++ b/crates/testkit/src/published/mod.rs
@@ -8,6 +8,6 @@
 mod vm;
 
 pub use caller::{CallerConnection, Reply};
-pub use store::{PublishedStore, StoreFault};
+pub use store::{PublishedStore, StoreDoor, StoreFault};
 pub use target::{Answering, PublishedTarget, TargetEntryValue};
 pub use vm::GatewayVm;
--- a/crates/testkit/src/published/store.rs
+++ b/crates/testkit/src/published/store.rs
@@ -39,16 +39,48 @@
     ver: u64,
     /// Versions up to this one are no longer in the history.
     compacted: u64,
-    fault: StoreFault,
     calls: Vec<String>,
 }
 
+/// An address of a store that some VMs use, with faults of its own.
+#[derive(Debug)]
+pub struct StoreDoor {
+    addr: SocketAddr,
+    fault: Arc<Mutex<StoreFault>>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for StoreDoor {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl StoreDoor {
+    async fn open(shared: &Arc<Shared>) -> anyhow::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let addr = listener.local_addr()?;
+        let fault = Arc::new(Mutex::new(StoreFault::None));
+        let task = tokio::spawn(accept(listener, shared.clone(), fault.clone()));
+        Ok(Self { addr, fault, task })
+    }
+
+    /// Returns the address.
+    pub fn get_addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Sets how the store treats those who use the address.
+    pub fn set_fault(&self, fault: StoreFault) {
+        *self.fault.lock() = fault;
+    }
+}
+
 /// A store on a loopback address.
 #[derive(Debug)]
 pub struct PublishedStore {
-    addr: SocketAddr,
     shared: Arc<Shared>,
-    task: JoinHandle<()>,
+    door: StoreDoor,
 }
 
 #[derive(Debug)]
@@ -57,12 +89,6 @@
     changed: Notify,
 }
 
-impl Drop for PublishedStore {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
 impl PublishedStore {
     /// Starts an empty store.
     ///
@@ -70,30 +96,36 @@
     ///
     /// Fails if no loopback address can be bound.
     pub async fn start() -> anyhow::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let addr = listener.local_addr()?;
         let shared = Arc::new(Shared {
             state: Mutex::new(State {
                 rows: Vec::new(),
                 ver: 0,
                 compacted: 0,
-                fault: StoreFault::None,
                 calls: Vec::new(),
             }),
             changed: Notify::new(),
         });
-        let task = tokio::spawn(accept(listener, shared.clone()));
-        Ok(Self { addr, shared, task })
+        let door = StoreDoor::open(&shared).await?;
+        Ok(Self { shared, door })
+    }
+
+    /// Opens another address of the same store.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no loopback address can be bound.
+    pub async fn open_door(&self) -> anyhow::Result<StoreDoor> {
+        StoreDoor::open(&self.shared).await
     }
 
     /// Returns the address of the store.
     pub fn get_addr(&self) -> SocketAddr {
-        self.addr
+        self.door.get_addr()
     }
 
-    /// Sets how the store misbehaves from now on.
+    /// Sets how the store misbehaves at its first address from now on.
     pub fn set_fault(&self, fault: StoreFault) {
-        self.shared.state.lock().fault = fault;
+        self.door.set_fault(fault);
     }
 
     /// Writes a row as an operator or a target does.
@@ -172,20 +204,17 @@
     }
 }
 
-async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+async fn accept(listener: TcpListener, shared: Arc<Shared>, fault: Arc<Mutex<StoreFault>>) {
     while let Ok((stream, _)) = listener.accept().await {
-        tokio::spawn(serve(stream, shared.clone()));
+        tokio::spawn(serve(stream, shared.clone(), fault.clone()));
     }
 }
 
-async fn serve(stream: TcpStream, shared: Arc<Shared>) {
+async fn serve(stream: TcpStream, shared: Arc<Shared>, fault: Arc<Mutex<StoreFault>>) {
     let mut messages = MessageStream::new(stream);
     while let Ok(Some(request)) = messages.read().await {
-        let fault = {
-            let mut state = shared.state.lock();
-            state.calls.push(request.start.clone());
-            state.fault
-        };
+        shared.state.lock().calls.push(request.start.clone());
+        let fault = *fault.lock();
         let (status, body) = match fault {
             StoreFault::None => answer(&shared, &request).await,
             StoreFault::Unavailable => (503, Value::Null),
--- a/tests/gateway/configuration.rs
+++ b/tests/gateway/configuration.rs
@@ -4,11 +4,12 @@
 use gentianridge_testkit::{GatewayVm, PublishedStore};
 use std::time::Duration;
 
-const MORE: &str = r#",{"name":"new","path_prefix":"/new/","kind":"idempotent","timeout":"2000ms",
+/// One more route than the first configuration has.
+pub(crate) const MORE: &str = r#",{"name":"new","path_prefix":"/new/","kind":"idempotent","timeout":"2000ms",
     "slo_latency":"600ms","priority":1,"service":"cart","max_attempts":2}"#;
 
 /// Bound of the platform on the time until a configuration is in force.
-const APPLY: Duration = Duration::from_secs(2);
+pub(crate) const APPLY: Duration = Duration::from_secs(2);
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn unknown_configuration() {
--- a/tests/gateway/peers.rs
+++ b/tests/gateway/peers.rs
@@ -1,7 +1,8 @@
 //! What the VMs of a fleet tell each other.
 
+use crate::configuration::{APPLY, MORE};
 use crate::site::{Site, put_config, register};
-use gentianridge_testkit::GatewayVm;
+use gentianridge_testkit::{GatewayVm, StoreFault};
 use std::time::Duration;
 
 const DRAIN: Duration = Duration::from_secs(2);
@@ -46,13 +47,35 @@
         vm.wait_ready().await.unwrap();
     }
     tokio::time::sleep(Duration::from_secs(1)).await;
-    let more = r#",{"name":"new","path_prefix":"/new/","kind":"idempotent","timeout":"2000ms",
-        "slo_latency":"600ms","priority":1,"service":"cart","max_attempts":2}"#;
-    put_config(&site.store, 9, more);
-    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    put_config(&site.store, 9, MORE);
+    tokio::time::sleep(APPLY).await;
     for vm in &vms {
         let mut caller = vm.open().await.unwrap();
         let reply = caller.ask("GET", "/new/x", "a1").await.unwrap();
         assert_eq!(reply.status, 200);
     }
 }
+
+/// A store that turns some VMs away, by silence even, keeps no other VM from a
+/// new configuration.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn turned_away() {
+    let site = Site::start(1).await;
+    let door = site.store.open_door().await.unwrap();
+    let start = |name: &str, addr| GatewayVm::start(name, addr).unwrap();
+    let away = ["vm-0a", "vm-0b"].map(|name| start(name, door.get_addr()));
+    let served = ["vm-2", "vm-3"].map(|name| start(name, site.store.get_addr()));
+    for vm in away.iter().chain(&served) {
+        vm.wait_ready().await.unwrap();
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    door.set_fault(StoreFault::Silent);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    put_config(&site.store, 9, MORE);
+    tokio::time::sleep(APPLY).await;
+    for vm in &served {
+        let mut caller = vm.open().await.unwrap();
+        let reply = caller.ask("GET", "/new/x", "a1").await.unwrap();
+        assert_eq!(reply.status, 200);
+    }
+}
