feat(core): hedge while it can still meet the objective, at a good pace

Ruled out: a spent budget of repeats (218 of 1,780 lookups, a fifth and more is allowed). Change: with an objective an attempt counts as late one usual answer before it, not earlier than half again the usual time; targets are asked before a hedge, twice at most. Test hedge_in_time.

--- a/crates/core/src/service/calls.rs
+++ b/crates/core/src/service/calls.rs
@@ -105,7 +105,7 @@
     /// Returns the time at which [`Self::tick`] has to be called at the latest.
     pub fn next_wake(&self, now: Instant) -> Option<Instant> {
         let expiry = self.classes.iter().filter_map(|c| c.front()).map(|w| w.due);
-        let hedge = self.classes.iter().filter_map(|c| self.next_hedge(c));
+        let hedge = self.classes.iter().filter_map(Class::next_hedge);
         let sample = self.classes.iter().filter_map(|c| self.next_sample(now, c));
         let mut wake = expiry.chain(hedge).chain(sample).min();
         if self.classes.iter().any(|c| c.len() > 0) {
--- a/crates/core/src/service/class.rs
+++ b/crates/core/src/service/class.rs
@@ -18,6 +18,8 @@
 pub(crate) struct HedgeCheck {
     pub(crate) started: Instant,
     pub(crate) attempt: AttemptKey,
+    /// Rounds of questions for a target to hedge on.
+    pub(crate) rounds: u8,
 }
 
 /// Queue ordered by due time, and what is known about answer times.
@@ -26,6 +28,8 @@
     pub(crate) spec: ClassSpec,
     pub(crate) usual: UsualTime,
     pub(crate) hedge_checks: VecDeque<HedgeCheck>,
+    /// Checks that wait for the answers of targets, in the order of their time.
+    pub(crate) hedge_rechecks: VecDeque<(Instant, HedgeCheck)>,
     waiting: VecDeque<Waiting>,
 }
 
@@ -35,6 +39,7 @@
             usual: UsualTime::new(initial_time(&spec)),
             spec,
             hedge_checks: VecDeque::new(),
+            hedge_rechecks: VecDeque::new(),
             waiting: VecDeque::new(),
         }
     }
@@ -51,6 +56,48 @@
         }
     }
 
+    /// Time after which an attempt counts as late.
+    ///
+    /// With an objective, a second attempt is of use only if it can still meet
+    /// it, so that it starts one usual answer before; but not before most
+    /// answers are there.
+    pub(crate) fn get_late_time(&self) -> Duration {
+        let (median, high) = (self.usual.get_median(), self.usual.get_high());
+        match self.spec.objective {
+            Some(objective) => high.min(objective.saturating_sub(median).max(median * 3 / 2)),
+            None => high,
+        }
+    }
+
+    /// Returns when the next attempt has to be checked.
+    pub(crate) fn next_hedge(&self) -> Option<Instant> {
+        let check = self.hedge_checks.front();
+        let first = check.map(|check| check.started + self.get_late_time());
+        let again = self.hedge_rechecks.front().map(|(at, _)| *at);
+        first.into_iter().chain(again).min()
+    }
+
+    /// Takes out the next check that is due.
+    pub(crate) fn take_hedge(&mut self, now: Instant) -> Option<HedgeCheck> {
+        if self
+            .hedge_rechecks
+            .front()
+            .is_some_and(|(at, _)| *at <= now)
+        {
+            return self.hedge_rechecks.pop_front().map(|(_, check)| check);
+        }
+        let late = self.get_late_time();
+        let is_due = self
+            .hedge_checks
+            .front()
+            .is_some_and(|check| check.started + late <= now);
+        if is_due {
+            self.hedge_checks.pop_front()
+        } else {
+            None
+        }
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.waiting.len()
     }
--- a/crates/core/src/service/dispatch.rs
+++ b/crates/core/src/service/dispatch.rs
@@ -1,6 +1,6 @@
 //! Dispatching of waiting calls, and hedges.
 
-use super::class::{Class, HedgeCheck};
+use super::class::HedgeCheck;
 use super::records::{Attempt, Call};
 use super::usual::ratio_of;
 use super::{AttemptKey, AttemptKind, CallKey, Output, Service, TargetKey};
@@ -94,6 +94,7 @@
         let check = HedgeCheck {
             started: now,
             attempt,
+            rounds: 0,
         };
         self.classes[class.get_index()]
             .hedge_checks
@@ -130,20 +131,10 @@
         self.own_short += u32::from(!is_long);
     }
 
-    pub(super) fn next_hedge(&self, class: &Class) -> Option<Instant> {
-        let check = class.hedge_checks.front()?;
-        Some(check.started + class.usual.get_high())
-    }
-
     pub(super) fn check_hedges(&mut self, now: Instant, out: &mut Vec<Output>) {
         for index in 0..self.classes.len() {
-            while let Some(due) = self.next_hedge(&self.classes[index]) {
-                if due > now {
-                    break;
-                }
-                if let Some(check) = self.classes[index].hedge_checks.pop_front() {
-                    self.check_hedge(now, index, check, out);
-                }
+            while let Some(check) = self.classes[index].take_hedge(now) {
+                self.check_hedge(now, index, check, out);
             }
         }
     }
@@ -162,7 +153,9 @@
             return;
         }
         let (key, target, kind) = (attempt.call, attempt.target, attempt.kind);
-        self.note_late(now, index, target, check.started, out);
+        if check.rounds == 0 {
+            self.note_late(now, index, target, check.started, out);
+        }
         if kind == AttemptKind::Hedge {
             self.give_up_hedge(now, key, check.attempt, out);
             return;
@@ -174,6 +167,9 @@
         if !may_hedge {
             return;
         }
+        if self.is_hedge_asked(now, index, key, check, out) {
+            return;
+        }
         let Some(spare) = self.pick_spare(now, key) else {
             return;
         };
--- a/crates/core/src/service/sampling.rs
+++ b/crates/core/src/service/sampling.rs
@@ -5,7 +5,7 @@
 //! start. No report of an earlier answer is fresh enough to tell, so a few
 //! targets are asked. docs/decisions/0015-sampling.md has the costs.
 
-use super::class::Class;
+use super::class::{Class, HedgeCheck};
 use super::pick::Wanted;
 use super::records::CallState;
 use super::{CallKey, Output, Service, TargetKey};
@@ -79,6 +79,8 @@
     const GOOD_WORK: f32 = 1.5;
     /// Rounds of questions for one request; after them it goes to the best that is known.
     const MAX_ROUNDS: u8 = 12;
+    /// Rounds of questions for one second attempt.
+    const HEDGE_ROUNDS: u8 = 2;
     /// VMs assumed as long as the fleet's size is not known.
     const CAUTIOUS_VMS: f32 = 50.0;
 
@@ -138,6 +140,37 @@
         }
     }
 
+    /// Asks targets before a second attempt, which is worth its cost only on one
+    /// that works at a good pace; returns true if the answers are waited for.
+    pub(super) fn is_hedge_asked(
+        &mut self,
+        now: Instant,
+        class: usize,
+        key: CallKey,
+        check: HedgeCheck,
+        out: &mut Vec<Output>,
+    ) -> bool {
+        let Some(plan) = self.spec.sampling else {
+            return false;
+        };
+        let is_done = check.rounds >= Self::HEDGE_ROUNDS
+            || matches!(
+                self.find_best_work(now, plan, key),
+                Best::Good | Best::NoRoom
+            );
+        if is_done || !matches!(self.ask(now, plan, key, out), Asked::Targets(1..)) {
+            return false;
+        }
+        let again = HedgeCheck {
+            rounds: check.rounds + 1,
+            ..check
+        };
+        self.classes[class]
+            .hedge_rechecks
+            .push_back((now + plan.wait, again));
+        true
+    }
+
     /// Returns when the first waiting call of a class stops to wait for reports.
     pub(super) fn next_sample(&self, now: Instant, class: &Class) -> Option<Instant> {
         let front = class.front()?;
--- a/crates/core/tests/sampling.rs
+++ b/crates/core/tests/sampling.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Bench, SHORT, make_spec};
-use gentianridge_core::{CallKey, LoadReport, Sampling, ServiceSpec, TargetKey};
+use gentianridge_core::{AttemptKind, CallKey, LoadReport, Sampling, ServiceSpec, TargetKey};
 use std::time::Duration;
 
 const WAIT_MS: u64 = 30;
@@ -130,6 +130,40 @@
     assert_eq!(targets, [0, 0, 0]);
 }
 
+/// A second attempt starts while it can still meet the objective, on a target
+/// that tells a good pace then.
+#[test]
+fn hedge_in_time() {
+    let mut spec = sampled_spec(3);
+    spec.hedge_percent = 100;
+    let mut bench = Bench::with(spec);
+    for _ in 0..30 {
+        let (call, _) = arrive(&mut bench);
+        tell(&mut bench, TargetKey::from_index(0), 100);
+        let sent = bench.last_of(call);
+        bench.pass(190);
+        bench.answer(sent);
+    }
+    let (call, _) = arrive(&mut bench);
+    tell(&mut bench, TargetKey::from_index(0), 100);
+    let first = bench.last_of(call);
+    let asked = bench.asked.len();
+    let mut passed = 0;
+    while bench.last_of(call).attempt == first.attempt {
+        bench.pass(10);
+        passed += 10;
+        if bench.asked.len() > asked {
+            tell(&mut bench, TargetKey::from_index(1), 500);
+            tell(&mut bench, TargetKey::from_index(2), 100);
+        }
+        assert!(passed < 600 - 190, "too late for the objective");
+    }
+    let hedge = bench.last_of(call);
+    assert_eq!(hedge.kind, AttemptKind::Hedge);
+    assert_eq!(hedge.target.get_index(), 2);
+    assert!(passed > 190, "most answers are there after {passed} ms");
+}
+
 /// The timer is never set to a time that has passed.
 #[test]
 fn wake_up_times() {
