--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -56,6 +56,7 @@
     arrived: Instant,
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, ResultCode> {
+    gateway.wait_informed().await;
     let routed = gateway.route(&request)?;
     let max_body = gateway.get_limits().max_body_bytes;
     let request = CallerRequest::read(gateway, request, max_body).await?;
--- a/crates/daemon/src/gateway/feeds.rs
+++ b/crates/daemon/src/gateway/feeds.rs
@@ -262,6 +262,7 @@
     log_news(&news, "store");
     let draw = rand::rng().random();
     gateway.with_refresh(|refresh| refresh.note_read(now, changes.version, draw));
+    gateway.note_informed();
     if after.is_some() {
         gateway.peers.tell_list(news);
     }
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -20,6 +20,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::sync::Notify;
 
 /// Where the process stands in its life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -66,10 +67,14 @@
     refresh: RefCell<Refresh>,
     services: RefCell<Vec<Entry>>,
     phase: Cell<Phase>,
+    informed: Notify,
 }
 
 /// Construction and phase.
 impl Gateway {
+    /// Longest wait for the first answers of the store: a few calls, one of them
+    /// on a second connection.
+    const START_WAIT: Duration = Duration::from_millis(300);
     /// Longest time for one call to the store; a slow store takes a fraction
     /// of a second, and one that takes longer is as good as away.
     const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -100,6 +105,7 @@
             refresh: RefCell::new(Refresh::new(get_list_bound(&settings))),
             services: RefCell::new(Vec::new()),
             phase: Cell::new(Phase::Running),
+            informed: Notify::new(),
             settings: RefCell::new(settings),
         }))
     }
@@ -142,6 +148,30 @@
         self.journal.record(EventKind::VmStopping);
     }
 
+    /// Waits until routes and targets are known, as after a start, but not for
+    /// longer than it usually takes.
+    ///
+    /// After the loss of a whole fleet callers come before the store has
+    /// answered; a refusal would send them away for longer than that takes.
+    pub(crate) async fn wait_informed(&self) {
+        let end = self.clock.now() + Self::START_WAIT;
+        while !self.is_informed() {
+            let informed = tokio::time::timeout_at(end.into(), self.informed.notified());
+            if informed.await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn is_informed(&self) -> bool {
+        self.routes.borrow().is_some() && self.refresh.borrow().get_version().is_some()
+    }
+
+    /// Notes that routes or targets were read.
+    pub(crate) fn note_informed(&self) {
+        self.informed.notify_waiters();
+    }
+
     /// Returns true if the balancer may send connections here.
     pub(crate) fn is_ready(&self) -> bool {
         self.phase.get() == Phase::Running
@@ -224,6 +254,7 @@
         }
         *self.routes.borrow_mut() = Some(table);
         self.apply_all();
+        self.note_informed();
         true
     }
 
--- a/tests/gateway/configuration.rs
+++ b/tests/gateway/configuration.rs
@@ -1,7 +1,7 @@
 //! Configurations come in force upward only, and soon.
 
-use crate::site::{Site, eventually, put_config};
-use gentianridge_testkit::{GatewayVm, PublishedStore};
+use crate::site::{Site, eventually, put_config, register};
+use gentianridge_testkit::{GatewayVm, PublishedStore, PublishedTarget, StoreFault};
 use std::time::Duration;
 
 /// One more route than the first configuration has.
@@ -24,6 +24,42 @@
     assert_eq!(reply.status, 503, "the route may exist");
 }
 
+/// A request that comes before the first configuration waits a moment for it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn first_moments() {
+    let store = PublishedStore::start().await.unwrap();
+    let target = PublishedTarget::start("t0").await.unwrap();
+    store.set_fault(StoreFault::Unavailable);
+    let vm = GatewayVm::start("vm-1", store.get_addr()).unwrap();
+    eventually(Duration::from_secs(5), || async {
+        vm.ask_ready().await == Some(503)
+    })
+    .await;
+    put_config(&store, 1, "");
+    register(&store, &target, false, 1);
+    let mut early = vm.open().await.unwrap();
+    let mut reply = early.ask("GET", "/look/x", "a1").await.unwrap();
+    assert_eq!(reply.status, 503, "the store is away for longer");
+    store.set_fault(StoreFault::None);
+    // The pause between two tries is longer than a request waits.
+    for index in 0..10 {
+        let mut caller = vm.open().await.unwrap();
+        reply = caller
+            .ask("GET", "/look/x", &format!("b{index}"))
+            .await
+            .unwrap();
+        if reply.status == 200 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(reply.status, 200);
+    let started = GatewayVm::start("vm-2", store.get_addr()).unwrap();
+    let mut first = started.open().await.unwrap();
+    let reply = first.ask("GET", "/look/x", "c1").await.unwrap();
+    assert_eq!(reply.status, 200, "the first request of a new daemon");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn newer_version() {
     let site = Site::start(1).await;
