refactor(gateway): one job a file; tests of the lines and the metrics

Change: routing, services and targets are apart from the state of the process; peers are a table, rows and datagrams; readiness and metrics share one server; TargetSpec::get_incarnation in place of three copies. Tests: a flood of lines, a reader that blocks, metrics against what callers saw.

--- a/crates/core/src/spec/target.rs
+++ b/crates/core/src/spec/target.rs
@@ -1,5 +1,6 @@
 //! Targets, the backend servers of a service.
 
+use crate::Incarnation;
 use smol_str::SmolStr;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -46,6 +47,14 @@
     /// Slots assumed for a target whose number of slots is not declared.
     pub const DEFAULT_SLOTS: u16 = 8;
 
+    /// Returns which start of the target the declaration means.
+    pub fn get_incarnation(&self) -> Incarnation {
+        Incarnation {
+            id: self.name.clone(),
+            born_ms: self.incarnation,
+        }
+    }
+
     /// Returns the declared slots, or the starting limit when none is declared.
     pub fn get_slots(&self) -> u16 {
         self.slots.unwrap_or(Self::DEFAULT_SLOTS)
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -95,10 +95,7 @@
             let spec = machine.get_target(self.target)?;
             Some(Goal {
                 addr: spec.addr,
-                incarnation: Incarnation {
-                    id: spec.name.clone(),
-                    born_ms: spec.incarnation,
-                },
+                incarnation: spec.get_incarnation(),
             })
         })
     }
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -3,7 +3,8 @@
 use super::answer::{AnswerBody, refuse};
 use super::call::{Call, CallContext, CallEnd};
 use super::request::CallerRequest;
-use super::state::{Gateway, Phase, Routed};
+use super::routing::Routed;
+use super::state::{Gateway, Phase};
 use crate::caller::headers::get_text;
 use gentianridge_core::{ClassKind, ResultCode};
 use http::{HeaderValue, Request, Response, header};
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -6,21 +6,13 @@
 use http::StatusCode;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
-use hyper::server::conn::http1::Builder;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
-use std::convert::Infallible;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
 
 /// Path at which the metrics are read.
 const PATH: &str = "/metrics";
-/// Pause after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// The instruments of one daemon; docs/METRICS-AND-LOGS.md explains each.
 #[derive(Debug)]
@@ -194,28 +186,11 @@
     }
 }
 
-/// Serves the metrics until the task is dropped.
-pub(crate) async fn run_metrics(gateway: Rc<Gateway>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let gateway = gateway.clone();
-        tokio::task::spawn_local(async move {
-            let service = service_fn(|request| {
-                let response = answer(&gateway, &request);
-                async move { Ok::<_, Infallible>(response) }
-            });
-            let connection = Builder::new().serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = connection.await {
-                log::debug!("a connection for metrics ended: {error}");
-            }
-        });
-    }
-}
-
-fn answer(gateway: &Gateway, request: &http::Request<Incoming>) -> http::Response<Full<Bytes>> {
+/// Answers with all metrics.
+pub(crate) fn answer_metrics(
+    gateway: &Gateway,
+    request: &http::Request<Incoming>,
+) -> http::Response<Full<Bytes>> {
     let is_found = request.uri().path() == PATH;
     let text = if is_found {
         gateway.metrics.render(gateway)
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -15,10 +15,14 @@
 mod peers;
 mod ready;
 mod request;
+mod routing;
 mod run;
 mod samples;
+mod services;
+mod side;
 mod sockets;
 mod state;
+mod targets;
 
 pub use run::{run_gateway, run_gateway_until};
 pub use sockets::GatewaySockets;
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers/exchange.rs
@@ -1,210 +1,29 @@
-//! What VMs of the fleet tell each other: attempts in flight on each target
-//! and the version of the configuration, by datagrams.
-//!
-//! docs/decisions/0014-peer-loads.md gives the reasons and the costs.
+//! Datagrams between VMs.
 
-use super::feeds::take_list_news;
-use super::state::{Gateway, Phase};
-use gentianridge_adapter::{StoreError, Table};
-use gentianridge_core::{DomainName, EventKind, Incarnation, TargetKey, VmName};
-use gentianridge_wire::{ListNews, PeerDatagram, TargetLoad};
-use rand::RngExt;
-use serde::{Deserialize, Serialize};
-use std::cell::{Cell, RefCell};
+use super::table::Peers;
+use crate::gateway::feeds::take_list_news;
+use crate::gateway::state::{Gateway, Phase};
+use gentianridge_core::{EventKind, TargetKey, VmName};
+use gentianridge_wire::{PeerDatagram, TargetLoad};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, UNIX_EPOCH};
 use tokio::net::UdpSocket;
-use tokio::sync::Notify;
 
 /// Pause after a change within which further changes join its datagram; far
 /// below the time of one request.
 const GATHER: Duration = Duration::from_millis(10);
 /// Longest time between two datagrams.
-const REPEAT: Duration = Duration::from_millis(300);
+pub(super) const REPEAT: Duration = Duration::from_millis(300);
 /// Shortest time between two datagrams to a peer in another failure domain;
 /// three of them fit into the time for which counts are fresh.
 const FAR_REPEAT: Duration = Duration::from_millis(290);
 /// Silence after which a peer gets only a greeting a second.
 const SILENT: Duration = Duration::from_secs(3);
-/// Time for which the largest fleet seen counts as the fleet's size: a VM that
-/// is cut off from its peers must not take their parts of a shared budget.
-const KEEP_SIZE: Duration = Duration::from_secs(60);
+/// Shortest time between two greetings of a silent peer.
+const GREET: Duration = Duration::from_secs(1);
 /// Time after which a silent peer is forgotten.
 const FORGET: Duration = Duration::from_secs(120);
-/// Longest pause between two tries to register.
-const MAX_PAUSE: Duration = Duration::from_secs(2);
-
-#[derive(Debug)]
-struct Peer {
-    vm: VmName,
-    /// Failure domain, unknown until the peer was heard.
-    domain: DomainName,
-    addr: SocketAddr,
-    incarnation: u64,
-    seq: u64,
-    told: Option<Instant>,
-    heard: Option<Instant>,
-    greeted: Option<Instant>,
-    is_leaving: bool,
-    is_live: bool,
-}
-
-/// The peers of this VM. A peer's position is its index in the services.
-#[derive(Debug)]
-pub(crate) struct Peers {
-    me: VmName,
-    changed: Notify,
-    newer: Notify,
-    list: Notify,
-    /// Reading of the list to tell with the next datagram.
-    news: RefCell<Option<ListNews>>,
-    newest: Cell<u64>,
-    seq: Cell<u64>,
-    incarnation: Cell<u64>,
-    peers: RefCell<Vec<Peer>>,
-    sizes: RefCell<Vec<(Instant, u16)>>,
-}
-
-/// Row of a VM in the store.
-#[derive(Debug, Serialize, Deserialize)]
-struct VmRow {
-    addr: SocketAddr,
-    incarnation: u64,
-}
-
-impl Peers {
-    pub(crate) fn new(me: VmName) -> Self {
-        Self {
-            me,
-            changed: Notify::new(),
-            newer: Notify::new(),
-            list: Notify::new(),
-            news: RefCell::new(None),
-            newest: Cell::new(0),
-            seq: Cell::new(0),
-            incarnation: Cell::new(0),
-            peers: RefCell::new(Vec::new()),
-            sizes: RefCell::new(Vec::new()),
-        }
-    }
-
-    /// Notes that this VM's attempts in flight have changed.
-    pub(crate) fn note_load_change(&self) {
-        self.changed.notify_one();
-    }
-
-    /// Waits until a peer names a newer configuration than the one in force.
-    pub(crate) async fn wait_newer_version(&self) {
-        self.newer.notified().await;
-    }
-
-    /// Tells the peers a reading of the list of targets.
-    pub(crate) fn tell_list(&self, news: ListNews) {
-        *self.news.borrow_mut() = Some(news);
-        self.changed.notify_one();
-    }
-
-    /// Notes that a peer told a reading.
-    pub(crate) fn note_list(&self) {
-        self.list.notify_one();
-    }
-
-    /// Waits until a peer has told a reading.
-    pub(crate) async fn wait_list(&self) {
-        self.list.notified().await;
-    }
-
-    fn add(&self, vm: &VmName, addr: SocketAddr) -> usize {
-        let mut peers = self.peers.borrow_mut();
-        if let Some(index) = peers.iter().position(|peer| peer.vm == *vm) {
-            if peers[index].heard.is_none() {
-                peers[index].addr = addr;
-            }
-            return index;
-        }
-        let peer = Peer {
-            vm: vm.clone(),
-            domain: DomainName::default(),
-            addr,
-            incarnation: 0,
-            seq: 0,
-            told: None,
-            heard: None,
-            greeted: None,
-            is_leaving: false,
-            is_live: false,
-        };
-        // A forgotten peer's place is taken over, since services know it by its index.
-        match peers.iter().position(|peer| peer.vm.is_empty()) {
-            Some(index) => {
-                peers[index] = peer;
-                index
-            }
-            None => {
-                peers.push(peer);
-                peers.len() - 1
-            }
-        }
-    }
-
-    /// Returns the newest configuration that a peer has in force.
-    pub(crate) fn get_newest_version(&self) -> u64 {
-        self.newest.get()
-    }
-
-    /// Returns the number of peers that are heard.
-    pub(crate) fn count_live(&self) -> usize {
-        self.peers.borrow().iter().filter(|p| p.is_live).count()
-    }
-
-    /// Returns the largest number of VMs that was live lately.
-    fn count_vms(&self, now: Instant) -> u16 {
-        let live = self.count_live() as u16 + 1;
-        let mut sizes = self.sizes.borrow_mut();
-        sizes.retain(|(at, size)| now.saturating_duration_since(*at) < KEEP_SIZE && *size > live);
-        sizes.push((now, live));
-        sizes.iter().map(|(_, size)| *size).max().unwrap_or(live)
-    }
-}
-
-/// Registers this VM and reads who else is there, until it has worked once.
-pub(crate) async fn register(gateway: Rc<Gateway>) {
-    let mut pause = REPEAT;
-    loop {
-        match try_register(&gateway).await {
-            Ok(()) => return,
-            Err(error) => log::debug!("cannot register with the store: {error}"),
-        }
-        let jitter = rand::rng().random_range(0.5..1.5);
-        tokio::time::sleep(pause.mul_f64(jitter)).await;
-        pause = (pause * 2).min(MAX_PAUSE);
-    }
-}
-
-async fn try_register(gateway: &Gateway) -> Result<(), StoreError> {
-    let store = gateway.get_store();
-    let row = VmRow {
-        addr: gateway.get_settings().peers,
-        incarnation: gateway.peers.incarnation.get(),
-    };
-    let value = serde_json::to_vec(&row).unwrap_or_default();
-    store.put(Table::Vms, &gateway.peers.me, &value).await?;
-    let listed = store.get_all(Table::Vms).await?;
-    for row in listed.rows {
-        let Some(value) = row.value.filter(|_| row.key != gateway.peers.me) else {
-            continue;
-        };
-        match serde_json::from_slice::<VmRow>(&value) {
-            Ok(known) => {
-                gateway.peers.add(&row.key, known.addr);
-            }
-            Err(error) => log::warn!("row of VM {} cannot be read: {error}", row.key),
-        }
-    }
-    gateway.peers.changed.notify_one();
-    Ok(())
-}
 
 /// Sends and receives datagrams until the task is dropped.
 pub(crate) async fn run_peers(gateway: Rc<Gateway>, socket: UdpSocket) {
@@ -273,7 +92,7 @@
                 peer.told = Some(now);
                 chosen.push((peer.addr, false));
             }
-        } else if !is_within(peer.greeted, Duration::from_secs(1)) {
+        } else if !is_within(peer.greeted, GREET) {
             peer.greeted = Some(now);
             chosen.push((peer.addr, true));
         }
@@ -290,12 +109,8 @@
             for key in machine.get_target_keys() {
                 let in_flight = machine.get_in_flight(key);
                 if let Some(target) = machine.get_target(key).filter(|_| in_flight > 0) {
-                    let incarnation = Incarnation {
-                        id: target.name.clone(),
-                        born_ms: target.incarnation,
-                    };
                     loads.push(TargetLoad {
-                        target: incarnation.get_digest(),
+                        target: target.get_incarnation().get_digest(),
                         in_flight,
                     });
                 }
@@ -381,11 +196,7 @@
                 .get_target_keys()
                 .filter_map(|key| {
                     let target = machine.get_target(key)?;
-                    let incarnation = Incarnation {
-                        id: target.name.clone(),
-                        born_ms: target.incarnation,
-                    };
-                    let digest = incarnation.get_digest();
+                    let digest = target.get_incarnation().get_digest();
                     let load = datagram.loads.iter().find(|load| load.target == digest)?;
                     Some((key, load.in_flight))
                 })
--- /dev/null
+++ b/crates/daemon/src/gateway/routing.rs
@@ -0,0 +1,100 @@
+//! Routes in force, and where a request goes.
+
+use super::state::Gateway;
+use crate::service::ServiceHandle;
+use gentianridge_core::{CallerLimits, ClassKey, ClassKind, EventKind, ResultCode, RouteTable};
+use http::{Request, header};
+use rand::RngExt;
+use smol_str::SmolStr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Where a request goes.
+#[derive(Debug)]
+pub(crate) struct Routed {
+    pub(crate) route: SmolStr,
+    /// Configuration by which the request was routed.
+    pub(crate) version: u64,
+    pub(crate) service: Arc<ServiceHandle>,
+    pub(crate) class: ClassKey,
+    pub(crate) kind: ClassKind,
+    pub(crate) timeout: Duration,
+    pub(crate) objective: Duration,
+}
+
+/// Routes in force.
+impl Gateway {
+    /// Steps by which VMs may start apart in the rotation of a split.
+    const ROTATION: u32 = 97;
+
+    /// Returns the version in force, 0 if there is none.
+    pub(crate) fn get_version(&self) -> u64 {
+        self.routes
+            .borrow()
+            .as_ref()
+            .map_or(0, RouteTable::get_version)
+    }
+
+    pub(crate) fn get_limits(&self) -> CallerLimits {
+        self.routes
+            .borrow()
+            .as_ref()
+            .map(RouteTable::get_limits)
+            .unwrap_or_default()
+    }
+
+    /// Finds the service, class and treatment of a request.
+    pub(crate) fn route<B>(&self, request: &Request<B>) -> Result<Routed, ResultCode> {
+        let mut routes = self.routes.borrow_mut();
+        let table = routes.as_mut().ok_or(ResultCode::NoConfiguration)?;
+        let host = request
+            .headers()
+            .get(header::HOST)
+            .and_then(|value| value.to_str().ok())
+            .or_else(|| request.uri().host())
+            .ok_or(ResultCode::BadRequest)?;
+        let key = table
+            .find(host, request.uri().path())
+            .ok_or(ResultCode::NoService)?;
+        let name = table.next_service(key).ok_or(ResultCode::NoTarget)?;
+        let route = table.get(key);
+        let service = self.find_service(&name).ok_or(ResultCode::NoTarget)?;
+        let class_name = route.make_class().name;
+        let class = service
+            .read(|machine, _| machine.find_class_named(&class_name))
+            .ok_or(ResultCode::NoTarget)?;
+        Ok(Routed {
+            route: route.name.clone(),
+            version: table.get_version(),
+            service,
+            class,
+            kind: route.kind,
+            timeout: route.timeout,
+            objective: route.objective,
+        })
+    }
+
+    /// Puts a configuration in force if it is newer than the one that is;
+    /// returns false if it is not.
+    pub(crate) fn apply_routes(self: &Rc<Self>, mut table: RouteTable, source: &str) -> bool {
+        if self.routes.borrow().is_some() && table.get_version() <= self.get_version() {
+            return false;
+        }
+        let now = self.clock.now();
+        table.rotate_splits(rand::rng().random_range(0..Self::ROTATION));
+        self.journal.record(EventKind::RevisionInForce {
+            revision: table.get_version(),
+            author: "operator".into(),
+            source: source.into(),
+        });
+        for declared in table.get_services() {
+            let classes = table.collect_classes(&declared.name);
+            self.declare(now, declared.clone(), classes);
+        }
+        *self.routes.borrow_mut() = Some(table);
+        self.apply_all();
+        self.note_informed();
+        true
+    }
+}
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -2,17 +2,17 @@
 
 use super::callers::{Closing, run_callers};
 use super::feeds::follow_store;
-use super::metrics::run_metrics;
+use super::metrics::answer_metrics;
 use super::peers::{register, run_peers};
-use super::ready::run_ready;
-use super::sockets::{GatewaySockets, listen};
+use super::ready::answer_ready;
+use super::side::run_side;
+use super::sockets::GatewaySockets;
 use super::state::Gateway;
 use crate::clock::SystemClock;
 use crate::telemetry::{BELIEF, start_logging};
 use anyhow::Context;
 use gentianridge_config::{GatewaySettings, parse_gateway_settings};
 use gentianridge_core::EventKind;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -39,8 +39,8 @@
 /// Fails if the settings are wrong or an address cannot be bound.
 pub fn run_gateway(path: &str) -> anyhow::Result<()> {
     let mut settings = load(path)?;
-    let sockets = GatewaySockets::bind(&mut settings)?;
     let lines = start_logging(&settings.log_level, settings.log_format);
+    let sockets = GatewaySockets::bind(&mut settings)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
@@ -105,9 +105,10 @@
         closing,
         connections.clone(),
     ));
-    tokio::task::spawn_local(run_ready(gateway.clone(), ready));
-    if let Some(addr) = settings.metrics {
-        start_metrics(&gateway, addr);
+    tokio::task::spawn_local(run_side(gateway.clone(), ready, answer_ready));
+    if let Some(listener) = sockets.metrics {
+        let listener = TcpListener::from_std(listener)?;
+        tokio::task::spawn_local(run_side(gateway.clone(), listener, answer_metrics));
     }
     tokio::task::spawn_local(run_peers(gateway.clone(), socket));
     tokio::task::spawn_local(register(gateway.clone()));
@@ -119,16 +120,6 @@
     Ok(())
 }
 
-/// Serves metrics if their address can be had; requests go before metrics.
-fn start_metrics(gateway: &Rc<Gateway>, mut addr: SocketAddr) {
-    match listen(&mut addr).and_then(|listener| Ok(TcpListener::from_std(listener)?)) {
-        Ok(listener) => {
-            tokio::task::spawn_local(run_metrics(gateway.clone(), listener));
-        }
-        Err(error) => log::error!("metrics are not served: {error:#}"),
-    }
-}
-
 async fn sweep(gateway: Rc<Gateway>) {
     let mut period = tokio::time::interval(SWEEP_PERIOD);
     loop {
--- a/crates/daemon/src/gateway/samples.rs
+++ b/crates/daemon/src/gateway/samples.rs
@@ -7,10 +7,9 @@
 use anyhow::Context;
 use bytes::Bytes;
 use gentianridge_adapter::parse_load;
-use gentianridge_core::{Incarnation, TargetKey};
+use gentianridge_core::TargetKey;
 use http::{HeaderValue, Request, header};
 use http_body_util::{BodyExt, Full};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -42,7 +41,10 @@
     target: TargetKey,
 ) -> anyhow::Result<()> {
     let (addr, incarnation) = service
-        .read(|machine, _| find_target(machine.get_target(target)?))
+        .read(|machine, _| {
+            let spec = machine.get_target(target)?;
+            Some((spec.addr, spec.get_incarnation()))
+        })
         .context("the target is gone")?;
     let path = gateway
         .get_health_path(&service.name)
@@ -77,11 +79,3 @@
     }
     Ok(())
 }
-
-fn find_target(spec: &gentianridge_core::TargetSpec) -> Option<(SocketAddr, Incarnation)> {
-    let incarnation = Incarnation {
-        id: spec.name.clone(),
-        born_ms: spec.incarnation,
-    };
-    Some((spec.addr, incarnation))
-}
--- /dev/null
+++ b/crates/daemon/src/gateway/side.rs
@@ -0,0 +1,43 @@
+//! Small servers beside the callers' one: readiness and metrics.
+
+use super::state::Gateway;
+use http_body_util::Full;
+use hyper::body::{Bytes, Incoming};
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+/// What a small server answers.
+pub(crate) type SideAnswer = fn(&Gateway, &http::Request<Incoming>) -> http::Response<Full<Bytes>>;
+
+/// Pause after a failed accept, such as one for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Answers requests until the task is dropped.
+pub(crate) async fn run_side(gateway: Rc<Gateway>, listener: TcpListener, answer: SideAnswer) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("cannot accept a connection for readiness or metrics: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let gateway = gateway.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|request| {
+                let response = answer(&gateway, &request);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                log::debug!("a connection for readiness or metrics ended: {error}");
+            }
+        });
+    }
+}
--- a/crates/daemon/src/gateway/sockets.rs
+++ b/crates/daemon/src/gateway/sockets.rs
@@ -13,6 +13,7 @@
     pub(crate) callers: TcpListener,
     pub(crate) ready: TcpListener,
     pub(crate) peers: UdpSocket,
+    pub(crate) metrics: Option<TcpListener>,
 }
 
 impl GatewaySockets {
@@ -30,12 +31,24 @@
             callers: listen(&mut settings.callers)?,
             ready: listen(&mut settings.ready)?,
             peers,
+            metrics: bind_metrics(&mut settings.metrics),
         })
     }
 }
 
+/// Binds the address of the metrics if it can be had; requests go before metrics.
+fn bind_metrics(addr: &mut Option<SocketAddr>) -> Option<TcpListener> {
+    match listen(addr.as_mut()?) {
+        Ok(listener) => Some(listener),
+        Err(error) => {
+            log::error!("metrics are not served: {error:#}");
+            None
+        }
+    }
+}
+
 /// Listens without blocking, as the runtime wants it.
-pub(crate) fn listen(addr: &mut SocketAddr) -> anyhow::Result<TcpListener> {
+fn listen(addr: &mut SocketAddr) -> anyhow::Result<TcpListener> {
     let listener = TcpListener::bind(*addr).with_context(|| format!("cannot listen on {addr}"))?;
     listener.set_nonblocking(true)?;
     *addr = listener.local_addr()?;
--- /dev/null
+++ b/crates/daemon/tests/log_lines.rs
@@ -0,0 +1,126 @@
+//! Lines on standard output: their bound, and a reader that blocks.
+
+use gentianridge_daemon::BoundedLines;
+use logforth::Append;
+use logforth::layout::JsonLayout;
+use logforth::record::{Level, Record};
+use std::io::Write;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Bound of docs/METRICS-AND-LOGS.md for lines of routine in a second.
+const ROUTINE: usize = 200;
+/// Bound for refusals, failures and changes of belief.
+const NOTABLE: usize = 400;
+
+#[derive(Clone, Default)]
+struct Kept(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Kept {
+    fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(buf);
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// A reader that takes nothing until it is told to.
+struct Blocked {
+    open: Receiver<()>,
+}
+
+impl Write for Blocked {
+    fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
+        // It is let go at the end of the test by the dropped sender.
+        let _ = self.open.recv();
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+fn append(lines: &BoundedLines, level: Level, target: &'static str, text: &str) {
+    let builder = Record::builder().level(level).target_static(target);
+    lines
+        .append(&builder.payload(format_args!("{text}")).build(), &[])
+        .unwrap();
+}
+
+fn wait_for(kept: &Kept, holds: impl Fn(&str) -> bool) -> String {
+    let end = Instant::now() + Duration::from_secs(5);
+    loop {
+        let text = String::from_utf8(kept.0.lock().unwrap().clone()).unwrap();
+        if holds(&text) || Instant::now() > end {
+            return text;
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[test]
+fn flood() {
+    let kept = Kept::default();
+    let lines = BoundedLines::new(JsonLayout::default(), kept.clone());
+    for _ in 0..5_000 {
+        append(&lines, Level::Info, "request", "answered");
+    }
+    for _ in 0..50 {
+        append(&lines, Level::Warn, "request", "refused");
+        append(&lines, Level::Info, "belief", "target listed");
+    }
+    let text = wait_for(&kept, |text| text.matches("target listed").count() == 50);
+    // The flood may cross from one second into the next.
+    assert!(text.matches("answered").count() <= 2 * ROUTINE);
+    assert_eq!(
+        text.matches("refused").count(),
+        50,
+        "refusals have room of their own"
+    );
+    assert!(text.contains("\"left_out\":"), "what is missing is counted");
+    assert!(lines.get_counts().get_left_out() >= 5_000 - 2 * ROUTINE as u64);
+    for line in text.lines() {
+        let parsed: Result<serde_json::Value, _> = serde_json::from_str(line);
+        assert!(parsed.is_ok(), "{line}");
+    }
+}
+
+#[test]
+fn flood_of_refusals() {
+    let kept = Kept::default();
+    let lines = BoundedLines::new(JsonLayout::default(), kept.clone());
+    for _ in 0..5_000 {
+        append(&lines, Level::Warn, "request", "refused");
+    }
+    let text = wait_for(&kept, |text| text.matches("refused").count() >= NOTABLE);
+    assert!(text.matches("refused").count() <= 2 * NOTABLE);
+}
+
+#[test]
+fn blocked_reader() {
+    let (open, blocked): (Sender<()>, _) = channel();
+    let lines = BoundedLines::new(JsonLayout::default(), Blocked { open: blocked });
+    let began = Instant::now();
+    for _ in 0..5 {
+        for _ in 0..ROUTINE {
+            append(&lines, Level::Info, "request", "answered");
+            append(&lines, Level::Warn, "request", "refused");
+        }
+        std::thread::sleep(Duration::from_secs(1));
+    }
+    let spent = began.elapsed() - Duration::from_secs(5);
+    assert!(
+        spent < Duration::from_secs(1),
+        "writing held up the caller for {spent:?}"
+    );
+    assert!(
+        lines.get_counts().get_left_out() > 0,
+        "a full queue is counted"
+    );
+    drop(open);
+}
--- a/crates/testkit/src/published/vm.rs
+++ b/crates/testkit/src/published/vm.rs
@@ -26,15 +26,17 @@
     ///
     /// Fails if no loopback address is free.
     pub fn start(name: &str, store: SocketAddr) -> anyhow::Result<Self> {
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let mut settings = GatewaySettings::new(name, any, any, any, store);
-        settings.domain = "d1".into();
-        settings.probes_per_target = 60;
-        settings.repeats = RepeatLimit {
-            window: Duration::from_secs(10),
-            percent: 20,
-            extra: 1_000,
-        };
+        Self::start_with(make_settings(name, store))
+    }
+
+    /// Starts a daemon that serves its metrics as well.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no loopback address is free.
+    pub fn start_with_metrics(name: &str, store: SocketAddr) -> anyhow::Result<Self> {
+        let mut settings = make_settings(name, store);
+        settings.metrics = Some(SocketAddr::from(([127, 0, 0, 1], 0)));
         Self::start_with(settings)
     }
 
@@ -114,3 +116,17 @@
         self.stop = None;
     }
 }
+
+/// Settings on ports that are chosen at the start, with a wide repeat limit.
+fn make_settings(name: &str, store: SocketAddr) -> GatewaySettings {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let mut settings = GatewaySettings::new(name, any, any, any, store);
+    settings.domain = "d1".into();
+    settings.probes_per_target = 60;
+    settings.repeats = RepeatLimit {
+        window: Duration::from_secs(10),
+        percent: 20,
+        extra: 1_000,
+    };
+    settings
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod configuration;
 mod discovery;
 mod leaving;
+mod metrics;
 mod peers;
 mod site;
 mod store_faults;
