feat(gateway): hold requests that crash targets over the fleet

Cause: on the platform's path nothing kept a request that crashes each target that runs it from the next one; the standalone path counts every broken connection as a crash, which refuses proper requests whose answers were lost. Ruled out: waiting for the target's entry to go (three heartbeats); two broken connections at once as evidence, which a lossy way gives as well. Change: after a connection was cut under a request, the target is asked for another one, which is kept; only if it takes none is it a crash. Marks of the existing quarantine travel in the datagrams. Tests crashes::held_over_the_fleet (2 runs on 6 targets and 2 VMs) and lost_answers.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -34,6 +34,8 @@
     pub(crate) outcome: Outcome,
     /// What happened, for the log.
     pub(crate) detail: SmolStr,
+    /// True if the connection ended under the request.
+    is_cut: bool,
 }
 
 /// What an attempt needs to know.
@@ -60,6 +62,9 @@
     /// Shortest time for opening a connection; covers a lost opening packet
     /// between regions no more than once, see docs/decisions/0013-platform.md.
     const MIN_CONNECT: Duration = Duration::from_millis(60);
+    /// Time in which a live target opens a connection; in the same region a
+    /// round trip takes a few milliseconds.
+    const ALIVE: Duration = Duration::from_millis(150);
     /// Longest age of a last answer that proves a connection for work that
     /// must not repeat.
     const PROVEN: Duration = Duration::from_secs(2);
@@ -70,7 +75,10 @@
     /// Sends the request and waits for the answer.
     pub(crate) async fn run(self) -> AttemptEnd {
         let mut report = None;
-        let result = self.exchange(&mut report).await;
+        let mut result = self.exchange(&mut report).await;
+        if let Err(failure) = &mut result {
+            self.judge_crash(failure).await;
+        }
         AttemptEnd {
             attempt: self.attempt,
             target: self.target,
@@ -90,6 +98,34 @@
         self.read_answer(goal, link, response).await
     }
 
+    /// Holds a request that has crashed targets from going to another one.
+    async fn judge_crash(&self, failure: &mut Failure) {
+        let Some(goal) = self.find_goal().filter(|_| failure.is_cut) else {
+            return;
+        };
+        let fingerprint = self.request.fingerprint;
+        if self.is_alive(&goal).await {
+            return;
+        }
+        if self.gateway.record_crash(goal.addr, fingerprint) {
+            failure.outcome = Outcome::Quarantined;
+        }
+    }
+
+    /// A crashed target takes no new connection; one that does lost an answer.
+    /// The connection is kept for what comes next.
+    async fn is_alive(&self, goal: &Goal) -> bool {
+        let now = self.gateway.clock.now();
+        self.gateway.metrics.record_connection("opened");
+        match timeout_at((now + Self::ALIVE).into(), Link::open(goal.addr, now)).await {
+            Ok(Ok(link)) => {
+                self.gateway.keep_link(goal.incarnation.clone(), link);
+                true
+            }
+            Ok(Err(_)) | Err(_) => false,
+        }
+    }
+
     fn find_goal(&self) -> Option<Goal> {
         self.service.read(|machine, _| {
             let spec = machine.get_target(self.target)?;
@@ -158,10 +194,9 @@
                 log::debug!("connection to {} closed unused: {error}", goal.addr);
                 Err(SendFailure::Nothing)
             }
-            Ok(Err(SendError::Unknown(error))) => Err(SendFailure::Final(failure(
-                Outcome::Broken,
-                format!("no answer: {error}"),
-            ))),
+            Ok(Err(SendError::Unknown(error))) => {
+                Err(SendFailure::Final(cut(format!("no answer: {error}"))))
+            }
             Err(_) => Err(SendFailure::Final(failure(
                 Outcome::TimedOut,
                 "no answer before the deadline",
@@ -229,8 +264,7 @@
                     }
                 }
                 Some(Err(error)) => {
-                    let detail = format!("the body broke off: {error}");
-                    return Err(failure(Outcome::Broken, detail));
+                    return Err(cut(format!("the body broke off: {error}")));
                 }
                 None => {
                     let now = self.gateway.clock.now();
@@ -269,5 +303,14 @@
     Failure {
         outcome,
         detail: detail.into(),
+        is_cut: false,
+    }
+}
+
+/// The connection ended after the request was sent.
+fn cut(detail: impl Into<SmolStr>) -> Failure {
+    Failure {
+        is_cut: true,
+        ..failure(Outcome::Broken, detail)
     }
 }
--- a/crates/daemon/src/gateway/call.rs
+++ b/crates/daemon/src/gateway/call.rs
@@ -243,6 +243,7 @@
                     took_ms = took_ms;
                     "answered"
                 );
+                cx.gateway.note_survived(cx.request.fingerprint);
                 let is_error = answer.status.is_server_error() && cx.kind.is_idempotent();
                 self.ready.push((end.attempt, answer));
                 cx.service.answered(end.attempt, is_error, false);
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -61,6 +61,9 @@
     let routed = gateway.route(&request)?;
     let max_body = gateway.get_limits().max_body_bytes;
     let request = CallerRequest::read(gateway, request, max_body).await?;
+    if gateway.is_held(request.fingerprint) {
+        return Err(ResultCode::CrashesTargets);
+    }
     let cx = make_context(gateway, &routed, arrived, request);
     let end = match routed.kind {
         ClassKind::Once => run_detached(cx.clone()).await,
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod call;
 mod callers;
+mod crashes;
 mod exchange;
 mod feeds;
 mod links;
--- a/crates/daemon/src/gateway/peers/exchange.rs
+++ b/crates/daemon/src/gateway/peers/exchange.rs
@@ -126,7 +126,7 @@
         is_hello: false,
         is_leaving: gateway.get_phase() == Phase::Stopping,
         loads,
-        crashes: Vec::new(),
+        crashes: gateway.get_own_marks(),
         list: None,
     }
 }
@@ -180,6 +180,7 @@
         peers.changed.notify_one();
     }
     take_loads(gateway, index as u16, datagram);
+    gateway.take_marks(&datagram.crashes);
     if let Some(news) = &datagram.list {
         take_list_news(gateway, news);
     }
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -9,6 +9,7 @@
 use hyper::body::{Body, Incoming};
 use smol_str::SmolStr;
 use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// A request that can be sent more than once.
 ///
@@ -25,6 +26,8 @@
     pub(crate) id: SmolStr,
     /// Time that the caller still waits, if it says so.
     pub(crate) time_left: Option<Duration>,
+    /// Stands for the request itself: what comes again has the same.
+    pub(crate) fingerprint: u64,
 }
 
 impl CallerRequest {
@@ -48,6 +51,7 @@
             .and_then(|text| text.parse().ok())
             .map(Duration::from_millis);
         Ok(Self {
+            fingerprint: make_fingerprint(&head.method, &head.uri, &body),
             id: get_text(&headers, &names.attempt_id).unwrap_or_default(),
             method: head.method,
             uri: head.uri,
@@ -91,6 +95,12 @@
     }
 }
 
+fn make_fingerprint(method: &Method, uri: &Uri, body: &[u8]) -> u64 {
+    let path = uri.path_and_query().map_or("/", |path| path.as_str());
+    let seed = xxh3_64_with_seed(method.as_str().as_bytes(), 0);
+    xxh3_64_with_seed(body, xxh3_64_with_seed(path.as_bytes(), seed))
+}
+
 fn origin_form(uri: &Uri) -> Uri {
     let path = uri.path_and_query().map_or("/", |path| path.as_str());
     path.parse().unwrap_or_else(|_| uri.clone())
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -29,7 +29,7 @@
 const END_MARGIN: Duration = Duration::from_millis(300);
 /// Time between two looks at the settings file, which may change without a signal.
 const SETTINGS_PERIOD: Duration = Duration::from_secs(1);
-/// Time between two sweeps of idle connections to targets.
+/// Time between two sweeps of idle connections and expired marks.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 
 /// Runs a daemon with the settings file until SIGTERM or SIGINT.
@@ -125,6 +125,7 @@
     loop {
         period.tick().await;
         gateway.links.sweep(gateway.clock.now());
+        gateway.expire_marks();
     }
 }
 
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -1,5 +1,6 @@
 //! What a daemon on the platform knows and believes.
 
+use super::crashes::CRASH_PERIOD;
 use super::links::Links;
 use super::metrics::GatewayMetrics;
 use super::peers::Peers;
@@ -7,7 +8,7 @@
 use crate::telemetry::{Journal, LineCounts};
 use gentianridge_adapter::{ExchangeHeaders, Store, exchange_headers};
 use gentianridge_config::GatewaySettings;
-use gentianridge_core::{Clock, Directory, EventKind, Refresh, RouteTable};
+use gentianridge_core::{Clock, Directory, EventKind, Quarantine, Refresh, RouteTable};
 use std::cell::{Cell, Ref, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -37,6 +38,7 @@
     pub(super) directory: RefCell<Directory>,
     pub(super) refresh: RefCell<Refresh>,
     pub(super) services: RefCell<Vec<Entry>>,
+    pub(super) quarantine: RefCell<Quarantine>,
     phase: Cell<Phase>,
     informed: Notify,
 }
@@ -75,6 +77,7 @@
             directory: RefCell::new(Directory::new()),
             refresh: RefCell::new(Refresh::new(get_list_bound(&settings))),
             services: RefCell::new(Vec::new()),
+            quarantine: RefCell::new(Quarantine::new(CRASH_PERIOD)),
             phase: Cell::new(Phase::Running),
             informed: Notify::new(),
             settings: RefCell::new(settings),
--- a/crates/testkit/src/published/target.rs
+++ b/crates/testkit/src/published/target.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
 /// What a target does with a request that it has read.
@@ -30,6 +31,8 @@
     Mute,
     /// It answers, and again with the same bytes.
     Twice,
+    /// It goes down with the request, for good.
+    Crash,
 }
 
 /// Fields of a target's entry in the store.
@@ -55,6 +58,7 @@
     running: AtomicUsize,
     cancelled: AtomicUsize,
     connections: AtomicUsize,
+    crashed: Notify,
 }
 
 /// One run of a request.
@@ -97,6 +101,7 @@
             running: AtomicUsize::new(0),
             cancelled: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
+            crashed: Notify::new(),
         });
         let task = tokio::spawn(accept(listener, shared.clone()));
         Ok(Self { addr, shared, task })
@@ -177,10 +182,19 @@
     }
 }
 
+/// Accepts until the target goes down, when its socket closes.
 async fn accept(listener: TcpListener, shared: Arc<Shared>) {
-    while let Ok((stream, _)) = listener.accept().await {
-        shared.connections.fetch_add(1, Ordering::Relaxed);
-        tokio::spawn(serve(stream, shared.clone()));
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else {
+                    return;
+                };
+                shared.connections.fetch_add(1, Ordering::Relaxed);
+                tokio::spawn(serve(stream, shared.clone()));
+            }
+            () = shared.crashed.notified() => return,
+        }
     }
 }
 
@@ -233,6 +247,10 @@
     let body = format!("done by {}", shared.id);
     let text = match answering {
         Answering::LostAnswer => return false,
+        Answering::Crash => {
+            shared.crashed.notify_one();
+            return false;
+        }
         Answering::OtherId => reply(200, &signed.replace(id, "another"), &body),
         Answering::Unsigned => reply(200, &echo, &body),
         Answering::PlainRefusal => reply(503, &echo, &body),
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -1,7 +1,7 @@
 //! The datagram that VMs on the platform send each other.
 
 use crate::{WireError, WireErrorKind};
-use gentianridge_core::{Incarnation, TargetEntry};
+use gentianridge_core::{CrashMark, Incarnation, TargetEntry};
 use prost::Message;
 use smol_str::SmolStr;
 use std::time::Duration;
@@ -40,9 +40,8 @@
     pub is_leaving: bool,
     /// Targets on which the sender has attempts in flight.
     pub loads: Vec<TargetLoad>,
-    /// Fingerprints of requests under which targets crashed, with the crashes
-    /// that the sender saw.
-    pub crashes: Vec<(u64, u16)>,
+    /// Crashes of targets under a request that the sender saw itself.
+    pub crashes: Vec<CrashMark>,
     /// What the sender has just read of the list of targets.
     pub list: Option<ListNews>,
 }
@@ -63,6 +62,18 @@
     pub gone: Vec<SmolStr>,
 }
 
+#[derive(Clone, PartialEq, prost::Message)]
+struct EncodedCrash {
+    #[prost(fixed64, tag = "1")]
+    fingerprint: u64,
+    #[prost(uint32, tag = "2")]
+    count: u32,
+    #[prost(uint32, tag = "3")]
+    epoch: u32,
+    #[prost(uint32, tag = "4")]
+    age_ms: u32,
+}
+
 #[derive(Clone, PartialEq, prost::Message)]
 struct EncodedList {
     #[prost(uint64, tag = "1")]
@@ -117,10 +128,8 @@
     targets: Vec<u64>,
     #[prost(uint32, repeated, tag = "9")]
     in_flight: Vec<u32>,
-    #[prost(fixed64, repeated, tag = "10")]
-    crash_prints: Vec<u64>,
-    #[prost(uint32, repeated, tag = "11")]
-    crash_counts: Vec<u32>,
+    #[prost(message, repeated, tag = "10")]
+    crashes: Vec<EncodedCrash>,
     #[prost(message, optional, tag = "12")]
     list: Option<EncodedList>,
     #[prost(string, tag = "13")]
@@ -147,12 +156,7 @@
                 .iter()
                 .map(|load| u32::from(load.in_flight))
                 .collect(),
-            crash_prints: self.crashes.iter().map(|(print, _)| *print).collect(),
-            crash_counts: self
-                .crashes
-                .iter()
-                .map(|(_, count)| u32::from(*count))
-                .collect(),
+            crashes: self.crashes.iter().map(encode_crash).collect(),
             list: self.list.as_ref().map(encode_list),
             domain: self.domain.to_string(),
         };
@@ -172,9 +176,9 @@
             return Err(WireError::new(WireErrorKind::Version, detail));
         }
         let loads = encoded.targets.iter().zip(&encoded.in_flight);
-        let crashes = encoded.crash_prints.iter().zip(&encoded.crash_counts);
+        let vm = SmolStr::from(encoded.vm);
+        let crashes = encoded.crashes.iter();
         Ok(Self {
-            vm: encoded.vm.into(),
             incarnation: encoded.incarnation,
             seq: encoded.seq,
             version: encoded.version,
@@ -186,15 +190,34 @@
                     in_flight: clamp(*count),
                 })
                 .collect(),
-            crashes: crashes
-                .map(|(print, count)| (*print, clamp(*count)))
-                .collect(),
+            crashes: crashes.map(|mark| decode_crash(&vm, mark)).collect(),
             list: encoded.list.map(decode_list).transpose()?,
             domain: encoded.domain.into(),
+            vm,
         })
     }
 }
 
+fn encode_crash(mark: &CrashMark) -> EncodedCrash {
+    EncodedCrash {
+        fingerprint: mark.fingerprint,
+        count: u32::from(mark.count),
+        epoch: u32::from(mark.epoch),
+        age_ms: millis_of(mark.age),
+    }
+}
+
+/// A mark in a datagram is always one of its sender.
+fn decode_crash(vm: &SmolStr, mark: &EncodedCrash) -> CrashMark {
+    CrashMark {
+        fingerprint: mark.fingerprint,
+        vm: vm.clone(),
+        count: clamp(mark.count),
+        epoch: clamp(mark.epoch),
+        age: Duration::from_millis(u64::from(mark.age_ms)),
+    }
+}
+
 fn encode_list(list: &ListNews) -> EncodedList {
     EncodedList {
         base: list.base,
--- a/crates/wire/tests/datagrams.rs
+++ b/crates/wire/tests/datagrams.rs
@@ -1,6 +1,6 @@
 //! Datagrams between VMs on the platform.
 
-use gentianridge_core::{Incarnation, TargetEntry};
+use gentianridge_core::{CrashMark, Incarnation, TargetEntry};
 use gentianridge_wire::{ListNews, PeerDatagram, TargetLoad};
 use proptest::prelude::*;
 use smol_str::SmolStr;
@@ -16,11 +16,15 @@
         any::<u64>(),
         any::<(bool, bool)>(),
         prop::collection::vec(load, 0..40),
-        prop::collection::vec(any::<(u64, u16)>(), 0..10),
+        prop::collection::vec(any::<(u64, u16, u16, u32)>(), 0..10),
         prop::option::of(any_list()),
     )
         .prop_map(
             |(vm, incarnation, seq, version, flags, loads, crashes, list)| PeerDatagram {
+                crashes: crashes
+                    .into_iter()
+                    .map(|mark| make_mark(&vm, mark))
+                    .collect(),
                 vm: vm.into(),
                 domain: "d1".into(),
                 incarnation,
@@ -29,12 +33,21 @@
                 is_hello: flags.0,
                 is_leaving: flags.1,
                 loads,
-                crashes,
                 list,
             },
         )
 }
 
+fn make_mark(vm: &str, (fingerprint, count, epoch, age): (u64, u16, u16, u32)) -> CrashMark {
+    CrashMark {
+        fingerprint,
+        vm: vm.into(),
+        count,
+        epoch,
+        age: Duration::from_millis(u64::from(age)),
+    }
+}
+
 fn any_list() -> impl Strategy<Value = ListNews> {
     let entry = (
         "[a-z0-9-]{1,14}",
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod configuration;
+mod crashes;
 mod discovery;
 mod leaving;
 mod metrics;
