fix(gateway): a service that comes later learns the fleet's size

Cause: found on reading the diff: peers tell their number to the services that exist when they are heard. A service that a later configuration declares kept the careful size of an unknown fleet, and asked and repeated a fraction of what it may. Besides, a row that could not be encoded was written empty. Ruled out: a wrong part of the budget once peers change (it is told then). Change: a new service takes the size that is known.

--- a/crates/daemon/src/gateway/peers/register.rs
+++ b/crates/daemon/src/gateway/peers/register.rs
@@ -39,8 +39,10 @@
         addr: gateway.get_settings().peers,
         incarnation: gateway.peers.incarnation.get(),
     };
-    let value = serde_json::to_vec(&row).unwrap_or_default();
-    store.put(Table::Vms, &gateway.peers.me, &value).await?;
+    match serde_json::to_vec(&row) {
+        Ok(value) => store.put(Table::Vms, &gateway.peers.me, &value).await?,
+        Err(error) => log::error!("the row of this VM cannot be written: {error}"),
+    }
     let listed = store.get_all(Table::Vms).await?;
     for row in listed.rows {
         let Some(value) = row.value.filter(|_| row.key != gateway.peers.me) else {
--- a/crates/daemon/src/gateway/peers/table.rs
+++ b/crates/daemon/src/gateway/peers/table.rs
@@ -127,6 +127,12 @@
         self.peers.borrow().iter().filter(|p| p.is_live).count()
     }
 
+    /// Returns the size of the fleet, none as long as no peer was heard.
+    pub(crate) fn get_size(&self, now: Instant) -> Option<u16> {
+        let size = self.count_vms(now);
+        (size > 1).then_some(size)
+    }
+
     /// Returns the largest number of VMs that was live lately.
     pub(super) fn count_vms(&self, now: Instant) -> u16 {
         let live = self.count_live() as u16 + 1;
--- a/crates/daemon/src/gateway/services.rs
+++ b/crates/daemon/src/gateway/services.rs
@@ -84,6 +84,10 @@
             self.journal.clone(),
         ));
         handle.set_domain(self.get_settings().domain.clone());
+        if let Some(vms) = self.peers.get_size(self.clock.now()) {
+            // Peers may be known before the service is.
+            handle.set_fleet(vms, 0);
+        }
         tokio::task::spawn_local(handle.clone().run_timer());
         tokio::task::spawn_local(run_samples(self.clone(), handle.clone()));
         Entry {
--- a/crates/testkit/src/published/target.rs
+++ b/crates/testkit/src/published/target.rs
@@ -58,6 +58,7 @@
     running: AtomicUsize,
     cancelled: AtomicUsize,
     connections: AtomicUsize,
+    questions: AtomicUsize,
     crashed: Notify,
 }
 
@@ -101,6 +102,7 @@
             running: AtomicUsize::new(0),
             cancelled: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
+            questions: AtomicUsize::new(0),
             crashed: Notify::new(),
         });
         let task = tokio::spawn(accept(listener, shared.clone()));
@@ -166,6 +168,11 @@
         self.shared.connections.load(Ordering::Relaxed)
     }
 
+    /// Returns how often it was asked for its health and load.
+    pub fn count_questions(&self) -> usize {
+        self.shared.questions.load(Ordering::Relaxed)
+    }
+
     /// Returns the bytes of its entry in the store.
     pub fn make_entry(&self, value: &TargetEntryValue) -> Vec<u8> {
         let state = if value.is_draining {
@@ -216,6 +223,7 @@
         *shared.work_percent.lock()
     );
     if request.start.starts_with("GET /health ") {
+        shared.questions.fetch_add(1, Ordering::Relaxed);
         let text = reply(
             200,
             &format!("gentianridge-instance-id: {}\r\n{load}", shared.id),
--- a/tests/gateway/peers.rs
+++ b/tests/gateway/peers.rs
@@ -2,7 +2,7 @@
 
 use crate::configuration::{APPLY, MORE};
 use crate::site::{Site, put_config, register};
-use gentianridge_testkit::{GatewayVm, StoreFault};
+use gentianridge_testkit::{GatewayVm, PublishedStore, PublishedTarget, StoreFault};
 use std::time::Duration;
 
 const DRAIN: Duration = Duration::from_secs(2);
@@ -56,6 +56,36 @@
     }
 }
 
+/// A service that is declared after the peers were heard gets its full part of
+/// the questions: with an unknown fleet a VM asks for a small part of it only.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn later_service() {
+    let store = PublishedStore::start().await.unwrap();
+    let target = PublishedTarget::start("t0").await.unwrap();
+    register(&store, &target, false, 1);
+    let vms = ["vm-1", "vm-2"].map(|name| GatewayVm::start(name, store.get_addr()).unwrap());
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    put_config(&store, 1, "");
+    for vm in &vms {
+        vm.wait_ready().await.unwrap();
+    }
+    let mut caller = vms[0].open().await.unwrap();
+    for index in 0..20 {
+        let reply = caller
+            .ask("GET", "/look/x", &format!("a{index}"))
+            .await
+            .unwrap();
+        assert_eq!(reply.status, 200);
+        // The answer's own report is fresh for less than that.
+        tokio::time::sleep(Duration::from_millis(80)).await;
+    }
+    assert!(
+        target.count_questions() >= 18,
+        "{} questions",
+        target.count_questions()
+    );
+}
+
 /// A store that turns some VMs away, by silence even, keeps no other VM from a
 /// new configuration.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
