refactor(gateway): class names in the table, marks of one VM at once

Cause: each request formatted the name of its class, each datagram copied and sorted every crash mark, and an attempt's token was read back from a list with a default that could never be right. Change: the table keeps the class name beside its route, the marks of one VM are collected directly, the token is made first. No behaviour changes. Checked: tests of core and daemon, 128 passed, 0 failed. Processor time was not measured apart; the two copies were per request and per datagram.

--- a/crates/core/src/routes/table.rs
+++ b/crates/core/src/routes/table.rs
@@ -16,11 +16,24 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RouteTable {
     version: u64,
-    hosts: Vec<HostRoutes>,
+    hosts: Vec<KnownHost>,
     services: Vec<RoutedService>,
     limits: CallerLimits,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct KnownHost {
+    host: SmolStr,
+    routes: Vec<KnownRoute>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct KnownRoute {
+    route: Route,
+    /// Name of the route's class, made once because each request asks for it.
+    class: SmolStr,
+}
+
 /// Place of a route in its table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RouteKey {
@@ -32,14 +45,12 @@
     /// Creates a table from the parts of a configuration in any order.
     pub fn new(
         version: u64,
-        mut hosts: Vec<HostRoutes>,
+        hosts: Vec<HostRoutes>,
         mut services: Vec<RoutedService>,
         limits: CallerLimits,
     ) -> Self {
+        let mut hosts: Vec<KnownHost> = hosts.into_iter().map(KnownHost::new).collect();
         hosts.sort_by(|a, b| a.host.cmp(&b.host));
-        for host in &mut hosts {
-            host.routes.sort_by(|a, b| a.prefix.cmp(&b.prefix));
-        }
         services.sort_by(|a, b| a.name.cmp(&b.name));
         Self {
             version,
@@ -88,20 +99,25 @@
 
     /// Returns a route that [`Self::find`] found in this table.
     pub fn get(&self, key: RouteKey) -> &Route {
-        &self.hosts[key.host as usize].routes[key.route as usize]
+        &self.get_known(key).route
+    }
+
+    /// Returns the name of the class in which the route's requests are handled.
+    pub fn get_class_name(&self, key: RouteKey) -> &SmolStr {
+        &self.get_known(key).class
     }
 
     /// Chooses the service for the next request of a route.
     pub fn next_service(&mut self, key: RouteKey) -> Option<SmolStr> {
-        let route = &mut self.hosts[key.host as usize].routes[key.route as usize];
-        route.split.next_part().map(|part| part.service.clone())
+        let known = &mut self.hosts[key.host as usize].routes[key.route as usize];
+        known.route.split.next_part().map(|part| part.service.clone())
     }
 
     /// Moves the rotation of every split by `steps`.
     pub fn rotate_splits(&mut self, steps: u32) {
         for host in &mut self.hosts {
-            for route in &mut host.routes {
-                route.split.rotate(steps);
+            for known in &mut host.routes {
+                known.route.split.rotate(steps);
             }
         }
     }
@@ -112,6 +128,7 @@
             .hosts
             .iter()
             .flat_map(|host| &host.routes)
+            .map(|known| &known.route)
             .filter(|route| route.get_parts().iter().any(|part| part.service == service))
             .map(Route::make_class)
             .collect();
@@ -119,14 +136,36 @@
         classes.dedup_by(|a, b| a.name == b.name);
         classes
     }
+
+    fn get_known(&self, key: RouteKey) -> &KnownRoute {
+        &self.hosts[key.host as usize].routes[key.route as usize]
+    }
+}
+
+impl KnownHost {
+    fn new(host: HostRoutes) -> Self {
+        let mut routes: Vec<KnownRoute> = host
+            .routes
+            .into_iter()
+            .map(|route| KnownRoute {
+                class: route.make_class().name,
+                route,
+            })
+            .collect();
+        routes.sort_by(|a, b| a.route.prefix.cmp(&b.route.prefix));
+        Self {
+            host: host.host,
+            routes,
+        }
+    }
 }
 
 /// Looks for each prefix of the path that ends with a slash, the longest first.
-fn find_longest(routes: &[Route], path: &str) -> Option<usize> {
+fn find_longest(routes: &[KnownRoute], path: &str) -> Option<usize> {
     let mut end = path.len();
     while let Some(slash) = path[..end].rfind('/') {
         let prefix = &path[..=slash];
-        let found = routes.binary_search_by(|route| route.prefix.as_str().cmp(prefix));
+        let found = routes.binary_search_by(|known| known.route.prefix.as_str().cmp(prefix));
         if let Ok(index) = found {
             return Some(index);
         }
--- a/crates/daemon/src/gateway/call.rs
+++ b/crates/daemon/src/gateway/call.rs
@@ -179,11 +179,12 @@
             work_percent = placement.work_percent;
             "sent"
         );
+        let abort = CancellationToken::new();
         self.running.push(Running {
             attempt,
             target: name,
             started: now,
-            abort: CancellationToken::new(),
+            abort: abort.clone(),
         });
         let plan = AttemptPlan {
             gateway: cx.gateway.clone(),
@@ -195,8 +196,6 @@
             deadline: cx.deadline,
             objective: cx.objective,
         };
-        let abort = self.running.last().map(|running| running.abort.clone());
-        let abort = abort.unwrap_or_default();
         let future = async move {
             tokio::select! {
                 end = plan.run() => Some(end),
--- a/crates/daemon/src/gateway/crashes.rs
+++ b/crates/daemon/src/gateway/crashes.rs
@@ -2,7 +2,7 @@
 
 use super::state::Gateway;
 use crate::telemetry::BELIEF;
-use gentianridge_core::{CrashMark, EventKind, Quarantine, QuarantineChange};
+use gentianridge_core::{CrashMark, EventKind, QuarantineChange};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -57,14 +57,10 @@
     /// Returns this VM's own marks for the peers, the newest first.
     pub(crate) fn get_own_marks(&self) -> Vec<CrashMark> {
         let now = self.clock.now();
-        let me = self.get_settings().vm.clone();
-        let mut marks = self
-            .quarantine
+        let settings = self.get_settings();
+        self.quarantine
             .borrow()
-            .get_marks(now, Quarantine::MAX_MARKS);
-        marks.retain(|mark| mark.vm == me);
-        marks.truncate(TOLD_MARKS);
-        marks
+            .get_marks_of(now, &settings.vm, TOLD_MARKS)
     }
 
     /// Lifts what has expired.
--- a/crates/daemon/src/gateway/routing.rs
+++ b/crates/daemon/src/gateway/routing.rs
@@ -60,9 +60,9 @@
         let name = table.next_service(key).ok_or(ResultCode::NoTarget)?;
         let route = table.get(key);
         let service = self.find_service(&name).ok_or(ResultCode::NoTarget)?;
-        let class_name = route.make_class().name;
+        let class_name = table.get_class_name(key);
         let class = service
-            .read(|machine, _| machine.find_class_named(&class_name))
+            .read(|machine, _| machine.find_class_named(class_name))
             .ok_or(ResultCode::NoTarget)?;
         Ok(Routed {
             route: route.name.clone(),
