feat(gateway): end connections whose request head does not end in time

Cause: `header_timeout` of the configuration was decoded and not applied; a caller that sends half a head kept its connection for the idle time. Ruled out: the timer of the HTTP library, which runs from the end of the last answer on and would end idle connections after the time for a head (3 s against 15 s on both sites). Change: one wrapper counts the bytes of a connection in both directions, for targets and callers alike; the time of a head runs from its first byte. Tests: limits::slow_head fails without the change (no end within 15 s) and passes with it, limits::idle_connection; gateway tests 33 passed, 0 failed.

--- a/crates/core/src/routes/table.rs
+++ b/crates/core/src/routes/table.rs
@@ -110,7 +110,11 @@
     /// Chooses the service for the next request of a route.
     pub fn next_service(&mut self, key: RouteKey) -> Option<SmolStr> {
         let known = &mut self.hosts[key.host as usize].routes[key.route as usize];
-        known.route.split.next_part().map(|part| part.service.clone())
+        known
+            .route
+            .split
+            .next_part()
+            .map(|part| part.service.clone())
     }
 
     /// Moves the rotation of every split by `steps`.
--- a/crates/daemon/src/gateway/callers.rs
+++ b/crates/daemon/src/gateway/callers.rs
@@ -1,13 +1,17 @@
 //! Connections of callers.
 
+use super::activity::{Activity, Limit};
+use super::counted::{ByteCounts, CountedStream};
 use super::exchange::answer;
 use super::state::Gateway;
+use gentianridge_core::ResultCode;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use std::cell::Cell;
+use std::future::poll_fn;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::task::Poll;
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
@@ -49,26 +53,18 @@
     }
 }
 
-/// What a connection's loop and its requests share.
-struct Activity {
-    is_busy: Cell<bool>,
-    last: Cell<Instant>,
-}
-
 async fn serve(gateway: Rc<Gateway>, stream: TcpStream, mut closing: watch::Receiver<Closing>) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("a caller's connection ended at once: {error}");
         return;
     }
-    let activity = Rc::new(Activity {
-        is_busy: Cell::new(false),
-        last: Cell::new(gateway.clock.now()),
-    });
+    let counts = Rc::new(ByteCounts::default());
+    let activity = Rc::new(Activity::new(gateway.clock.now(), counts.clone()));
     let service = service_fn(|request| {
         let gateway = gateway.clone();
         let activity = activity.clone();
         async move {
-            activity.is_busy.set(true);
+            activity.start_request();
             let _busy = BusyGuard {
                 activity,
                 gateway: gateway.clone(),
@@ -80,27 +76,45 @@
     let connection = Builder::new()
         .auto_date_header(false)
         .max_buf_size(buffer)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(CountedStream::new(stream, counts)), service);
     tokio::pin!(connection);
+    let timer = tokio::time::sleep(Duration::ZERO);
+    tokio::pin!(timer);
     loop {
-        let idle_at = activity.last.get() + gateway.get_limits().idle_timeout;
+        let step = poll_fn(|cx| {
+            if let Poll::Ready(end) = connection.as_mut().poll(cx) {
+                return Poll::Ready(Step::Ended(end));
+            }
+            // What was just read may have begun a head, or ended a request.
+            let now = gateway.clock.now();
+            let Some((end, at)) = activity.get_limit(now, gateway.get_limits()) else {
+                return Poll::Pending;
+            };
+            if timer.deadline() != at.into() {
+                timer.as_mut().reset(at.into());
+            }
+            timer.as_mut().poll(cx).map(|()| Step::Limit(end))
+        });
         tokio::select! {
-            end = connection.as_mut() => {
-                if let Err(error) = end {
+            step = step => match step {
+                Step::Ended(Ok(())) => return,
+                Step::Ended(Err(error)) => {
                     log::debug!("a caller's connection ended: {error}");
+                    return;
                 }
-                return;
-            }
-            () = tokio::time::sleep_until(idle_at.into()) => {
-                if activity.is_busy.get() {
-                    activity.last.set(gateway.clock.now());
-                } else if activity.last.get() + gateway.get_limits().idle_timeout <= gateway.clock.now() {
+                Step::Limit(Limit::Head) => {
+                    gateway.metrics.record_refusal(ResultCode::SlowCaller);
+                    log::warn!(target: "request", "a request head did not end in time");
+                    return;
+                }
+                Step::Limit(Limit::Idle) => {
+                    activity.end_request(gateway.clock.now());
                     connection.as_mut().graceful_shutdown();
                 }
-            }
+            },
             Ok(()) = closing.changed() => {
                 let step = *closing.borrow();
-                if step == Closing::Now || (step == Closing::AfterAnswer && activity.is_busy.get()) {
+                if step == Closing::Now || (step == Closing::AfterAnswer && activity.is_busy()) {
                     connection.as_mut().graceful_shutdown();
                 }
             }
@@ -108,6 +122,12 @@
     }
 }
 
+/// What a connection's loop waits for.
+enum Step {
+    Ended(hyper::Result<()>),
+    Limit(Limit),
+}
+
 struct BusyGuard {
     activity: Rc<Activity>,
     gateway: Rc<Gateway>,
@@ -115,7 +135,6 @@
 
 impl Drop for BusyGuard {
     fn drop(&mut self) {
-        self.activity.is_busy.set(false);
-        self.activity.last.set(self.gateway.clock.now());
+        self.activity.end_request(self.gateway.clock.now());
     }
 }
--- a/crates/daemon/src/gateway/links/link.rs
+++ b/crates/daemon/src/gateway/links/link.rs
@@ -1,12 +1,12 @@
 //! One connection to a target.
 
-use super::counted::CountedIo;
+use crate::gateway::counted::{ByteCounts, CountedStream};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, Request, Response, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
-use std::cell::Cell;
+use hyper_util::rt::TokioIo;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -28,7 +28,7 @@
 #[derive(Debug)]
 pub(crate) struct Link {
     sender: SendRequest<Full<Bytes>>,
-    written: Rc<Cell<u64>>,
+    counts: Rc<ByteCounts>,
     answered_at: Instant,
     idle_limit: Duration,
 }
@@ -45,8 +45,8 @@
     pub(crate) async fn open(addr: SocketAddr, now: Instant) -> io::Result<Self> {
         let stream = TcpStream::connect(addr).await?;
         stream.set_nodelay(true)?;
-        let written = Rc::new(Cell::new(0));
-        let io = CountedIo::new(stream, written.clone());
+        let counts = Rc::new(ByteCounts::default());
+        let io = TokioIo::new(CountedStream::new(stream, counts.clone()));
         let (sender, connection) = Builder::new()
             .handshake(io)
             .await
@@ -59,7 +59,7 @@
         });
         Ok(Self {
             sender,
-            written,
+            counts,
             answered_at: now,
             idle_limit: Self::UNSTATED_IDLE,
         })
@@ -70,10 +70,10 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
-        let before = self.written.get();
+        let before = self.counts.get_written();
         match self.sender.send_request(request).await {
             Ok(response) => Ok(response),
-            Err(error) if self.written.get() == before => Err(SendError::NothingSent(error)),
+            Err(error) if self.counts.get_written() == before => Err(SendError::NothingSent(error)),
             Err(error) => Err(SendError::Unknown(error)),
         }
     }
--- a/crates/daemon/src/gateway/links/mod.rs
+++ b/crates/daemon/src/gateway/links/mod.rs
@@ -1,6 +1,5 @@
 //! Connections to targets, each with its age, its last use and what left on it.
 
-mod counted;
 mod link;
 mod pool;
 
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -4,10 +4,12 @@
 //! shared by `Rc`, and a decision is a direct call. The life of a request is
 //! described in docs/decisions/0013-platform.md.
 
+mod activity;
 mod answer;
 mod attempt;
 mod call;
 mod callers;
+mod counted;
 mod crashes;
 mod exchange;
 mod feeds;
--- a/crates/testkit/src/published/caller.rs
+++ b/crates/testkit/src/published/caller.rs
@@ -87,6 +87,16 @@
         Ok(())
     }
 
+    /// Sends bytes as they are.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection is closed.
+    pub async fn write(&mut self, text: &str) -> anyhow::Result<()> {
+        self.messages.write(text.as_bytes()).await?;
+        Ok(())
+    }
+
     /// Waits for an answer; none if the connection ends without one.
     ///
     /// # Errors
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod discovery;
 mod leaving;
+mod limits;
 mod metrics;
 mod peers;
 mod site;
