--- a/crates/config/src/gateway/parse.rs
+++ b/crates/config/src/gateway/parse.rs
@@ -50,7 +50,6 @@
         }
         "store" => {
             settings.store = reader.address("address").unwrap_or(settings.store);
-            read_duration(reader, "heartbeat", &mut settings.heartbeat);
         }
         "bounds" => {
             read_duration(reader, "drain", &mut settings.drain);
--- a/crates/config/src/gateway/values.rs
+++ b/crates/config/src/gateway/values.rs
@@ -26,8 +26,6 @@
     pub metrics: Option<SocketAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
-    /// Time between two entries of a target in the store.
-    pub heartbeat: Duration,
     /// Time after which a leaving target must get no more work.
     pub drain: Duration,
     /// Time after which a new configuration must be in force.
@@ -51,8 +49,6 @@
     const APPLY: Duration = Duration::from_secs(2);
     /// Time between SIGTERM and SIGKILL, the shortest of usual platforms.
     const GRACE: Duration = Duration::from_secs(5);
-    /// Time between two entries of a target.
-    const HEARTBEAT: Duration = Duration::from_millis(1_500);
     /// Share of repeats that a service bears even if every request fails.
     const REPEATS: RepeatLimit = RepeatLimit {
         window: Duration::from_secs(10),
@@ -60,6 +56,16 @@
         extra: 0,
     };
 
+    /// Returns the addresses to listen on, which hold for the life of a process.
+    pub fn get_addrs(&self) -> [Option<SocketAddr>; 4] {
+        [
+            Some(self.callers),
+            Some(self.ready),
+            Some(self.peers),
+            self.metrics,
+        ]
+    }
+
     /// Creates settings for given addresses with defaults for the rest.
     pub fn new(
         vm: &str,
@@ -76,7 +82,6 @@
             peers,
             metrics: None,
             store,
-            heartbeat: Self::HEARTBEAT,
             drain: Self::DRAIN,
             apply: Self::APPLY,
             grace: Self::GRACE,
--- a/crates/core/src/discovery/refresh.rs
+++ b/crates/core/src/discovery/refresh.rs
@@ -13,7 +13,9 @@
 pub struct Refresh {
     period: Duration,
     version: Option<u64>,
+    read_at: Option<Instant>,
     due: Option<Instant>,
+    has_gap: bool,
 }
 
 /// What a VM makes of a reading that a peer tells.
@@ -21,8 +23,10 @@
 pub enum Relayed {
     /// The changes continue what is known and are to be taken in.
     Applied,
-    /// Nothing new; the list is at least as new here.
+    /// Nothing has changed since what is known.
     Known,
+    /// The reading is not newer than what is known.
+    Stale,
     /// Changes between what is known and the reading are missing.
     Gap,
 }
@@ -33,13 +37,18 @@
     /// word to the peers and a request on its way.
     const FIRST: f64 = 0.45;
     const SPREAD: f64 = 0.25;
+    /// Difference up to which two times mean the same reading: the ways that it
+    /// took differ by some steps between VMs.
+    const SAME_READING: Duration = Duration::from_millis(50);
 
     /// Creates the timer for a bound on the age of the list.
     pub fn new(bound: Duration) -> Self {
         Self {
             period: bound,
             version: None,
+            read_at: None,
             due: None,
+            has_gap: false,
         }
     }
 
@@ -59,25 +68,46 @@
     }
 
     /// Notes that this VM read the list up to a version; `draw` is uniform in [0, 1).
-    pub fn note_read(&mut self, now: Instant, version: u64, draw: f64) {
-        self.version = Some(version);
+    ///
+    /// Returns the version after which its changes are news, which peers are
+    /// told: what they have told meanwhile is left out of that.
+    pub fn note_read(&mut self, now: Instant, version: u64, draw: f64) -> Option<u64> {
         self.restart(now, draw);
+        self.version.replace(version)
+    }
+
+    /// Returns true if a reading up to a version is older than what is known,
+    /// since its answer was overtaken by a peer's.
+    pub fn is_overtaken(&self, version: u64) -> bool {
+        self.version.is_some_and(|known| known > version)
+    }
+
+    /// Returns true if changes between what is known and a peer's reading are missing.
+    pub fn has_gap(&self) -> bool {
+        self.has_gap
     }
 
-    /// Judges a reading of a peer that covers the changes after `base`.
-    pub fn judge(&mut self, now: Instant, base: u64, version: u64, draw: f64) -> Relayed {
+    /// Judges a reading of a peer that covers the changes after `base` and was
+    /// made at `read_at`; it may have passed through several VMs.
+    pub fn judge(&mut self, read_at: Instant, base: u64, version: u64, draw: f64) -> Relayed {
         let Some(known) = self.version else {
             return Relayed::Gap;
         };
         if base > known {
             self.due = None;
+            self.has_gap = true;
             return Relayed::Gap;
         }
-        if version < known {
+        let is_newer = self
+            .read_at
+            .is_none_or(|newest| read_at > newest + Self::SAME_READING);
+        if version < known || (version == known && !is_newer) {
             // A late word says nothing about the age of what is known here.
-            return Relayed::Known;
+            return Relayed::Stale;
+        }
+        if is_newer {
+            self.restart(read_at, draw);
         }
-        self.restart(now, draw);
         if version == known {
             return Relayed::Known;
         }
@@ -90,8 +120,10 @@
         self.due = None;
     }
 
-    fn restart(&mut self, now: Instant, draw: f64) {
+    fn restart(&mut self, read_at: Instant, draw: f64) {
         let part = Self::FIRST + Self::SPREAD * draw;
-        self.due = Some(now + self.period.mul_f64(part));
+        self.has_gap = false;
+        self.read_at = Some(read_at);
+        self.due = Some(read_at + self.period.mul_f64(part));
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,7 +27,8 @@
     Claim, ClaimState, Ledger, LedgerAction, LedgerInput, RecordedAnswer, RequestPrint, Version,
 };
 pub use membership::{
-    Heartbeat, Membership, PeerState, PeerView, PlatformState, TargetNotice, TargetNotices,
+    ByteBudget, Heartbeat, Membership, Partners, PeerState, PeerView, PlatformState, Pulse, Roster,
+    TargetNotice, TargetNotices,
 };
 pub use probe::{ProbeBudget, is_probe_owner};
 pub use quarantine::{CrashMark, Quarantine, QuarantineChange};
--- a/crates/core/src/membership/heartbeat.rs
+++ b/crates/core/src/membership/heartbeat.rs
@@ -4,6 +4,7 @@
 use crate::{CrashMark, HybridTime, VmName};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// What one VM knows about another.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -16,14 +17,31 @@
     pub seq: u64,
     /// Address at which the VM takes messages of peers.
     pub addr: SocketAddr,
-    /// Address of the operators' paths.
-    pub operator_addr: SocketAddr,
+    /// Address of the operators' paths, if the VM serves them.
+    pub operator_addr: Option<SocketAddr>,
     /// True if the VM is stopping.
     pub is_leaving: bool,
     /// Revision in force on the VM, 0 if there is none.
     pub revision: u64,
 }
 
+impl PeerView {
+    /// Returns a number that stands for this start of the VM; two VMs of one
+    /// fleet share one by chance of about 1 in 100,000 at 300 VMs.
+    pub fn get_digest(&self) -> u32 {
+        xxh3_64_with_seed(self.vm.as_bytes(), self.incarnation) as u32
+    }
+}
+
+/// Word that a VM lives, in a few bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pulse {
+    /// Which start of which VM, see [`PeerView::get_digest`].
+    pub peer: u32,
+    /// Number of the newest heartbeat that was heard of it.
+    pub seq: u64,
+}
+
 /// One message of the exchange between VMs.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Heartbeat {
--- a/crates/core/src/membership/view.rs
+++ b/crates/core/src/membership/view.rs
@@ -1,6 +1,6 @@
 //! The merged view of the fleet.
 
-use super::PeerView;
+use super::{PeerView, Pulse};
 use crate::{EventKind, VmName};
 use std::time::{Duration, Instant};
 
@@ -27,6 +27,7 @@
 #[derive(Debug)]
 struct Peer {
     view: PeerView,
+    digest: u32,
     heard: Instant,
     /// Incarnation that the platform's list marks as leaving.
     platform_leaving: Option<u64>,
@@ -83,6 +84,17 @@
         }
     }
 
+    /// Takes in that a peer that is known was heard lately by another.
+    pub fn hear_pulse(&mut self, now: Instant, pulse: Pulse) {
+        let known = self.peers.iter_mut().find(|peer| peer.digest == pulse.peer);
+        if let Some(peer) = known
+            && pulse.seq > peer.view.seq
+        {
+            peer.view.seq = pulse.seq;
+            peer.heard = now;
+        }
+    }
+
     /// Takes in the platform's word on a VM.
     ///
     /// The list lags, so it cannot make a silent peer live or a live peer
@@ -109,8 +121,7 @@
                 events.push(event_of(state, &peer.view.vm));
             }
         }
-        self.peers
-            .retain(|peer| now.saturating_duration_since(peer.heard) < Self::FORGET);
+        self.peers.retain(|peer| !peer.has_lapsed(now));
         events
     }
 
@@ -127,6 +138,33 @@
         live
     }
 
+    /// Returns the name of this VM.
+    pub fn get_me(&self) -> &VmName {
+        &self.me
+    }
+
+    /// Returns true if the VM has been heard and is not forgotten.
+    pub fn knows(&self, vm: &VmName) -> bool {
+        self.find(vm).is_ok()
+    }
+
+    /// Returns the number of peers that are not forgotten.
+    pub fn count_known(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Returns true if the VM is a live peer.
+    pub fn is_live(&self, now: Instant, vm: &VmName) -> bool {
+        self.find(vm)
+            .is_ok_and(|index| self.peers[index].get_state(now, self.silence) == PeerState::Live)
+    }
+
+    /// Returns the peers that the next [`Self::tick`] forgets.
+    pub fn get_lapsed(&self, now: Instant) -> Vec<VmName> {
+        let lapsed = self.peers.iter().filter(|peer| peer.has_lapsed(now));
+        lapsed.map(|peer| peer.view.vm.clone()).collect()
+    }
+
     /// Returns each peer with its state.
     pub fn get_peers(&self, now: Instant) -> impl Iterator<Item = (&PeerView, PeerState)> {
         self.peers
@@ -178,6 +216,7 @@
 impl Peer {
     fn new(now: Instant, view: PeerView) -> Self {
         Self {
+            digest: view.get_digest(),
             view,
             heard: now,
             platform_leaving: None,
@@ -185,6 +224,10 @@
         }
     }
 
+    fn has_lapsed(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.heard) >= Membership::FORGET
+    }
+
     fn update(&mut self, now: Instant, view: PeerView) -> bool {
         let known = (self.view.incarnation, self.view.seq);
         if (view.incarnation, view.seq) <= known {
@@ -193,6 +236,7 @@
         self.heard = now;
         let is_same_process = view.incarnation == self.view.incarnation;
         let was_leaving = is_same_process && self.view.is_leaving;
+        self.digest = view.get_digest();
         self.view = view;
         self.view.is_leaving |= was_leaving;
         true
--- a/crates/core/src/quarantine/marks.rs
+++ b/crates/core/src/quarantine/marks.rs
@@ -134,12 +134,20 @@
 
     /// Returns the newest marks for the peers, at most `limit`.
     pub fn get_marks(&self, now: Instant, limit: usize) -> Vec<CrashMark> {
-        self.collect_marks(now, limit, |_| true)
-    }
-
-    /// Returns the newest marks that one VM made, at most `limit`.
-    pub fn get_marks_of(&self, now: Instant, vm: &VmName, limit: usize) -> Vec<CrashMark> {
-        self.collect_marks(now, limit, |entry| entry.vm == *vm)
+        let mut marks: Vec<CrashMark> = self
+            .entries
+            .iter()
+            .map(|entry| CrashMark {
+                fingerprint: entry.fingerprint,
+                vm: entry.vm.clone(),
+                count: entry.count,
+                epoch: entry.epoch,
+                age: now.saturating_duration_since(entry.at),
+            })
+            .collect();
+        marks.sort_by_key(|mark| mark.age);
+        marks.truncate(limit);
+        marks
     }
 
     /// Drops expired marks and lifts what they quarantined.
@@ -157,29 +165,6 @@
         self.lift_unsupported().pop()
     }
 
-    fn collect_marks(
-        &self,
-        now: Instant,
-        limit: usize,
-        is_wanted: impl Fn(&Entry) -> bool,
-    ) -> Vec<CrashMark> {
-        let mut marks: Vec<CrashMark> = self
-            .entries
-            .iter()
-            .filter(|entry| is_wanted(entry))
-            .map(|entry| CrashMark {
-                fingerprint: entry.fingerprint,
-                vm: entry.vm.clone(),
-                count: entry.count,
-                epoch: entry.epoch,
-                age: now.saturating_duration_since(entry.at),
-            })
-            .collect();
-        marks.sort_by_key(|mark| mark.age);
-        marks.truncate(limit);
-        marks
-    }
-
     fn lift_unsupported(&mut self) -> Vec<QuarantineChange> {
         let entries = &self.entries;
         let mut lifted = Vec::new();
--- a/crates/core/src/service/machine.rs
+++ b/crates/core/src/service/machine.rs
@@ -5,7 +5,6 @@
 use super::demand::ShortDemand;
 use super::fleet_budget::FleetBudget;
 use super::long_slots::{LongRoom, deal, reserve_of};
-use super::peer_loads::PeerLoads;
 use super::records::{Attempt, Call, CallState};
 use super::sampling::Sampler;
 use super::target::Target;
@@ -59,7 +58,6 @@
     pub(super) retries: Budget,
     pub(super) hedges: Budget,
     pub(super) fleet_budget: Option<FleetBudget>,
-    pub(super) peer_loads: PeerLoads,
     pub(super) sampler: Sampler,
     pub(super) domain: DomainName,
     pub(super) counters: Counters,
@@ -84,7 +82,6 @@
             retries: Budget::new(spec.retry_percent),
             hedges: Budget::new(spec.hedge_percent),
             fleet_budget: spec.repeats.map(FleetBudget::new),
-            peer_loads: PeerLoads::default(),
             sampler: Sampler::default(),
             domain: DomainName::default(),
             targets: targets.into_iter().map(|t| Target::new(t, None)).collect(),
--- a/crates/core/src/service/mod.rs
+++ b/crates/core/src/service/mod.rs
@@ -18,7 +18,6 @@
 mod long_slots;
 mod machine;
 mod output;
-mod peer_loads;
 mod pick;
 mod records;
 mod reports;
--- a/crates/core/src/service/pick.rs
+++ b/crates/core/src/service/pick.rs
@@ -50,8 +50,6 @@
     fresh: Duration,
     /// Factor of the usual time that is expected of a target without a fresh report.
     work: f32,
-    /// Factor by which the counts of the peers that were heard stand for all VMs.
-    peer_scale: Option<f32>,
     /// Mean slowness of the active targets.
     slowness: f32,
     ignores_ejection: bool,
@@ -197,7 +195,6 @@
             is_sampled: self.spec.sampling.is_some(),
             fresh: self.spec.sampling.map_or(Duration::ZERO, |plan| plan.fresh),
             work: self.get_unknown_work(),
-            peer_scale: self.peer_loads.get_scale(now, self.vms),
             slowness: if active == 0 {
                 1.0
             } else {
@@ -296,10 +293,7 @@
             return None;
         }
         let slowness = (target.health.get_slowness(self.now) / self.slowness).max(1.0);
-        let mut occupancy = match self.peer_scale {
-            Some(scale) => f32::from(target.own) + scale * f32::from(target.count_peer_attempts()),
-            None => target.get_occupancy(self.now, self.hold, self.others),
-        };
+        let mut occupancy = target.get_occupancy(self.now, self.hold, self.others);
         let report = target.get_report(self.now, self.fresh);
         if let Some(report) = report {
             occupancy = occupancy.max(f32::from(report.in_flight));
--- a/crates/core/src/service/status.rs
+++ b/crates/core/src/service/status.rs
@@ -48,8 +48,6 @@
 pub struct Placement {
     /// Attempts of this VM in flight on the target.
     pub own: u16,
-    /// Attempts of the peers in flight, as they told last.
-    pub peers: u16,
     /// Slots that the target declares.
     pub slots: u16,
     /// Age of the target's last report.
--- a/crates/core/src/service/target.rs
+++ b/crates/core/src/service/target.rs
@@ -29,8 +29,6 @@
     pub(crate) report: Option<(LoadReport, Instant)>,
     /// Time of the last question for a report.
     pub(crate) sampled_at: Option<Instant>,
-    /// Attempts in flight that each peer reports, by the peer's index.
-    pub(crate) peer_counts: Vec<u16>,
     /// Attempts of this VM in flight in the order of their start.
     running: Vec<AttemptKey>,
 }
@@ -54,7 +52,6 @@
             others: OthersView::new(),
             report: None,
             sampled_at: None,
-            peer_counts: Vec::new(),
             running: Vec::new(),
             spec,
         }
--- a/crates/core/src/service/view.rs
+++ b/crates/core/src/service/view.rs
@@ -76,7 +76,6 @@
         let target = &self.targets[key.get_index()];
         Placement {
             own: target.own,
-            peers: target.count_peer_attempts(),
             slots: target.spec.get_slots(),
             report_age: target.get_report_age(now),
             work_percent: target.report.and_then(|(report, _)| report.work_percent),
--- a/crates/daemon/src/fleet/exchange.rs
+++ b/crates/daemon/src/fleet/exchange.rs
@@ -1,7 +1,9 @@
 //! The exchange of heartbeats between VMs.
 
 use super::Fleet;
-use gentianridge_core::{CrashMark, Heartbeat, PeerState, PeerView, RevisionRecord, TargetNotice};
+use gentianridge_core::{
+    ByteBudget, CrashMark, Heartbeat, PeerState, PeerView, RevisionRecord, TargetNotice,
+};
 use gentianridge_wire::{
     Framed, PeerMessage, WireError, WireErrorKind, frame, read_message, write_message,
 };
@@ -26,8 +28,6 @@
 const TIMEOUT: Duration = Duration::from_millis(400);
 /// Time after which a connection without a message is closed.
 const IDLE: Duration = Duration::from_secs(30);
-/// Bytes that heartbeats may use, each second.
-const BYTES_PER_SECOND: f64 = 5_000.0;
 /// Peers for which one round reaches everybody.
 const DIRECT_PEERS: usize = 8;
 
@@ -120,36 +120,6 @@
     }
 }
 
-/// Token bucket over bytes.
-#[derive(Debug)]
-struct ByteBudget {
-    tokens: f64,
-    at: Option<Instant>,
-}
-
-impl ByteBudget {
-    fn new() -> Self {
-        Self {
-            tokens: BYTES_PER_SECOND,
-            at: None,
-        }
-    }
-
-    fn spend(&mut self, now: Instant, bytes: usize) -> bool {
-        let elapsed = self
-            .at
-            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        self.at = Some(now);
-        self.tokens =
-            (self.tokens + elapsed.as_secs_f64() * BYTES_PER_SECOND).min(BYTES_PER_SECOND);
-        let is_affordable = self.tokens >= bytes as f64;
-        if is_affordable {
-            self.tokens -= bytes as f64;
-        }
-        is_affordable
-    }
-}
-
 async fn connect(addr: SocketAddr) -> Result<Connection, WireError> {
     let stream = TcpStream::connect(addr).await?;
     stream.set_nodelay(true)?;
@@ -199,7 +169,7 @@
             incarnation: fleet.incarnation,
             seq: fleet.seq.fetch_add(1, Ordering::Relaxed) + 1,
             addr: fleet.settings.peers,
-            operator_addr: fleet.settings.operators,
+            operator_addr: Some(fleet.settings.operators),
             is_leaving: fleet.is_stopping(),
             revision: fleet.get_revision(),
         },
--- a/crates/daemon/src/gateway/call.rs
+++ b/crates/daemon/src/gateway/call.rs
@@ -59,7 +59,6 @@
         if !self.is_over {
             self.cx.service.cancel(self.key);
         }
-        self.cx.gateway.peers.note_load_change();
     }
 }
 
@@ -172,7 +171,6 @@
             kind = kind.as_str(),
             waited_ms = waited.as_millis() as u64,
             own = placement.own,
-            peers = placement.peers,
             slots = placement.slots,
             waiting = placement.waiting,
             report_age_ms = placement.report_age.map(|age| age.as_millis() as u64),
@@ -203,7 +201,6 @@
             }
         };
         self.futures.push(future.boxed_local());
-        self.cx.gateway.peers.note_load_change();
     }
 
     fn abort(&mut self, attempt: AttemptKey) {
@@ -262,7 +259,6 @@
                 cx.service.failed(end.attempt, failure.outcome);
             }
         }
-        cx.gateway.peers.note_load_change();
     }
 
     fn deliver(&mut self, attempt: AttemptKey) -> Result<(Answer, SlotGuard), ResultCode> {
--- a/crates/daemon/src/gateway/crashes.rs
+++ b/crates/daemon/src/gateway/crashes.rs
@@ -8,7 +8,7 @@
 
 /// Time for which a crash counts against a request, and for which it is held.
 pub(crate) const CRASH_PERIOD: Duration = Duration::from_secs(60);
-/// Marks told in one datagram; each takes some twenty bytes.
+/// Marks told in one datagram; each takes some forty bytes.
 const TOLD_MARKS: usize = 8;
 
 impl Gateway {
@@ -28,7 +28,7 @@
             .borrow_mut()
             .record_crash(now, &me, fingerprint);
         self.note_quarantine(change);
-        self.peers.note_load_change();
+        self.peers.note_urgent();
         self.is_held(fingerprint)
     }
 
@@ -50,17 +50,18 @@
         let now = self.clock.now();
         for mark in marks {
             let change = self.quarantine.borrow_mut().merge(now, mark);
+            if change.is_some() {
+                self.peers.note_urgent();
+            }
             self.note_quarantine(change);
         }
     }
 
-    /// Returns this VM's own marks for the peers, the newest first.
-    pub(crate) fn get_own_marks(&self) -> Vec<CrashMark> {
+    /// Returns the marks to tell the peers, those of other VMs included, since
+    /// each VM talks to a few only.
+    pub(crate) fn get_marks_to_tell(&self) -> Vec<CrashMark> {
         let now = self.clock.now();
-        let settings = self.get_settings();
-        self.quarantine
-            .borrow()
-            .get_marks_of(now, &settings.vm, TOLD_MARKS)
+        self.quarantine.borrow().get_marks(now, TOLD_MARKS)
     }
 
     /// Lifts what has expired.
--- a/crates/daemon/src/gateway/feeds.rs
+++ b/crates/daemon/src/gateway/feeds.rs
@@ -61,6 +61,8 @@
 enum Reason {
     /// Its timer ended: it reads for the fleet.
     Due,
+    /// It missed changes of the list that a peer read.
+    MissedChanges,
     /// A peer has a newer configuration in force.
     NewerConfig,
 }
@@ -80,6 +82,7 @@
     loop {
         let is_good = match wait_for_reason(&follower.gateway).await {
             Reason::Due => follower.read_all().await,
+            Reason::MissedChanges => follower.read_missed().await,
             Reason::NewerConfig => follower.read_config(None).await,
         };
         follower.note(is_good);
@@ -104,6 +107,9 @@
             return Reason::NewerConfig;
         }
         let now = gateway.clock.now();
+        if gateway.with_refresh(|refresh| refresh.has_gap()) {
+            return Reason::MissedChanges;
+        }
         let Some(due) = gateway.with_refresh(|refresh| refresh.get_due()) else {
             return Reason::Due;
         };
@@ -138,11 +144,28 @@
         let gateway = self.gateway.clone();
         let (config, targets) =
             tokio::join!(self.read_config(self.config_after), read_targets(&gateway));
-        if !(config && targets) {
-            gateway.with_refresh(Refresh::hurry);
-            gateway.change_targets(|directory, _| directory.set_away());
+        let is_good = config && targets.is_ok();
+        if let Ok(Some(news)) = targets
+            && config
+        {
+            gateway.peers.tell_list(gateway.clock.now(), news);
         }
-        config && targets
+        self.note_targets(is_good)
+    }
+
+    /// Reads changes of the targets that the peers know already.
+    async fn read_missed(&mut self) -> bool {
+        let targets = read_targets(&self.gateway).await;
+        self.note_targets(targets.is_ok())
+    }
+
+    fn note_targets(&self, is_good: bool) -> bool {
+        if !is_good {
+            self.gateway.with_refresh(Refresh::hurry);
+            self.gateway
+                .change_targets(|directory, _| directory.set_away());
+        }
+        is_good
     }
 
     async fn read_config(&mut self, after: Option<u64>) -> bool {
@@ -198,7 +221,8 @@
     Some(fed)
 }
 
-async fn read_targets(gateway: &Gateway) -> bool {
+/// Reads the targets; returns what is news to the peers.
+async fn read_targets(gateway: &Gateway) -> Result<Option<ListNews>, StoreError> {
     let after = gateway.with_refresh(|refresh| refresh.get_version());
     let store = gateway.get_store();
     let changed = match after {
@@ -214,24 +238,19 @@
         None => store.get_all(Table::Targets).await,
     };
     gateway.metrics.record_store_call("targets", result.is_ok());
-    match result {
-        Ok(changes) => {
-            take_targets(gateway, changes, after, is_whole);
-            true
-        }
-        Err(error) => {
-            log::debug!("cannot read the targets: {error}");
-            false
-        }
-    }
+    let changes = result.inspect_err(|error| log::debug!("cannot read the targets: {error}"))?;
+    Ok(take_targets(gateway, changes, is_whole))
 }
 
-/// Takes in a reading of this VM and tells the peers.
-fn take_targets(gateway: &Gateway, changes: Changes, after: Option<u64>, is_whole: bool) {
+/// Takes in a reading of this VM; returns what is news to the peers, nothing
+/// for the first reading.
+fn take_targets(gateway: &Gateway, changes: Changes, is_whole: bool) -> Option<ListNews> {
     let now = gateway.clock.now();
+    if gateway.with_refresh(|refresh| refresh.is_overtaken(changes.version)) {
+        return None;
+    }
     let (entries, mut gone) = decode_rows(changes.rows);
     let mut news = ListNews {
-        base: after.unwrap_or(changes.version),
         version: changes.version,
         ..ListNews::default()
     };
@@ -261,11 +280,12 @@
     news.gone = gone;
     log_news(&news, "store");
     let draw = rand::rng().random();
-    gateway.with_refresh(|refresh| refresh.note_read(now, changes.version, draw));
+    let base = gateway.with_refresh(|refresh| refresh.note_read(now, changes.version, draw));
     gateway.note_informed();
-    if after.is_some() {
-        gateway.peers.tell_list(news);
-    }
+    Some(ListNews {
+        base: base?,
+        ..news
+    })
 }
 
 fn decode_rows(rows: Vec<Row>) -> (Vec<TargetEntry>, Vec<SmolStr>) {
@@ -287,12 +307,17 @@
 }
 
 /// Takes in a reading that a peer tells.
-pub(crate) fn take_list_news(gateway: &Gateway, news: &ListNews) {
+pub(crate) fn take_list_news(gateway: &Gateway, news: ListNews) {
     let now = gateway.clock.now();
     let draw = rand::rng().random();
-    let judged = gateway.with_refresh(|refresh| refresh.judge(now, news.base, news.version, draw));
+    let read_at = now.checked_sub(news.age).unwrap_or(now);
+    let judged =
+        gateway.with_refresh(|refresh| refresh.judge(read_at, news.base, news.version, draw));
+    if judged == Relayed::Stale {
+        return;
+    }
     if judged == Relayed::Applied {
-        log_news(news, "peer");
+        log_news(&news, "peer");
     }
     if judged != Relayed::Gap {
         gateway.change_targets(|directory, changed| {
@@ -308,6 +333,7 @@
             }
         });
     }
+    gateway.peers.tell_list(now, news);
     gateway.peers.note_list();
 }
 
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -31,6 +31,8 @@
     waiting: Gauge<f64>,
     version: Gauge<f64>,
     vms: Gauge<f64>,
+    datagrams: Counter<u64>,
+    datagram_bytes: Counter<u64>,
     list_due: Gauge<f64>,
     log_lines: Gauge<f64>,
 }
@@ -76,6 +78,16 @@
                 "Configuration in force",
             ),
             vms: gauge(&meter, "gentianridge.peers", "Peers that are heard"),
+            datagrams: counter(
+                &meter,
+                "gentianridge.peer.datagrams",
+                "Datagrams to peers by fate",
+            ),
+            datagram_bytes: counter(
+                &meter,
+                "gentianridge.peer.sent",
+                "Bytes of datagrams to peers",
+            ),
             list_due: gauge(
                 &meter,
                 "gentianridge.list.due",
@@ -131,6 +143,12 @@
         self.samples.add(1, &[]);
     }
 
+    /// Counts a datagram of `size` bytes, or one that the budget left out.
+    pub(crate) fn record_datagram(&self, fate: &'static str, size: usize) {
+        self.datagrams.add(1, &[KeyValue::new("fate", fate)]);
+        self.datagram_bytes.add(size as u64, &[]);
+    }
+
     pub(crate) fn record_store_call(&self, call: &'static str, is_good: bool) {
         let outcome = if is_good { "ok" } else { "failed" };
         let labels = [
@@ -144,7 +162,8 @@
     pub(crate) fn render(&self, gateway: &Gateway) -> String {
         self.observe_services(gateway);
         self.version.record(gateway.get_version() as f64, &[]);
-        self.vms.record(gateway.peers.count_live() as f64, &[]);
+        self.vms
+            .record(gateway.peers.count_live(gateway.clock.now()) as f64, &[]);
         if let Some(due) = gateway.with_refresh(|refresh| refresh.get_due()) {
             let now = gateway.clock.now();
             let ahead = due.saturating_duration_since(now).as_secs_f64();
--- a/crates/daemon/src/gateway/peers/exchange.rs
+++ b/crates/daemon/src/gateway/peers/exchange.rs
@@ -1,240 +1,179 @@
 //! Datagrams between VMs.
 
-use super::table::Peers;
+use super::register::clear_rows;
 use crate::gateway::feeds::take_list_news;
-use crate::gateway::state::{Gateway, Phase};
-use gentianridge_core::{EventKind, TargetKey, VmName};
-use gentianridge_wire::{PeerDatagram, TargetLoad};
+use crate::gateway::state::Gateway;
+use gentianridge_core::{ByteBudget, VmName};
+use gentianridge_wire::PeerDatagram;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, UNIX_EPOCH};
 use tokio::net::UdpSocket;
 
-/// Pause after a change within which further changes join its datagram; far
+/// Pause after something urgent within which more of it joins its datagram; far
 /// below the time of one request.
 const GATHER: Duration = Duration::from_millis(10);
-/// Longest time between two datagrams.
-pub(super) const REPEAT: Duration = Duration::from_millis(300);
-/// Shortest time between two datagrams to a peer in another failure domain;
-/// three of them fit into the time for which counts are fresh.
-const FAR_REPEAT: Duration = Duration::from_millis(290);
-/// Silence after which a peer gets only a greeting a second.
-const SILENT: Duration = Duration::from_secs(3);
-/// Shortest time between two greetings of a silent peer.
-const GREET: Duration = Duration::from_secs(1);
-/// Time after which a silent peer is forgotten.
-const FORGET: Duration = Duration::from_secs(120);
+/// Longest time between two rounds.
+pub(super) const ROUND: Duration = Duration::from_millis(300);
 
 /// Sends and receives datagrams until the task is dropped.
 pub(crate) async fn run_peers(gateway: Rc<Gateway>, socket: UdpSocket) {
     let started = gateway.clock.wall().duration_since(UNIX_EPOCH);
     let incarnation = started.map_or(1, |since| since.as_millis() as u64);
-    gateway.peers.incarnation.set(incarnation);
-    let socket = Rc::new(socket);
-    let receiver = tokio::task::spawn_local(receive(gateway.clone(), socket.clone()));
-    send(gateway, socket).await;
+    gateway.peers.raise_incarnation(incarnation);
+    let exchange = Rc::new(Exchange {
+        gateway,
+        socket,
+        budget: RefCell::new(ByteBudget::new()),
+    });
+    let receiver = tokio::task::spawn_local(exchange.clone().receive());
+    exchange.run_rounds().await;
     receiver.abort();
 }
 
-async fn send(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
-    let mut told_version = 0;
-    loop {
-        let _ = tokio::time::timeout(REPEAT, gateway.peers.changed.notified()).await;
-        tokio::time::sleep(GATHER).await;
-        let now = gateway.clock.now();
-        judge_silence(&gateway, now);
-        let mut datagram = make_datagram(&gateway);
-        let version = datagram.version;
-        let bytes = encode_with_list(&gateway.peers, &mut datagram);
-        let is_urgent = bytes.len() > datagram.encode().len() || version != told_version;
-        told_version = version;
-        datagram.is_hello = true;
-        let greeting = datagram.encode();
-        for (addr, is_greeting) in choose_receivers(&gateway, now, is_urgent) {
-            let bytes = if is_greeting { &greeting } else { &bytes };
-            // Loads are told again soon, so that a lost datagram needs no answer.
-            if let Err(error) = socket.try_send_to(bytes, addr) {
-                log::debug!("cannot send to peer {addr}: {error}");
+struct Exchange {
+    gateway: Rc<Gateway>,
+    socket: UdpSocket,
+    budget: RefCell<ByteBudget>,
+}
+
+impl Exchange {
+    async fn run_rounds(&self) {
+        loop {
+            let urgent = self.gateway.peers.urgent.notified();
+            if tokio::time::timeout(ROUND, urgent).await.is_ok() {
+                tokio::time::sleep(GATHER).await;
             }
+            let now = self.gateway.clock.now();
+            note_time(&self.gateway, now);
+            self.tell_partners(now);
         }
     }
-}
 
-/// Adds the reading to tell; one that does not fit is left out, and the peers
-/// read the store themselves.
-fn encode_with_list(peers: &Peers, datagram: &mut PeerDatagram) -> Vec<u8> {
-    datagram.list = peers.news.take();
-    let bytes = datagram.encode();
-    if datagram.list.take().is_some() && bytes.len() > PeerDatagram::MAX_BYTES {
-        return datagram.encode();
+    fn tell_partners(&self, now: Instant) {
+        let partners = self.gateway.peers.roster.borrow_mut().next_partners(now);
+        let mut datagram = make_datagram(&self.gateway, now);
+        let bytes = encode_within_limit(&mut datagram);
+        for addr in partners.peers {
+            self.send(now, addr, &bytes);
+        }
+        if let Some(addr) = partners.stranger {
+            datagram.is_hello = true;
+            self.send(now, addr, &encode_within_limit(&mut datagram));
+        }
     }
-    bytes
-}
 
-/// Chooses who is told now, and who is only greeted.
-///
-/// Loads matter most within a failure domain, whose targets are preferred.
-/// Peers in another one hear of them less often, since bytes between domains
-/// cost money; what is urgent goes to all at once.
-fn choose_receivers(gateway: &Gateway, now: Instant, is_urgent: bool) -> Vec<(SocketAddr, bool)> {
-    let is_within = |at: Option<Instant>, limit: Duration| {
-        at.is_some_and(|at| now.saturating_duration_since(at) < limit)
-    };
-    let my_domain = gateway.get_settings().domain.clone();
-    let mut chosen = Vec::new();
-    for peer in gateway.peers.peers.borrow_mut().iter_mut() {
-        if peer.vm.is_empty() {
-            continue;
+    /// Sends a datagram if the budget of bytes holds it. What it tells is told
+    /// again in the next rounds, so that a lost or skipped one needs no answer.
+    fn send(&self, now: Instant, addr: SocketAddr, bytes: &[u8]) {
+        if !self.budget.borrow_mut().spend(now, bytes.len()) {
+            self.gateway.metrics.record_datagram("skipped", 0);
+            return;
         }
-        if is_within(peer.heard, SILENT) {
-            let is_far = peer.domain != my_domain;
-            if is_urgent || !is_far || !is_within(peer.told, FAR_REPEAT) {
-                peer.told = Some(now);
-                chosen.push((peer.addr, false));
-            }
-        } else if !is_within(peer.greeted, GREET) {
-            peer.greeted = Some(now);
-            chosen.push((peer.addr, true));
+        match self.socket.try_send_to(bytes, addr) {
+            Ok(size) => self.gateway.metrics.record_datagram("sent", size),
+            Err(error) => log::debug!("cannot send to peer {addr}: {error}"),
         }
     }
-    chosen
-}
 
-fn make_datagram(gateway: &Gateway) -> PeerDatagram {
-    let peers = &gateway.peers;
-    peers.seq.set(peers.seq.get() + 1);
-    let mut loads = Vec::new();
-    gateway.for_each_service(|service| {
-        service.read(|machine, _| {
-            for key in machine.get_target_keys() {
-                let in_flight = machine.get_in_flight(key);
-                if let Some(target) = machine.get_target(key).filter(|_| in_flight > 0) {
-                    loads.push(TargetLoad {
-                        target: target.get_incarnation().get_digest(),
-                        in_flight,
-                    });
+    async fn receive(self: Rc<Self>) {
+        let mut buf = vec![0; PeerDatagram::MAX_BYTES];
+        loop {
+            let (size, addr) = match self.socket.recv_from(&mut buf).await {
+                Ok(received) => received,
+                Err(error) => {
+                    log::debug!("cannot receive from a peer: {error}");
+                    tokio::time::sleep(GATHER).await;
+                    continue;
                 }
+            };
+            match PeerDatagram::decode(&buf[..size]) {
+                Ok(datagram) => self.take(addr, datagram),
+                Err(error) => log::warn!("datagram of {addr} dropped: {error}"),
             }
-        });
-    });
-    PeerDatagram {
-        vm: peers.me.clone(),
-        domain: gateway.get_settings().domain.clone(),
-        incarnation: peers.incarnation.get(),
-        seq: peers.seq.get(),
-        version: gateway.get_version(),
-        is_hello: false,
-        is_leaving: gateway.get_phase() == Phase::Stopping,
-        loads,
-        crashes: gateway.get_own_marks(),
-        list: None,
+        }
     }
-}
 
-async fn receive(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
-    let mut buf = vec![0; PeerDatagram::MAX_BYTES];
-    loop {
-        let (size, addr) = match socket.recv_from(&mut buf).await {
-            Ok(received) => received,
-            Err(error) => {
-                log::debug!("cannot receive from a peer: {error}");
-                tokio::time::sleep(GATHER).await;
-                continue;
-            }
-        };
-        match PeerDatagram::decode(&buf[..size]) {
-            Ok(datagram) => take(&gateway, addr, &datagram),
-            Err(error) => log::warn!("datagram of {addr} dropped: {error}"),
+    fn take(&self, addr: SocketAddr, mut datagram: PeerDatagram) {
+        let gateway = &self.gateway;
+        let now = gateway.clock.now();
+        // The address that it came from is the one that can be answered.
+        datagram.me.addr = addr;
+        let mut is_change = false;
+        for view in std::iter::once(datagram.me).chain(datagram.peers) {
+            is_change |= gateway.peers.roster.borrow_mut().hear(now, view);
+        }
+        for pulse in datagram.pulses {
+            gateway.peers.roster.borrow_mut().hear_pulse(now, pulse);
+        }
+        if is_change {
+            note_time(gateway, now);
+        }
+        gateway.take_marks(&datagram.crashes);
+        if let Some(news) = datagram.list {
+            take_list_news(gateway, news);
+        }
+        if gateway.peers.get_newest_version() > gateway.get_version() {
+            gateway.peers.newer.notify_one();
+        }
+        if datagram.is_hello {
+            let mut answer = make_datagram(gateway, now);
+            self.send(now, addr, &encode_within_limit(&mut answer));
         }
     }
 }
 
-fn take(gateway: &Rc<Gateway>, addr: SocketAddr, datagram: &PeerDatagram) {
-    let peers = &gateway.peers;
-    if datagram.vm.is_empty() || datagram.vm == peers.me {
-        return;
-    }
-    let now = gateway.clock.now();
-    let index = peers.add(&datagram.vm, addr);
-    let is_news = {
-        let mut peers = peers.peers.borrow_mut();
-        let peer = &mut peers[index];
-        if (datagram.incarnation, datagram.seq) <= (peer.incarnation, peer.seq) {
-            return;
-        }
-        peer.incarnation = datagram.incarnation;
-        peer.seq = datagram.seq;
-        peer.addr = addr;
-        peer.domain = datagram.domain.clone();
-        peer.heard = Some(now);
-        peer.is_leaving = datagram.is_leaving;
-        !std::mem::replace(&mut peer.is_live, true)
-    };
-    if is_news {
-        gateway.journal.record(EventKind::PeerLive {
-            peer: datagram.vm.clone(),
-        });
-        share_size(gateway, now);
-    }
-    if datagram.is_hello || is_news {
-        peers.changed.notify_one();
-    }
-    take_loads(gateway, index as u16, datagram);
-    gateway.take_marks(&datagram.crashes);
-    if let Some(news) = &datagram.list {
-        take_list_news(gateway, news);
-    }
-    if datagram.version > gateway.get_version().max(peers.newest.get()) {
-        peers.newest.set(datagram.version);
-        peers.newer.notify_one();
+fn make_datagram(gateway: &Gateway, now: Instant) -> PeerDatagram {
+    let mut roster = gateway.peers.roster.borrow_mut();
+    PeerDatagram {
+        me: gateway.describe_me(),
+        is_hello: false,
+        crashes: gateway.get_marks_to_tell(),
+        list: gateway.peers.get_list(now),
+        peers: roster.choose_digest(now),
+        pulses: roster.choose_pulses(now),
     }
 }
 
-fn take_loads(gateway: &Gateway, peer: u16, datagram: &PeerDatagram) {
-    gateway.for_each_service(|service| {
-        let loads: Vec<(TargetKey, u16)> = service.read(|machine, _| {
-            machine
-                .get_target_keys()
-                .filter_map(|key| {
-                    let target = machine.get_target(key)?;
-                    let digest = target.get_incarnation().get_digest();
-                    let load = datagram.loads.iter().find(|load| load.target == digest)?;
-                    Some((key, load.in_flight))
-                })
-                .collect()
-        });
-        service.take_peer_loads(peer, &loads);
-    });
+/// Encodes a datagram; what does not fit is left out, the least important
+/// first. Peers that do not hear of a reading read the list themselves.
+fn encode_within_limit(datagram: &mut PeerDatagram) -> Vec<u8> {
+    let mut bytes = datagram.encode();
+    if bytes.len() > PeerDatagram::MAX_BYTES {
+        datagram.peers.clear();
+        datagram.pulses.clear();
+        bytes = datagram.encode();
+    }
+    if bytes.len() > PeerDatagram::MAX_BYTES {
+        datagram.list = None;
+        bytes = datagram.encode();
+    }
+    bytes
 }
 
-fn judge_silence(gateway: &Gateway, now: Instant) {
-    let mut silent = Vec::new();
-    for (index, peer) in gateway.peers.peers.borrow_mut().iter_mut().enumerate() {
-        let Some(heard) = peer.heard else {
-            continue;
-        };
-        let silence = now.saturating_duration_since(heard);
-        if peer.is_live && silence > SILENT {
-            peer.is_live = false;
-            silent.push((index as u16, peer.vm.clone()));
+/// Takes note of peers that came, left or fell silent.
+fn note_time(gateway: &Rc<Gateway>, now: Instant) {
+    let (events, gone) = gateway.peers.roster.borrow_mut().tick(now);
+    if !events.is_empty() {
+        for event in events {
+            gateway.journal.record(event);
         }
-        if silence > FORGET {
-            peer.vm = VmName::default();
-            peer.heard = None;
-        }
-    }
-    for (index, vm) in &silent {
-        gateway.for_each_service(|service| service.forget_peer(*index));
-        gateway
-            .journal
-            .record(EventKind::PeerSilent { peer: vm.clone() });
-    }
-    if !silent.is_empty() {
         share_size(gateway, now);
     }
+    let mine: Vec<VmName> = {
+        let roster = gateway.peers.roster.borrow();
+        gone.into_iter()
+            .filter(|vm| roster.is_heir(now, vm))
+            .collect()
+    };
+    if !mine.is_empty() {
+        tokio::task::spawn_local(clear_rows(gateway.clone(), mine));
+    }
 }
 
-fn share_size(gateway: &Gateway, now: Instant) {
-    let vms = gateway.peers.count_vms(now);
+/// Tells the services over how many VMs shared budgets are divided.
+pub(super) fn share_size(gateway: &Gateway, now: Instant) {
+    let vms = gateway.peers.roster.borrow_mut().count_vms(now);
     gateway.for_each_service(|service| service.set_fleet(vms, 0));
 }
--- a/crates/daemon/src/gateway/peers/mod.rs
+++ b/crates/daemon/src/gateway/peers/mod.rs
@@ -1,12 +1,12 @@
-//! What VMs of the fleet tell each other: attempts in flight on each target,
-//! the version of the configuration and readings of the store, by datagrams.
+//! What VMs of the fleet tell each other by datagrams: who is live, the version
+//! of the configuration, readings of the store and requests that crash targets.
 //!
-//! docs/decisions/0014-peer-loads.md gives the reasons and the costs.
+//! docs/decisions/0016-bounded-exchange.md gives the reasons and the costs.
 
 mod exchange;
 mod register;
 mod table;
 
 pub(crate) use exchange::run_peers;
-pub(crate) use register::register;
+pub(crate) use register::{register, unregister};
 pub(crate) use table::Peers;
--- a/crates/daemon/src/gateway/peers/table.rs
+++ b/crates/daemon/src/gateway/peers/table.rs
@@ -1,66 +1,65 @@
-//! The peers of this VM.
+//! What this VM knows of its peers and has to tell them.
 
-use gentianridge_core::{DomainName, VmName};
+use crate::gateway::state::{Gateway, Phase};
+use gentianridge_core::{PeerView, Roster, VmName};
 use gentianridge_wire::ListNews;
+use rand::RngExt;
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
-/// Time for which the largest fleet seen counts as the fleet's size: a VM that
-/// is cut off from its peers must not take their parts of a shared budget.
-const KEEP_SIZE: Duration = Duration::from_secs(60);
+/// Time for which a reading of the list is told: three rounds, after which a
+/// VM that has not heard of it reads the list itself.
+const TELL_LIST: Duration = Duration::from_secs(1);
+/// Difference up to which two times mean the same reading, see
+/// `Refresh::judge`.
+const SAME_READING: Duration = Duration::from_millis(50);
 
 #[derive(Debug)]
-pub(super) struct Peer {
-    pub(super) vm: VmName,
-    /// Failure domain, unknown until the peer was heard.
-    pub(super) domain: DomainName,
-    pub(super) addr: SocketAddr,
-    pub(super) incarnation: u64,
-    pub(super) seq: u64,
-    pub(super) told: Option<Instant>,
-    pub(super) heard: Option<Instant>,
-    pub(super) greeted: Option<Instant>,
-    pub(super) is_leaving: bool,
-    pub(super) is_live: bool,
+struct Told {
+    news: ListNews,
+    read_at: Instant,
 }
 
-/// The peers of this VM. A peer's position is its index in the services.
+/// The peers of this VM.
 #[derive(Debug)]
 pub(crate) struct Peers {
-    pub(super) me: VmName,
-    pub(super) changed: Notify,
+    pub(super) roster: RefCell<Roster>,
+    pub(super) urgent: Notify,
     pub(super) newer: Notify,
-    pub(super) list: Notify,
-    /// Reading of the list to tell with the next datagram.
-    pub(super) news: RefCell<Option<ListNews>>,
-    pub(super) newest: Cell<u64>,
-    pub(super) seq: Cell<u64>,
-    pub(super) incarnation: Cell<u64>,
-    pub(super) peers: RefCell<Vec<Peer>>,
-    pub(super) sizes: RefCell<Vec<(Instant, u16)>>,
+    list: Notify,
+    told: RefCell<Option<Told>>,
+    seq: Cell<u64>,
+    incarnation: Cell<u64>,
 }
 
 impl Peers {
     pub(crate) fn new(me: VmName) -> Self {
         Self {
-            me,
-            changed: Notify::new(),
+            roster: RefCell::new(Roster::new(me, rand::rng().random())),
+            urgent: Notify::new(),
             newer: Notify::new(),
             list: Notify::new(),
-            news: RefCell::new(None),
-            newest: Cell::new(0),
+            told: RefCell::new(None),
             seq: Cell::new(0),
             incarnation: Cell::new(0),
-            peers: RefCell::new(Vec::new()),
-            sizes: RefCell::new(Vec::new()),
         }
     }
 
-    /// Notes that this VM's attempts in flight have changed.
-    pub(crate) fn note_load_change(&self) {
-        self.changed.notify_one();
+    /// Numbers this start; the number never falls.
+    pub(super) fn raise_incarnation(&self, incarnation: u64) {
+        self.incarnation
+            .set(self.incarnation.get().max(incarnation));
+    }
+
+    pub(super) fn get_incarnation(&self) -> u64 {
+        self.incarnation.get()
+    }
+
+    /// Asks for the next round at once, because there is something to tell that
+    /// should not wait.
+    pub(crate) fn note_urgent(&self) {
+        self.urgent.notify_one();
     }
 
     /// Waits until a peer names a newer configuration than the one in force.
@@ -68,12 +67,6 @@
         self.newer.notified().await;
     }
 
-    /// Tells the peers a reading of the list of targets.
-    pub(crate) fn tell_list(&self, news: ListNews) {
-        *self.news.borrow_mut() = Some(news);
-        self.changed.notify_one();
-    }
-
     /// Notes that a peer told a reading.
     pub(crate) fn note_list(&self) {
         self.list.notify_one();
@@ -84,61 +77,62 @@
         self.list.notified().await;
     }
 
-    pub(super) fn add(&self, vm: &VmName, addr: SocketAddr) -> usize {
-        let mut peers = self.peers.borrow_mut();
-        if let Some(index) = peers.iter().position(|peer| peer.vm == *vm) {
-            if peers[index].heard.is_none() {
-                peers[index].addr = addr;
-            }
-            return index;
-        }
-        let peer = Peer {
-            vm: vm.clone(),
-            domain: DomainName::default(),
-            addr,
-            incarnation: 0,
-            seq: 0,
-            told: None,
-            heard: None,
-            greeted: None,
-            is_leaving: false,
-            is_live: false,
-        };
-        // A forgotten peer's place is taken over, since services know it by its index.
-        match peers.iter().position(|peer| peer.vm.is_empty()) {
-            Some(index) => {
-                peers[index] = peer;
-                index
-            }
-            None => {
-                peers.push(peer);
-                peers.len() - 1
-            }
+    /// Tells the peers a reading of the list of targets, one of this VM or one
+    /// that it heard of.
+    pub(crate) fn tell_list(&self, now: Instant, news: ListNews) {
+        let read_at = now.checked_sub(news.age).unwrap_or(now);
+        let mut told = self.told.borrow_mut();
+        let is_newer = told.as_ref().is_none_or(|told| {
+            news.version > told.news.version || read_at > told.read_at + SAME_READING
+        });
+        if is_newer {
+            *told = Some(Told { news, read_at });
+            self.note_urgent();
         }
     }
 
+    /// Returns the reading to tell, with its age.
+    pub(super) fn get_list(&self, now: Instant) -> Option<ListNews> {
+        let told = self.told.borrow();
+        let told = told.as_ref()?;
+        let age = now.saturating_duration_since(told.read_at);
+        (age < TELL_LIST).then(|| ListNews {
+            age,
+            ..told.news.clone()
+        })
+    }
+
     /// Returns the newest configuration that a peer has in force.
     pub(crate) fn get_newest_version(&self) -> u64 {
-        self.newest.get()
+        self.roster.borrow().get_newest_revision()
     }
 
-    /// Returns the number of peers that are heard.
-    pub(crate) fn count_live(&self) -> usize {
-        self.peers.borrow().iter().filter(|p| p.is_live).count()
+    /// Returns the number of peers that are live.
+    pub(crate) fn count_live(&self, now: Instant) -> usize {
+        self.roster.borrow().count_live(now)
     }
 
-    /// Returns the size of the fleet, none as long as no peer was heard.
+    /// Returns the size of the fleet, none as long as no other VM is known.
     pub(crate) fn get_size(&self, now: Instant) -> Option<u16> {
-        let size = self.count_vms(now);
+        let size = self.roster.borrow_mut().count_vms(now);
         (size > 1).then_some(size)
     }
+}
 
-    /// Returns the largest number of VMs that was live lately.
-    pub(super) fn count_vms(&self, now: Instant) -> u16 {
-        let live = self.count_live() as u16 + 1;
-        let mut sizes = self.sizes.borrow_mut();
-        sizes.retain(|(at, size)| now.saturating_duration_since(*at) < KEEP_SIZE && *size > live);
-        sizes.push((now, live));
-        sizes.iter().map(|(_, size)| *size).max().unwrap_or(live)
+impl Gateway {
+    /// Returns what this VM says about itself; each call is a newer word.
+    pub(super) fn describe_me(&self) -> PeerView {
+        let settings = self.get_settings();
+        let peers = &self.peers;
+        peers.seq.set(peers.seq.get() + 1);
+        PeerView {
+            vm: settings.vm.clone(),
+            incarnation: peers.incarnation.get(),
+            seq: peers.seq.get(),
+            addr: settings.peers,
+            operator_addr: None,
+            is_leaving: self.get_phase() == Phase::Stopping,
+            revision: self.get_version(),
+        }
     }
 }
--- a/crates/daemon/src/gateway/routing.rs
+++ b/crates/daemon/src/gateway/routing.rs
@@ -95,6 +95,7 @@
         *self.routes.borrow_mut() = Some(table);
         self.apply_all();
         self.note_informed();
+        self.peers.note_urgent();
         true
     }
 }
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -3,7 +3,7 @@
 use super::callers::{Closing, run_callers};
 use super::feeds::follow_store;
 use super::metrics::answer_metrics;
-use super::peers::{register, run_peers};
+use super::peers::{register, run_peers, unregister};
 use super::ready::answer_ready;
 use super::side::run_side;
 use super::sockets::GatewaySockets;
@@ -169,9 +169,10 @@
 }
 
 /// Ends the process without a lost request.
-async fn end(gateway: &Gateway, close: &watch::Sender<Closing>, connections: &TaskTracker) {
+async fn end(gateway: &Rc<Gateway>, close: &watch::Sender<Closing>, connections: &TaskTracker) {
     let end = tokio::time::Instant::now() + gateway.get_settings().grace - END_MARGIN;
     gateway.stop();
+    tokio::task::spawn_local(unregister(gateway.clone()));
     close.send_replace(Closing::AfterAnswer);
     tokio::time::sleep(NOTICE).await;
     close.send_replace(Closing::Now);
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -101,6 +101,9 @@
             return;
         }
         log::info!("settings changed");
+        if old.get_addrs() != settings.get_addrs() {
+            log::warn!("addresses to listen on change at the next start only");
+        }
         if old.store != settings.store {
             match Store::new(settings.store, Self::STORE_TIMEOUT) {
                 Ok(store) => *self.store.borrow_mut() = store,
@@ -120,6 +123,7 @@
     pub(crate) fn stop(&self) {
         self.phase.set(Phase::Stopping);
         self.journal.record(EventKind::VmStopping);
+        self.peers.note_urgent();
     }
 
     /// Waits until routes and targets are known, as after a start, but not for
--- a/crates/daemon/src/operator/status.rs
+++ b/crates/daemon/src/operator/status.rs
@@ -44,11 +44,13 @@
     let membership = fleet.membership.lock();
     membership
         .get_peers(now)
-        .map(|(view, state)| PeerStatus {
-            vm: view.vm.clone(),
-            state: state_word(state),
-            revision: view.revision,
-            operator_addr: view.operator_addr,
+        .filter_map(|(view, state)| {
+            Some(PeerStatus {
+                vm: view.vm.clone(),
+                state: state_word(state),
+                revision: view.revision,
+                operator_addr: view.operator_addr?,
+            })
         })
         .collect()
 }
--- a/crates/daemon/src/service/handle.rs
+++ b/crates/daemon/src/service/handle.rs
@@ -95,14 +95,6 @@
         rx
     }
 
-    pub(crate) fn take_peer_loads(&self, peer: u16, loads: &[(TargetKey, u16)]) {
-        self.with(|machine, now, out| machine.take_peer_loads(now, peer, loads, out));
-    }
-
-    pub(crate) fn forget_peer(&self, peer: u16) {
-        self.with(|machine, _, _| machine.forget_peer(peer));
-    }
-
     pub(crate) fn set_fleet(&self, vms: u16, rank: u16) {
         self.with(|machine, now, out| machine.set_fleet(now, vms, rank, out));
     }
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -60,7 +60,7 @@
     }
 }
 
-fn malformed(context: impl Into<String>) -> WireError {
+pub(crate) fn malformed(context: impl Into<String>) -> WireError {
     WireError::new(WireErrorKind::Malformed, context)
 }
 
@@ -101,19 +101,19 @@
     })
 }
 
-fn encode_peer(view: &PeerView) -> PeerMessageView {
+pub(crate) fn encode_peer(view: &PeerView) -> PeerMessageView {
     PeerMessageView {
         vm: view.vm.to_string(),
         incarnation: view.incarnation,
         seq: view.seq,
         addr: encode_addr(view.addr),
-        operator_addr: encode_addr(view.operator_addr),
+        operator_addr: view.operator_addr.map(encode_addr).unwrap_or_default(),
         is_leaving: view.is_leaving,
         revision: view.revision,
     }
 }
 
-fn decode_peer(message: PeerMessageView) -> Result<PeerView, WireError> {
+pub(crate) fn decode_peer(message: PeerMessageView) -> Result<PeerView, WireError> {
     if message.vm.is_empty() {
         return Err(malformed("VM without name"));
     }
@@ -122,14 +122,14 @@
         incarnation: message.incarnation,
         seq: message.seq,
         addr: decode_addr(&message.addr)?,
-        operator_addr: decode_addr(&message.operator_addr)?,
+        operator_addr: decode_optional_addr(&message.operator_addr)?,
         is_leaving: message.is_leaving,
         revision: message.revision,
     })
 }
 
 /// Writes the octets of the IP address and then the port.
-fn encode_addr(addr: SocketAddr) -> Vec<u8> {
+pub(crate) fn encode_addr(addr: SocketAddr) -> Vec<u8> {
     let mut bytes = match addr.ip() {
         IpAddr::V4(ip) => ip.octets().to_vec(),
         IpAddr::V6(ip) => ip.octets().to_vec(),
@@ -138,7 +138,7 @@
     bytes
 }
 
-fn decode_addr(bytes: &[u8]) -> Result<SocketAddr, WireError> {
+pub(crate) fn decode_addr(bytes: &[u8]) -> Result<SocketAddr, WireError> {
     let (ip, port) = bytes
         .split_last_chunk::<2>()
         .ok_or_else(|| malformed("address without a port"))?;
@@ -151,6 +151,13 @@
         .map_err(|_| malformed("address of a wrong length"))
 }
 
+fn decode_optional_addr(bytes: &[u8]) -> Result<Option<SocketAddr>, WireError> {
+    if bytes.is_empty() {
+        return Ok(None);
+    }
+    decode_addr(bytes).map(Some)
+}
+
 fn encode_notice(notice: &TargetNotice) -> NoticeMessage {
     NoticeMessage {
         service: notice.service.to_string(),
@@ -173,7 +180,7 @@
     }
 }
 
-fn encode_mark(mark: &CrashMark) -> MarkMessage {
+pub(crate) fn encode_mark(mark: &CrashMark) -> MarkMessage {
     MarkMessage {
         fingerprint: mark.fingerprint,
         vm: mark.vm.to_string(),
@@ -183,7 +190,7 @@
     }
 }
 
-fn decode_mark(message: MarkMessage) -> Result<CrashMark, WireError> {
+pub(crate) fn decode_mark(message: MarkMessage) -> Result<CrashMark, WireError> {
     let count = u16::try_from(message.count).map_err(|_| malformed("crash count out of range"))?;
     let epoch = u16::try_from(message.epoch).map_err(|_| malformed("crash epoch out of range"))?;
     Ok(CrashMark {
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -1,49 +1,37 @@
 //! The datagram that VMs on the platform send each other.
 
+use crate::convert::{
+    decode_addr, decode_mark, decode_peer, encode_addr, encode_mark, encode_peer, malformed,
+};
+use crate::message::{MarkMessage, PeerMessageView};
 use crate::{WireError, WireErrorKind};
-use gentianridge_core::{CrashMark, Incarnation, TargetEntry};
+use gentianridge_core::{CrashMark, Incarnation, PeerView, Pulse, TargetEntry};
 use prost::Message;
 use smol_str::SmolStr;
 use std::time::Duration;
 
-/// Newest format that this process reads and the one that it writes.
-const FORMAT: u32 = 1;
+/// The only format that this process reads and writes.
+const FORMAT: u32 = 2;
 
-/// Attempts in flight on one target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct TargetLoad {
-    /// Digest of the target's start, see `Incarnation::get_digest`.
-    pub target: u64,
-    /// Attempts of the sender in flight.
-    pub in_flight: u16,
-}
-
-/// What one VM tells the others many times a second.
+/// What one VM tells some others several times a second.
 ///
 /// A datagram holds the whole of what it tells, so that a lost one is made
-/// good by the next and an old one can be dropped.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+/// good by the next and an old one can be dropped. Receivers pass on what is
+/// news to them; docs/decisions/0016-bounded-exchange.md says how.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PeerDatagram {
-    /// Sender.
-    pub vm: SmolStr,
-    /// Failure domain of the sender.
-    pub domain: SmolStr,
-    /// Unix time of the sender's start in milliseconds.
-    pub incarnation: u64,
-    /// Number of the datagram since the start.
-    pub seq: u64,
-    /// Version of the configuration in force.
-    pub version: u64,
+    /// The sender.
+    pub me: PeerView,
     /// True if the sender wants to be told at once what the receiver knows.
     pub is_hello: bool,
-    /// True if the sender is stopping.
-    pub is_leaving: bool,
-    /// Targets on which the sender has attempts in flight.
-    pub loads: Vec<TargetLoad>,
-    /// Crashes of targets under a request that the sender saw itself.
+    /// Crashes of targets under a request, seen by any VM, newest first.
     pub crashes: Vec<CrashMark>,
-    /// What the sender has just read of the list of targets.
+    /// The newest reading of the list of targets, as long as it is news.
     pub list: Option<ListNews>,
+    /// Other VMs that the sender has heard of.
+    pub peers: Vec<PeerView>,
+    /// Further VMs of which the sender has heard lately.
+    pub pulses: Vec<Pulse>,
 }
 
 /// A reading of the list of targets, told to those who then need not read it.
@@ -53,6 +41,8 @@
     pub base: u64,
     /// Version of the store up to which they reach.
     pub version: u64,
+    /// Time since the reading.
+    pub age: Duration,
     /// Time for which entries that go may have lapsed, because the store
     /// returned lately.
     pub settle_left: Duration,
@@ -62,18 +52,6 @@
     pub gone: Vec<SmolStr>,
 }
 
-#[derive(Clone, PartialEq, prost::Message)]
-struct EncodedCrash {
-    #[prost(fixed64, tag = "1")]
-    fingerprint: u64,
-    #[prost(uint32, tag = "2")]
-    count: u32,
-    #[prost(uint32, tag = "3")]
-    epoch: u32,
-    #[prost(uint32, tag = "4")]
-    age_ms: u32,
-}
-
 #[derive(Clone, PartialEq, prost::Message)]
 struct EncodedList {
     #[prost(uint64, tag = "1")]
@@ -86,6 +64,11 @@
     entries: Vec<EncodedEntry>,
     #[prost(string, repeated, tag = "5")]
     gone: Vec<String>,
+    #[prost(uint32, tag = "6")]
+    age_ms: u32,
+    /// Names of services and failure domains, which entries number.
+    #[prost(string, repeated, tag = "7")]
+    names: Vec<String>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -94,12 +77,12 @@
     id: String,
     #[prost(uint64, tag = "2")]
     born_ms: u64,
-    #[prost(string, tag = "3")]
-    service: String,
-    #[prost(string, tag = "4")]
-    addr: String,
-    #[prost(string, tag = "5")]
-    domain: String,
+    #[prost(uint32, tag = "3")]
+    service: u32,
+    #[prost(bytes = "vec", tag = "4")]
+    addr: Vec<u8>,
+    #[prost(uint32, tag = "5")]
+    domain: u32,
     #[prost(uint32, tag = "6")]
     slots: u32,
     #[prost(bool, tag = "7")]
@@ -112,28 +95,20 @@
 struct Encoded {
     #[prost(uint32, tag = "1")]
     format: u32,
-    #[prost(string, tag = "2")]
-    vm: String,
-    #[prost(fixed64, tag = "3")]
-    incarnation: u64,
-    #[prost(uint64, tag = "4")]
-    seq: u64,
-    #[prost(uint64, tag = "5")]
-    version: u64,
-    #[prost(bool, tag = "6")]
+    #[prost(message, optional, tag = "2")]
+    me: Option<PeerMessageView>,
+    #[prost(bool, tag = "3")]
     is_hello: bool,
-    #[prost(bool, tag = "7")]
-    is_leaving: bool,
-    #[prost(fixed64, repeated, tag = "8")]
-    targets: Vec<u64>,
-    #[prost(uint32, repeated, tag = "9")]
-    in_flight: Vec<u32>,
-    #[prost(message, repeated, tag = "10")]
-    crashes: Vec<EncodedCrash>,
-    #[prost(message, optional, tag = "12")]
+    #[prost(message, repeated, tag = "4")]
+    crashes: Vec<MarkMessage>,
+    #[prost(message, optional, tag = "5")]
     list: Option<EncodedList>,
-    #[prost(string, tag = "13")]
-    domain: String,
+    #[prost(message, repeated, tag = "6")]
+    peers: Vec<PeerMessageView>,
+    #[prost(fixed32, repeated, tag = "7")]
+    pulse_peers: Vec<u32>,
+    #[prost(uint64, repeated, tag = "8")]
+    pulse_seqs: Vec<u64>,
 }
 
 impl PeerDatagram {
@@ -144,21 +119,13 @@
     pub fn encode(&self) -> Vec<u8> {
         let encoded = Encoded {
             format: FORMAT,
-            vm: self.vm.to_string(),
-            incarnation: self.incarnation,
-            seq: self.seq,
-            version: self.version,
+            me: Some(encode_peer(&self.me)),
             is_hello: self.is_hello,
-            is_leaving: self.is_leaving,
-            targets: self.loads.iter().map(|load| load.target).collect(),
-            in_flight: self
-                .loads
-                .iter()
-                .map(|load| u32::from(load.in_flight))
-                .collect(),
-            crashes: self.crashes.iter().map(encode_crash).collect(),
+            crashes: self.crashes.iter().map(encode_mark).collect(),
             list: self.list.as_ref().map(encode_list),
-            domain: self.domain.to_string(),
+            peers: self.peers.iter().map(encode_peer).collect(),
+            pulse_peers: self.pulses.iter().map(|pulse| pulse.peer).collect(),
+            pulse_seqs: self.pulses.iter().map(|pulse| pulse.seq).collect(),
         };
         encoded.encode_to_vec()
     }
@@ -167,107 +134,94 @@
     ///
     /// # Errors
     ///
-    /// Fails if the bytes are no datagram of a known format.
+    /// Fails if the bytes are no datagram of this format.
     pub fn decode(bytes: &[u8]) -> Result<Self, WireError> {
-        let encoded = Encoded::decode(bytes)
-            .map_err(|error| WireError::new(WireErrorKind::Malformed, error.to_string()))?;
-        if encoded.format > FORMAT {
+        let encoded = Encoded::decode(bytes).map_err(|error| malformed(error.to_string()))?;
+        if encoded.format != FORMAT {
             let detail = format!("format {}", encoded.format);
             return Err(WireError::new(WireErrorKind::Version, detail));
         }
-        let loads = encoded.targets.iter().zip(&encoded.in_flight);
-        let vm = SmolStr::from(encoded.vm);
-        let crashes = encoded.crashes.iter();
+        let me = encoded
+            .me
+            .ok_or_else(|| malformed("datagram without sender"))?;
+        let crashes = encoded.crashes.into_iter().map(decode_mark);
+        let peers = encoded.peers.into_iter().map(decode_peer);
+        let pulses = encoded.pulse_peers.iter().zip(&encoded.pulse_seqs);
         Ok(Self {
-            incarnation: encoded.incarnation,
-            seq: encoded.seq,
-            version: encoded.version,
+            me: decode_peer(me)?,
             is_hello: encoded.is_hello,
-            is_leaving: encoded.is_leaving,
-            loads: loads
-                .map(|(target, count)| TargetLoad {
-                    target: *target,
-                    in_flight: clamp(*count),
-                })
-                .collect(),
-            crashes: crashes.map(|mark| decode_crash(&vm, mark)).collect(),
+            crashes: crashes.collect::<Result<_, _>>()?,
             list: encoded.list.map(decode_list).transpose()?,
-            domain: encoded.domain.into(),
-            vm,
+            peers: peers.collect::<Result<_, _>>()?,
+            pulses: pulses.map(|(&peer, &seq)| Pulse { peer, seq }).collect(),
         })
     }
 }
 
-fn encode_crash(mark: &CrashMark) -> EncodedCrash {
-    EncodedCrash {
-        fingerprint: mark.fingerprint,
-        count: u32::from(mark.count),
-        epoch: u32::from(mark.epoch),
-        age_ms: millis_of(mark.age),
-    }
-}
-
-/// A mark in a datagram is always one of its sender.
-fn decode_crash(vm: &SmolStr, mark: &EncodedCrash) -> CrashMark {
-    CrashMark {
-        fingerprint: mark.fingerprint,
-        vm: vm.clone(),
-        count: clamp(mark.count),
-        epoch: clamp(mark.epoch),
-        age: Duration::from_millis(u64::from(mark.age_ms)),
-    }
-}
-
 fn encode_list(list: &ListNews) -> EncodedList {
+    let mut names = Vec::new();
+    let entries = list.entries.iter();
+    let entries = entries.map(|entry| encode_entry(entry, &mut names));
     EncodedList {
         base: list.base,
         version: list.version,
+        age_ms: millis_of(list.age),
         settle_left_ms: millis_of(list.settle_left),
-        entries: list.entries.iter().map(encode_entry).collect(),
+        entries: entries.collect(),
         gone: list.gone.iter().map(SmolStr::to_string).collect(),
+        names,
     }
 }
 
-fn encode_entry(entry: &TargetEntry) -> EncodedEntry {
+fn encode_entry(entry: &TargetEntry, names: &mut Vec<String>) -> EncodedEntry {
     EncodedEntry {
         id: entry.incarnation.id.to_string(),
         born_ms: entry.incarnation.born_ms,
-        service: entry.service.to_string(),
-        addr: entry.addr.to_string(),
-        domain: entry.domain.to_string(),
+        service: number_of(&entry.service, names),
+        addr: encode_addr(entry.addr),
+        domain: number_of(&entry.domain, names),
         slots: u32::from(entry.slots),
         is_draining: entry.is_draining,
         cold_left_ms: millis_of(entry.cold_left),
     }
 }
 
+fn number_of(name: &SmolStr, names: &mut Vec<String>) -> u32 {
+    let index = names.iter().position(|known| known == name);
+    let index = index.unwrap_or_else(|| {
+        names.push(name.to_string());
+        names.len() - 1
+    });
+    index as u32
+}
+
 fn decode_list(list: EncodedList) -> Result<ListNews, WireError> {
-    let entries: Result<Vec<TargetEntry>, WireError> =
-        list.entries.into_iter().map(decode_entry).collect();
+    let names: Vec<SmolStr> = list.names.into_iter().map(SmolStr::from).collect();
+    let entries = list.entries.into_iter();
+    let entries = entries.map(|entry| decode_entry(entry, &names));
     Ok(ListNews {
         base: list.base,
         version: list.version,
+        age: Duration::from_millis(u64::from(list.age_ms)),
         settle_left: Duration::from_millis(u64::from(list.settle_left_ms)),
-        entries: entries?,
+        entries: entries.collect::<Result<_, _>>()?,
         gone: list.gone.into_iter().map(SmolStr::from).collect(),
     })
 }
 
-fn decode_entry(entry: EncodedEntry) -> Result<TargetEntry, WireError> {
-    let addr = entry.addr.parse().map_err(|error| {
-        WireError::new(
-            WireErrorKind::Malformed,
-            format!("{:?}: {error}", entry.addr),
-        )
-    })?;
+fn decode_entry(entry: EncodedEntry, names: &[SmolStr]) -> Result<TargetEntry, WireError> {
+    let name_of = |number: u32| {
+        let name = names.get(number as usize).cloned();
+        name.ok_or_else(|| malformed("entry with an unknown name"))
+    };
     Ok(TargetEntry {
         incarnation: Incarnation {
             id: entry.id.into(),
             born_ms: entry.born_ms,
         },
-        service: entry.service.into(),
-        addr,
-        domain: entry.domain.into(),
+        service: name_of(entry.service)?,
+        addr: decode_addr(&entry.addr)?,
+        domain: name_of(entry.domain)?,
         slots: clamp(entry.slots),
         is_draining: entry.is_draining,
         cold_left: Duration::from_millis(u64::from(entry.cold_left_ms)),
--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -174,7 +174,7 @@
         incarnation: 1_700_000_000_000,
         seq,
         addr,
-        operator_addr: addr,
+        operator_addr: Some(addr),
         is_leaving: false,
         revision: 400,
     }
--- a/tests/gateway/peers.rs
+++ b/tests/gateway/peers.rs
@@ -1,7 +1,7 @@
 //! What the VMs of a fleet tell each other.
 
 use crate::configuration::{APPLY, MORE};
-use crate::site::{Site, put_config, register};
+use crate::site::{Site, eventually, put_config, register};
 use gentianridge_testkit::{GatewayVm, PublishedStore, PublishedTarget, StoreFault};
 use std::time::Duration;
 
@@ -110,3 +110,51 @@
         assert_eq!(reply.status, 200);
     }
 }
+
+/// Table in which VMs register.
+const VMS: &str = "gentianridge-vms";
+
+/// The store keeps what nobody removes: a VM that stops takes its row along.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn row_of_a_stopped_vm() {
+    let mut site = Site::start(1).await;
+    eventually(Duration::from_secs(2), async || {
+        site.store.get_keys(VMS) == ["vm-1"]
+    })
+    .await;
+    site.vm.stop();
+    eventually(Duration::from_secs(2), async || {
+        site.store.get_keys(VMS).is_empty()
+    })
+    .await;
+}
+
+/// A row that was removed while its VM lives comes back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn removed_row() {
+    let site = Site::start(1).await;
+    eventually(Duration::from_secs(2), async || {
+        site.store.get_keys(VMS) == ["vm-1"]
+    })
+    .await;
+    site.store.remove(VMS, "vm-1");
+    eventually(Duration::from_secs(10), async || {
+        site.store.get_keys(VMS) == ["vm-1"]
+    })
+    .await;
+}
+
+/// A start whose time of day lies before that of the last one still gets a
+/// higher number.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn clock_set_back() {
+    let store = PublishedStore::start().await.unwrap();
+    let last = r#"{"addr":"127.0.0.1:1","incarnation":9000000000000}"#;
+    store.put(VMS, "vm-1", last.as_bytes());
+    let _vm = GatewayVm::start("vm-1", store.get_addr()).unwrap();
+    eventually(Duration::from_secs(2), async || {
+        let row = store.get_value(VMS, "vm-1").unwrap();
+        String::from_utf8_lossy(&row).contains("9000000000001")
+    })
+    .await;
+}
