test(soak): real daemons as processes, with faults from outside

The writer of configurations moved from the gateway tests into the testkit. Partial: no run in which the relay stands between VMs.

--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -9,6 +9,7 @@
 mod load;
 mod platform;
 mod published;
+mod soak;
 mod target;
 
 pub use deployment::{Deployment, DeploymentClass, DeploymentService};
@@ -17,7 +18,8 @@
 pub use load::{CallPlan, CallResult, LoadReportTable, RunState, run_calls};
 pub use platform::{PlatformFaults, PlatformStandIn};
 pub use published::{
-    Answering, CallerConnection, GatewayVm, PublishedStore, PublishedTarget, Reply, StoreDoor,
-    StoreFault, TargetEntryValue,
+    Answering, CART, CallerConnection, GatewayVm, PublishedStore, PublishedTarget, Reply,
+    StoreDoor, StoreFault, TargetEntryValue, write_config, write_path,
 };
+pub use soak::{Breach, FaultyLink, LinkFault, SoakOptions, SoakReport, run_soak};
 pub use target::{Runs, ServiceTime, TargetFaults, TargetOptions, TargetStandIn};
--- a/crates/testkit/src/published/mod.rs
+++ b/crates/testkit/src/published/mod.rs
@@ -2,12 +2,14 @@
 //! and callers, and a daemon before them.
 
 mod caller;
+mod config;
 mod http;
 mod store;
 mod target;
 mod vm;
 
 pub use caller::{CallerConnection, Reply};
+pub use config::{CART, write_config, write_path};
 pub use store::{PublishedStore, StoreDoor, StoreFault};
 pub use target::{Answering, PublishedTarget, TargetEntryValue};
 pub use vm::GatewayVm;
--- a/crates/testkit/src/published/target.rs
+++ b/crates/testkit/src/published/target.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
@@ -55,6 +55,7 @@
     work: Mutex<Duration>,
     work_percent: Mutex<u16>,
     runs: Mutex<Vec<Run>>,
+    arrivals: Mutex<Vec<String>>,
     running: AtomicUsize,
     cancelled: AtomicUsize,
     connections: AtomicUsize,
@@ -68,6 +69,7 @@
     id: String,
     time_left_ms: u64,
     target: String,
+    at: Instant,
 }
 
 /// A target on a loopback address.
@@ -99,6 +101,7 @@
             work: Mutex::new(Duration::from_millis(5)),
             work_percent: Mutex::new(100),
             runs: Mutex::new(Vec::new()),
+            arrivals: Mutex::new(Vec::new()),
             running: AtomicUsize::new(0),
             cancelled: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
@@ -173,15 +176,37 @@
         self.shared.questions.load(Ordering::Relaxed)
     }
 
+    /// Returns the ids of the requests that it ran, one for each run.
+    pub fn get_run_ids(&self) -> Vec<String> {
+        let runs = self.shared.runs.lock();
+        runs.iter().map(|run| run.id.clone()).collect()
+    }
+
+    /// Returns when it began to run requests.
+    pub fn get_run_times(&self) -> Vec<Instant> {
+        let runs = self.shared.runs.lock();
+        runs.iter().map(|run| run.at).collect()
+    }
+
+    /// Returns the ids of the requests that arrived, run or not.
+    pub fn get_arrivals(&self) -> Vec<String> {
+        self.shared.arrivals.lock().clone()
+    }
+
     /// Returns the bytes of its entry in the store.
     pub fn make_entry(&self, value: &TargetEntryValue) -> Vec<u8> {
+        self.make_entry_at(self.addr, value)
+    }
+
+    /// Returns the bytes of an entry that names another address for it.
+    pub fn make_entry_at(&self, addr: SocketAddr, value: &TargetEntryValue) -> Vec<u8> {
         let state = if value.is_draining {
             "draining"
         } else {
             "ready"
         };
         let entry = serde_json::json!({
-            "service": value.service, "addr": self.addr.to_string(), "zone": value.zone,
+            "service": value.service, "addr": addr.to_string(), "zone": value.zone,
             "version": "v1", "slots": 3, "state": state, "cold_left": "0ms", "seq": 1,
             "born": value.born,
         });
@@ -235,6 +260,7 @@
     if expected.is_some_and(|expected| expected != shared.id) {
         return messages.write(reply(421, "", "").as_bytes()).await.is_ok();
     }
+    shared.arrivals.lock().push(id.to_owned());
     let answering = *shared.answering.lock();
     let echo = format!("gentianridge-attempt-id: {id}\r\n{load}");
     let signed = format!("{echo}gentianridge-response-signature: {}\r\n", shared.id);
@@ -281,6 +307,7 @@
         id: text("gentianridge-attempt-id"),
         time_left_ms: text("gentianridge-deadline-ms").parse().unwrap_or(0),
         target: request.start.split(' ').nth(1).unwrap_or_default().into(),
+        at: Instant::now(),
     });
     shared.running.fetch_add(1, Ordering::Relaxed);
     let work = *shared.work.lock();
--- /dev/null
+++ b/examples/soak.rs
@@ -0,0 +1,94 @@
+//! Runs daemons as processes with faults from outside, seed after seed.
+//!
+//! `cargo run --release --example soak -- --seeds 50 [--first 1] [--at-once 3]
+//! [--daemon target/release/gentianridged] [--dir target/soak]`
+
+use gentianridge_testkit::{SoakOptions, run_soak};
+use pico_args::Arguments;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use tokio::task::JoinSet;
+
+const DEFAULT_SEEDS: u64 = 10;
+const DEFAULT_AT_ONCE: u8 = 3;
+
+fn main() -> anyhow::Result<()> {
+    let mut args = Arguments::from_env();
+    let seeds: u64 = args.opt_value_from_str("--seeds")?.unwrap_or(DEFAULT_SEEDS);
+    let first: u64 = args.opt_value_from_str("--first")?.unwrap_or(1);
+    let at_once: u8 = args
+        .opt_value_from_str("--at-once")?
+        .unwrap_or(DEFAULT_AT_ONCE);
+    let binary: Option<PathBuf> = args.opt_value_from_str("--daemon")?;
+    let dir: Option<PathBuf> = args.opt_value_from_str("--dir")?;
+    let rest = args.finish();
+    anyhow::ensure!(rest.is_empty(), "unknown argument {rest:?}");
+    let binary = binary.unwrap_or_else(|| "target/release/gentianridged".into());
+    anyhow::ensure!(
+        binary.is_file(),
+        "{} is missing: build it with `cargo build --release`",
+        binary.display()
+    );
+    let dir = dir.unwrap_or_else(|| "target/soak".into());
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    let red = runtime.block_on(run_all(binary, dir, first..first + seeds, at_once))?;
+    anyhow::ensure!(red == 0, "{red} seeds broke a promise");
+    Ok(())
+}
+
+async fn run_all(
+    binary: PathBuf,
+    dir: PathBuf,
+    seeds: std::ops::Range<u64>,
+    at_once: u8,
+) -> anyhow::Result<u64> {
+    let next = Arc::new(AtomicU64::new(seeds.start));
+    let mut workers = JoinSet::new();
+    for slot in 0..at_once {
+        let (binary, dir, next, end) = (binary.clone(), dir.clone(), next.clone(), seeds.end);
+        workers.spawn(async move {
+            let mut red = 0;
+            loop {
+                let seed = next.fetch_add(1, Ordering::Relaxed);
+                if seed >= end {
+                    return Ok::<u64, anyhow::Error>(red);
+                }
+                let options = SoakOptions {
+                    binary: binary.clone(),
+                    dir: dir.join(format!("seed-{seed}")),
+                    seed,
+                    slot,
+                };
+                red += u64::from(!run_seed(options).await?);
+            }
+        });
+    }
+    let mut red = 0;
+    while let Some(ended) = workers.join_next().await {
+        red += ended??;
+    }
+    Ok(red)
+}
+
+/// Returns true if the seed kept every promise.
+async fn run_seed(options: SoakOptions) -> anyhow::Result<bool> {
+    let seed = options.seed;
+    let report = run_soak(options).await?;
+    println!(
+        "seed {seed}: {} steps, {} of {} requests answered, {} breaches",
+        report.steps.len(),
+        report.answered,
+        report.requests,
+        report.breaches.len()
+    );
+    for breach in &report.breaches {
+        println!("  {breach:?}");
+    }
+    if !report.breaches.is_empty() {
+        println!("  steps: {}", report.steps.join("; "));
+    }
+    Ok(report.breaches.is_empty())
+}
--- a/tests/gateway/discovery.rs
+++ b/tests/gateway/discovery.rs
@@ -1,7 +1,7 @@
 //! Targets that come, go and are replaced.
 
-use crate::site::{CART, Site, eventually, register};
-use gentianridge_testkit::{PublishedTarget, TargetEntryValue};
+use crate::site::{Site, eventually, register};
+use gentianridge_testkit::{CART, PublishedTarget, TargetEntryValue};
 use std::time::Duration;
 
 /// Bound of the platform on the work of a leaving target.
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -1,13 +1,12 @@
 //! A store, two services of targets and one daemon.
 
-use gentianridge_testkit::{GatewayVm, PublishedStore, PublishedTarget, Reply, TargetEntryValue};
+use gentianridge_testkit::{
+    CART, GatewayVm, PublishedStore, PublishedTarget, Reply, TargetEntryValue, write_config,
+};
 use std::future::Future;
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Service of the repeatable requests below `/look/` and the others below `/once/`.
-pub(crate) const CART: &str = "cart";
-
 pub(crate) struct Site {
     pub(crate) store: PublishedStore,
     pub(crate) targets: Vec<PublishedTarget>,
@@ -51,22 +50,7 @@
 
 /// Writes the configuration; `more` are further paths, each with a leading comma.
 pub(crate) fn put_config(store: &PublishedStore, version: u64, more: &str) {
-    let route = |name: &str, prefix: &str, kind: &str| {
-        format!(
-            r#"{{"name":"{name}","path_prefix":"{prefix}","kind":"{kind}","timeout":"2000ms",
-            "slo_latency":"600ms","priority":1,"service":"{CART}","max_attempts":2}}"#
-        )
-    };
-    let config = format!(
-        r#"{{"version":"{version:08x}","base_version":"00000000","services":[
-        {{"name":"{CART}","health_path":"/health","max_conns":220}},
-        {{"name":"other","health_path":"/health","max_conns":220}}],
-        "limits":{{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout":"3000ms","idle_timeout":"15000ms"}},
-        "hosts":[{{"host":"shop.example","paths":[{},{}{more}]}}]}}"#,
-        route("look", "/look/", "idempotent"),
-        route("once", "/once/", "non_idempotent")
-    );
-    store.put("op", "config", config.as_bytes());
+    store.put("op", "config", write_config(version, more).as_bytes());
 }
 
 /// Writes a target's entry.
