refactor(core): the list of targets decides without I/O, with a model of leaves

Change: core/discovery/list.rs holds directory and timer together and takes readings and words; the daemon decodes and logs. ListNews moved to the core. Test: core/tests/leave_model.rs, a state machine of four VMs with calls under way, words late, twice and lost, restarts: no VM uses a target 2 s after it left. Not modelled: a store that is away, repeats, configurations.

--- a/crates/core/src/discovery/mod.rs
+++ b/crates/core/src/discovery/mod.rs
@@ -4,8 +4,12 @@
 
 mod directory;
 mod entry;
+mod list;
+mod news;
 mod refresh;
 
 pub use directory::Directory;
 pub use entry::{Incarnation, TargetEntry};
+pub use list::{TakenReading, TargetList};
+pub use news::{ListNews, Reading};
 pub use refresh::{Refresh, Relayed};
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,7 +21,10 @@
 
 pub use clock::{Clock, HybridClock, HybridTime};
 pub use code::{ResultCode, RunState};
-pub use discovery::{Directory, Incarnation, Refresh, Relayed, TargetEntry};
+pub use discovery::{
+    Directory, Incarnation, ListNews, Reading, Refresh, Relayed, TakenReading, TargetEntry,
+    TargetList,
+};
 pub use event::{Event, EventKind, EventRing};
 pub use ledger::{
     Claim, ClaimState, Ledger, LedgerAction, LedgerInput, RecordedAnswer, RequestPrint, Version,
--- /dev/null
+++ b/crates/core/tests/leave_model.rs
@@ -0,0 +1,287 @@
+//! A model of targets that leave, and of VMs that read and tell each other in
+//! any order, with words lost, late and during a call, and VMs that start again.
+
+use gentianridge_core::{Incarnation, ListNews, Reading, Relayed, TargetEntry, TargetList};
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use std::time::{Duration, Instant};
+
+const VMS: usize = 4;
+const TARGETS: usize = 6;
+/// Time after which no VM may use a target that has left.
+const BOUND: Duration = Duration::from_millis(2_000);
+/// Time between a call's effect at the store and its answer.
+const ANSWER: Duration = Duration::from_millis(30);
+const STEP: Duration = Duration::from_millis(10);
+
+#[derive(Debug, Clone)]
+enum Transition {
+    /// Time goes by; VMs read when their timers end.
+    Pass { millis: u64 },
+    /// A target announces that it leaves.
+    Drain { target: usize },
+    /// A target's entry goes.
+    Remove { target: usize },
+    /// A target writes its entry again, without a change.
+    Beat { target: usize },
+    /// What a VM told last arrives at another one, for the first time or again.
+    Deliver { from: usize, to: usize },
+    /// A VM starts again and knows nothing.
+    Restart { vm: usize },
+}
+
+#[derive(Debug, Clone)]
+struct Row {
+    id: String,
+    entry: Option<TargetEntry>,
+    version: u64,
+}
+
+/// The store, and when targets left.
+#[derive(Debug, Clone)]
+struct Store {
+    now: Duration,
+    version: u64,
+    rows: Vec<Row>,
+    left_at: Vec<Option<Duration>>,
+}
+
+fn make_entry(target: usize) -> TargetEntry {
+    TargetEntry {
+        incarnation: Incarnation {
+            id: format!("t{target}").into(),
+            born_ms: 1,
+        },
+        service: "cart".into(),
+        addr: ([127, 0, 0, 1], 9_000 + target as u16).into(),
+        domain: "d1".into(),
+        slots: 3,
+        is_draining: false,
+        cold_left: Duration::ZERO,
+    }
+}
+
+impl Store {
+    fn write(&mut self, target: usize, change: impl FnOnce(&mut Option<TargetEntry>)) {
+        self.version += 1;
+        let row = &mut self.rows[target];
+        change(&mut row.entry);
+        row.version = self.version;
+    }
+
+    fn leave(&mut self, target: usize) {
+        let now = self.now;
+        self.left_at[target].get_or_insert(now);
+    }
+
+    /// Reads what has changed after a version, everything without one.
+    fn read(&self, after: Option<u64>) -> Reading {
+        let mut reading = Reading {
+            version: self.version,
+            is_whole: after.is_none(),
+            ..Reading::default()
+        };
+        let is_changed = |row: &&Row| after.is_none_or(|after| row.version > after);
+        for row in self.rows.iter().filter(is_changed) {
+            match &row.entry {
+                Some(entry) => reading.entries.push(entry.clone()),
+                None if after.is_some() => reading.gone.push(row.id.as_str().into()),
+                None => {}
+            }
+        }
+        reading
+    }
+}
+
+impl ReferenceStateMachine for Store {
+    type State = Store;
+    type Transition = Transition;
+
+    fn init_state() -> BoxedStrategy<Store> {
+        let rows = (0..TARGETS).map(|target| Row {
+            id: format!("t{target}"),
+            entry: Some(make_entry(target)),
+            version: target as u64 + 1,
+        });
+        Just(Store {
+            now: Duration::ZERO,
+            version: TARGETS as u64,
+            rows: rows.collect(),
+            left_at: vec![None; TARGETS],
+        })
+        .boxed()
+    }
+
+    fn transitions(_: &Store) -> BoxedStrategy<Transition> {
+        let target = 0..TARGETS;
+        prop_oneof![
+            6 => (1u64..60).prop_map(|millis| Transition::Pass { millis: millis * 10 }),
+            2 => target.clone().prop_map(|target| Transition::Drain { target }),
+            1 => target.clone().prop_map(|target| Transition::Remove { target }),
+            2 => target.prop_map(|target| Transition::Beat { target }),
+            10 => (0..VMS, 0..VMS).prop_map(|(from, to)| Transition::Deliver { from, to }),
+            1 => (0..VMS).prop_map(|vm| Transition::Restart { vm }),
+        ]
+        .boxed()
+    }
+
+    fn apply(mut store: Store, transition: &Transition) -> Store {
+        match transition {
+            Transition::Pass { millis } => store.now += Duration::from_millis(*millis),
+            Transition::Drain { target } => {
+                if store.rows[*target].entry.is_some() {
+                    store.write(*target, |entry| {
+                        if let Some(entry) = entry {
+                            entry.is_draining = true;
+                        }
+                    });
+                    store.leave(*target);
+                }
+            }
+            Transition::Remove { target } => {
+                if store.rows[*target].entry.is_some() {
+                    store.write(*target, |entry| *entry = None);
+                    store.leave(*target);
+                }
+            }
+            Transition::Beat { target } => {
+                if store.rows[*target].entry.is_some() {
+                    store.write(*target, |_| {});
+                }
+            }
+            Transition::Deliver { .. } | Transition::Restart { .. } => {}
+        }
+        store
+    }
+}
+
+struct Vm {
+    list: TargetList,
+    /// A call whose answer is on its way, and when it arrives.
+    call: Option<(Duration, Reading)>,
+    told: Option<(ListNews, Duration)>,
+}
+
+impl Vm {
+    fn new() -> Self {
+        Self {
+            list: TargetList::new(BOUND),
+            call: None,
+            told: None,
+        }
+    }
+}
+
+struct Fleet {
+    start: Instant,
+    now: Duration,
+    vms: Vec<Vm>,
+    draws: u32,
+}
+
+impl Fleet {
+    /// Draws differ from VM to VM and from time to time.
+    fn draw(&mut self) -> f64 {
+        self.draws = self
+            .draws
+            .wrapping_mul(1_664_525)
+            .wrapping_add(1_013_904_223);
+        f64::from(self.draws >> 8) / f64::from(1 << 24)
+    }
+
+    fn pass(&mut self, store: &Store) {
+        while self.now < store.now {
+            self.now += STEP;
+            for index in 0..VMS {
+                self.step(index, store);
+            }
+        }
+    }
+
+    fn step(&mut self, index: usize, store: &Store) {
+        let (now, at) = (self.now, self.start + self.now);
+        let draw = self.draw();
+        let vm = &mut self.vms[index];
+        if let Some((_, reading)) = vm.call.take_if(|(arrives, _)| *arrives <= now) {
+            let taken = vm.list.take_reading(at, reading, draw, &mut Vec::new());
+            if let Some(taken) = taken.filter(|taken| taken.is_to_tell) {
+                vm.told = Some((taken.news, now));
+            }
+        }
+        let is_due = vm.list.has_gap() || vm.list.get_due().is_none_or(|due| due <= at);
+        if vm.call.is_none() && is_due {
+            vm.call = Some((now + ANSWER, store.read(vm.list.get_version())));
+        }
+    }
+
+    fn deliver(&mut self, from: usize, to: usize) {
+        let Some((news, read_at)) = self.vms[from].told.clone().filter(|_| from != to) else {
+            return;
+        };
+        let news = ListNews {
+            age: self.now - read_at,
+            ..news
+        };
+        let (at, draw) = (self.start + self.now, self.draw());
+        let vm = &mut self.vms[to];
+        let judged = vm.list.take_news(at, &news, draw, &mut Vec::new());
+        if judged != Relayed::Stale {
+            vm.told = Some((news, read_at));
+        }
+    }
+}
+
+struct Leaving;
+
+impl StateMachineTest for Leaving {
+    type SystemUnderTest = Fleet;
+    type Reference = Store;
+
+    fn init_test(_: &Store) -> Fleet {
+        Fleet {
+            start: Instant::now(),
+            now: Duration::ZERO,
+            vms: (0..VMS).map(|_| Vm::new()).collect(),
+            draws: 7,
+        }
+    }
+
+    fn apply(mut fleet: Fleet, store: &Store, transition: Transition) -> Fleet {
+        match transition {
+            Transition::Pass { .. } => fleet.pass(store),
+            Transition::Deliver { from, to } => fleet.deliver(from, to),
+            Transition::Restart { vm } => fleet.vms[vm] = Vm::new(),
+            Transition::Drain { .. } | Transition::Remove { .. } | Transition::Beat { .. } => {}
+        }
+        fleet
+    }
+
+    /// No VM uses a target longer than the bound after it has left.
+    fn check_invariants(fleet: &Fleet, store: &Store) {
+        for (index, vm) in fleet.vms.iter().enumerate() {
+            for spec in vm.list.get_targets("cart", 10).iter().filter(|t| !t.drain) {
+                let target: usize = spec.name[1..].parse().expect("the names bear numbers");
+                if let Some(left_at) = store.left_at[target] {
+                    let since = fleet.now.saturating_sub(left_at);
+                    assert!(
+                        since <= BOUND,
+                        "vm {index} uses {} {since:?} later",
+                        spec.name
+                    );
+                }
+            }
+        }
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(Config {
+        cases: 300,
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn no_work_after_leave(sequential 1..120 => Leaving);
+}
--- a/crates/daemon/src/gateway/feeds.rs
+++ b/crates/daemon/src/gateway/feeds.rs
@@ -5,10 +5,8 @@
 use gentianridge_adapter::{
     Changes, Row, StoreError, StoreErrorKind, Table, decode_entry, decode_routes,
 };
-use gentianridge_core::{EventKind, Refresh, Relayed, TargetEntry};
-use gentianridge_wire::ListNews;
+use gentianridge_core::{EventKind, ListNews, Reading, Relayed};
 use rand::RngExt;
-use smol_str::SmolStr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -107,20 +105,20 @@
             return Reason::NewerConfig;
         }
         let now = gateway.clock.now();
-        if gateway.with_refresh(|refresh| refresh.has_gap()) {
+        if gateway.list.borrow().has_gap() {
             return Reason::MissedChanges;
         }
-        let Some(due) = gateway.with_refresh(|refresh| refresh.get_due()) else {
+        let Some(due) = gateway.get_list_due() else {
             return Reason::Due;
         };
         if due <= now {
             return Reason::Due;
         }
-        let expiry = gateway.next_expiry().filter(|at| *at < due);
+        let expiry = gateway.list.borrow().next_expiry().filter(|at| *at < due);
         tokio::select! {
             () = tokio::time::sleep_until(expiry.unwrap_or(due).into()) => {
                 let now = gateway.clock.now();
-                gateway.change_targets(|directory, changed| directory.expire(now, changed));
+                gateway.change_targets(|list, changed| list.expire(now, changed));
             }
             () = gateway.peers.wait_list() => {}
             () = gateway.peers.wait_newer_version() => {}
@@ -161,9 +159,7 @@
 
     fn note_targets(&self, is_good: bool) -> bool {
         if !is_good {
-            self.gateway.with_refresh(Refresh::hurry);
-            self.gateway
-                .change_targets(|directory, _| directory.set_away());
+            self.gateway.list.borrow_mut().note_failure();
         }
         is_good
     }
@@ -223,7 +219,7 @@
 
 /// Reads the targets; returns what is news to the peers.
 async fn read_targets(gateway: &Gateway) -> Result<Option<ListNews>, StoreError> {
-    let after = gateway.with_refresh(|refresh| refresh.get_version());
+    let after = gateway.list.borrow().get_version();
     let store = gateway.get_store();
     let changed = match after {
         None => None,
@@ -242,96 +238,47 @@
     Ok(take_targets(gateway, changes, is_whole))
 }
 
-/// Takes in a reading of this VM; returns what is news to the peers, nothing
-/// for the first reading.
+/// Takes in a reading of this VM; returns what peers are to be told.
 fn take_targets(gateway: &Gateway, changes: Changes, is_whole: bool) -> Option<ListNews> {
     let now = gateway.clock.now();
-    if gateway.with_refresh(|refresh| refresh.is_overtaken(changes.version)) {
-        return None;
-    }
-    let (entries, mut gone) = decode_rows(changes.rows);
-    let mut news = ListNews {
-        version: changes.version,
-        ..ListNews::default()
-    };
-    gateway.change_targets(|directory, changed| {
-        directory.set_readable(now);
-        news.settle_left = directory.get_settle_left(now);
-        if is_whole {
-            gone = directory.find_missing(&entries);
-        }
-        gone.retain(|id| directory.is_listed(id));
-        news.entries = entries
-            .iter()
-            .filter(|entry| directory.is_news(entry))
-            .cloned()
-            .collect();
-        if is_whole {
-            *changed = directory.read_all(now, entries);
-            return;
-        }
-        for entry in entries {
-            directory.put(entry, changed);
-        }
-        for id in &gone {
-            directory.remove(now, id, changed);
-        }
-    });
-    news.gone = gone;
-    log_news(&news, "store");
     let draw = rand::rng().random();
-    let base = gateway.with_refresh(|refresh| refresh.note_read(now, changes.version, draw));
+    let reading = decode_reading(changes, is_whole);
+    let taken =
+        gateway.change_targets(|list, changed| list.take_reading(now, reading, draw, changed))?;
+    log_news(&taken.news, "store");
     gateway.note_informed();
-    Some(ListNews {
-        base: base?,
-        ..news
-    })
+    taken.is_to_tell.then_some(taken.news)
 }
 
-fn decode_rows(rows: Vec<Row>) -> (Vec<TargetEntry>, Vec<SmolStr>) {
-    let mut entries = Vec::with_capacity(rows.len());
-    let mut gone = Vec::new();
-    for row in rows {
+fn decode_reading(changes: Changes, is_whole: bool) -> Reading {
+    let mut reading = Reading {
+        version: changes.version,
+        is_whole,
+        ..Reading::default()
+    };
+    for row in changes.rows {
         let Some(value) = &row.value else {
-            gone.push(row.key);
+            reading.gone.push(row.key);
             continue;
         };
         match decode_entry(&row.key, value) {
-            Ok(entry) => entries.push(entry),
+            Ok(entry) => reading.entries.push(entry),
             // An entry of another writer names no target; one that it replaced
             // says nothing any more either, but its target may well live.
             Err(error) => log::warn!("entry {} cannot be read: {error}", row.key),
         }
     }
-    (entries, gone)
+    reading
 }
 
-/// Takes in a reading that a peer tells.
+/// Takes in a reading that a peer tells, and tells it on.
 pub(crate) fn take_list_news(gateway: &Gateway, news: ListNews) {
     let now = gateway.clock.now();
     let draw = rand::rng().random();
-    let read_at = now.checked_sub(news.age).unwrap_or(now);
-    let judged =
-        gateway.with_refresh(|refresh| refresh.judge(read_at, news.base, news.version, draw));
-    if judged == Relayed::Stale {
-        return;
-    }
-    if judged == Relayed::Applied {
-        log_news(&news, "peer");
-    }
-    if judged != Relayed::Gap {
-        gateway.change_targets(|directory, changed| {
-            directory.set_readable(now);
-            directory.extend_settle(now, news.settle_left);
-            if judged == Relayed::Applied {
-                for entry in &news.entries {
-                    directory.put(entry.clone(), changed);
-                }
-                for id in &news.gone {
-                    directory.remove(now, id, changed);
-                }
-            }
-        });
+    match gateway.change_targets(|list, changed| list.take_news(now, &news, draw, changed)) {
+        Relayed::Stale => return,
+        Relayed::Applied => log_news(&news, "peer"),
+        Relayed::Known | Relayed::Gap => {}
     }
     gateway.peers.tell_list(now, news);
     gateway.peers.note_list();
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -164,7 +164,7 @@
         self.version.record(gateway.get_version() as f64, &[]);
         self.vms
             .record(gateway.peers.count_live(gateway.clock.now()) as f64, &[]);
-        if let Some(due) = gateway.with_refresh(|refresh| refresh.get_due()) {
+        if let Some(due) = gateway.get_list_due() {
             let now = gateway.clock.now();
             let ahead = due.saturating_duration_since(now).as_secs_f64();
             let behind = now.saturating_duration_since(due).as_secs_f64();
--- a/crates/daemon/src/gateway/peers/table.rs
+++ b/crates/daemon/src/gateway/peers/table.rs
@@ -1,8 +1,7 @@
 //! What this VM knows of its peers and has to tell them.
 
 use crate::gateway::state::{Gateway, Phase};
-use gentianridge_core::{PeerView, Roster, VmName};
-use gentianridge_wire::ListNews;
+use gentianridge_core::{ListNews, PeerView, Roster, VmName};
 use rand::RngExt;
 use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant};
--- a/crates/daemon/src/gateway/services.rs
+++ b/crates/daemon/src/gateway/services.rs
@@ -150,7 +150,7 @@
             .declared
             .as_ref()
             .map_or(u16::MAX, |declared| declared.max_connections);
-        let targets = self.directory.borrow().get_targets(name, connections);
+        let targets = self.list.borrow().get_targets(name, connections);
         let classes = entry
             .classes
             .iter()
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -8,7 +8,7 @@
 use crate::telemetry::{Journal, LineCounts};
 use gentianridge_adapter::{ExchangeHeaders, Store, exchange_headers};
 use gentianridge_config::GatewaySettings;
-use gentianridge_core::{Clock, Directory, EventKind, Quarantine, Refresh, RouteTable};
+use gentianridge_core::{Clock, EventKind, Quarantine, RouteTable, TargetList};
 use std::cell::{Cell, Ref, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -35,8 +35,7 @@
     pub(crate) peers: Peers,
     pub(crate) metrics: GatewayMetrics,
     pub(super) routes: RefCell<Option<RouteTable>>,
-    pub(super) directory: RefCell<Directory>,
-    pub(super) refresh: RefCell<Refresh>,
+    pub(super) list: RefCell<TargetList>,
     pub(super) services: RefCell<Vec<Entry>>,
     pub(super) quarantine: RefCell<Quarantine>,
     phase: Cell<Phase>,
@@ -74,8 +73,7 @@
             peers: Peers::new(settings.vm.clone()),
             metrics: GatewayMetrics::new(lines)?,
             routes: RefCell::new(None),
-            directory: RefCell::new(Directory::new()),
-            refresh: RefCell::new(Refresh::new(get_list_bound(&settings))),
+            list: RefCell::new(TargetList::new(get_list_bound(&settings))),
             services: RefCell::new(Vec::new()),
             quarantine: RefCell::new(Quarantine::new(CRASH_PERIOD)),
             phase: Cell::new(Phase::Running),
@@ -111,7 +109,7 @@
             }
         }
         let bound = get_list_bound(&settings);
-        self.refresh.borrow_mut().set_bound(bound);
+        self.list.borrow_mut().set_bound(bound);
         *self.settings.borrow_mut() = settings;
         self.apply_all();
     }
@@ -142,7 +140,7 @@
     }
 
     fn is_informed(&self) -> bool {
-        self.routes.borrow().is_some() && self.refresh.borrow().get_version().is_some()
+        self.routes.borrow().is_some() && self.list.borrow().get_version().is_some()
     }
 
     /// Notes that routes or targets were read.
@@ -154,7 +152,7 @@
     pub(crate) fn is_ready(&self) -> bool {
         self.phase.get() == Phase::Running
             && self.routes.borrow().is_some()
-            && !self.directory.borrow().is_empty()
+            && !self.list.borrow().is_empty()
     }
 }
 
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -2,38 +2,38 @@
 
 use super::links::Link;
 use super::state::Gateway;
-use gentianridge_core::{Directory, Incarnation, Refresh};
+use gentianridge_core::{Incarnation, TargetList};
 use smol_str::SmolStr;
 use std::rc::Rc;
 use std::time::Instant;
 
 /// Targets.
 impl Gateway {
-    /// Changes the directory and lets the services that it touches follow.
-    pub(crate) fn change_targets(&self, change: impl FnOnce(&mut Directory, &mut Vec<SmolStr>)) {
+    /// Changes the list and lets the services that it touches follow.
+    pub(crate) fn change_targets<T>(
+        &self,
+        change: impl FnOnce(&mut TargetList, &mut Vec<SmolStr>) -> T,
+    ) -> T {
         let mut changed = Vec::new();
-        change(&mut self.directory.borrow_mut(), &mut changed);
+        let result = change(&mut self.list.borrow_mut(), &mut changed);
         changed.sort();
         changed.dedup();
         for name in changed {
             self.apply_service(&name);
         }
+        result
     }
 
-    /// Uses the timer of the list of targets.
-    pub(crate) fn with_refresh<T>(&self, act: impl FnOnce(&mut Refresh) -> T) -> T {
-        act(&mut self.refresh.borrow_mut())
-    }
-
-    /// Returns when a lapsed target is due to be dropped.
-    pub(crate) fn next_expiry(&self) -> Option<Instant> {
-        self.directory.borrow().next_expiry()
+    /// Returns when this VM has to read the list of targets, none if it has to
+    /// at once.
+    pub(crate) fn get_list_due(&self) -> Option<Instant> {
+        self.list.borrow().get_due()
     }
 
     /// Forgets a target at whose address another one answered.
     pub(crate) fn forget_replaced(&self, incarnation: &Incarnation) {
         self.links.close(incarnation);
-        self.change_targets(|directory, changed| directory.set_replaced(incarnation, changed));
+        self.change_targets(|list, changed| list.set_replaced(incarnation, changed));
     }
 
     /// Keeps a connection as soon as it can take another request.
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -5,7 +5,7 @@
 };
 use crate::message::{MarkMessage, PeerMessageView};
 use crate::{WireError, WireErrorKind};
-use gentianridge_core::{CrashMark, Incarnation, PeerView, Pulse, TargetEntry};
+use gentianridge_core::{CrashMark, Incarnation, ListNews, PeerView, Pulse, TargetEntry};
 use prost::Message;
 use smol_str::SmolStr;
 use std::time::Duration;
@@ -34,24 +34,6 @@
     pub pulses: Vec<Pulse>,
 }
 
-/// A reading of the list of targets, told to those who then need not read it.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct ListNews {
-    /// Version of the store after which the changes follow.
-    pub base: u64,
-    /// Version of the store up to which they reach.
-    pub version: u64,
-    /// Time since the reading.
-    pub age: Duration,
-    /// Time for which entries that go may have lapsed, because the store
-    /// returned lately.
-    pub settle_left: Duration,
-    /// New or changed entries.
-    pub entries: Vec<TargetEntry>,
-    /// Names of the targets whose entries have gone.
-    pub gone: Vec<SmolStr>,
-}
-
 #[derive(Clone, PartialEq, prost::Message)]
 struct EncodedList {
     #[prost(uint64, tag = "1")]
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,5 +13,5 @@
 
 pub use codec::{FRAME_LIMIT, Framed, frame, read_message, write_message};
 pub use convert::PeerMessage;
-pub use datagram::{ListNews, PeerDatagram};
+pub use datagram::PeerDatagram;
 pub use error::{WireError, WireErrorKind};
--- a/crates/wire/tests/datagrams.rs
+++ b/crates/wire/tests/datagrams.rs
@@ -1,7 +1,7 @@
 //! Datagrams between VMs on the platform.
 
-use gentianridge_core::{CrashMark, Incarnation, PeerView, Pulse, Roster, TargetEntry};
-use gentianridge_wire::{ListNews, PeerDatagram};
+use gentianridge_core::{CrashMark, Incarnation, ListNews, PeerView, Pulse, Roster, TargetEntry};
+use gentianridge_wire::PeerDatagram;
 use proptest::prelude::*;
 use smol_str::SmolStr;
 use std::time::Duration;
