--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -22,9 +22,13 @@
   gentianridge submit FILE --author NAME [--force] [--resume SUBMISSION]
   gentianridge status [--json]
   gentianridge timeline [--since 5m] [--service S] [--target T] [--follow] [--json] [--svg FILE]
+  gentianridge timeline --lines FILE... [--service S] [--target T] [--json]
   gentianridge explain REQUEST [--json]
+  gentianridge explain REQUEST --lines FILE... [--json]
   gentianridge file
 
+  --lines FILE     read lines that were collected from daemons; may be repeated
+
 Options for all commands that talk to a VM:
   --to ADDR        operators' address of any VM (or GENTIANRIDGE_TO; default 127.0.0.1:8081)
   --token TOKEN    operators' token (or GENTIANRIDGE_TOKEN)
@@ -109,6 +113,8 @@
         access: Access,
         /// Name of the request.
         request: String,
+        /// Files of collected lines; the VMs are asked if there are none.
+        lines: Vec<PathBuf>,
         /// True for JSON.
         is_json: bool,
     },
@@ -148,6 +154,8 @@
     pub is_json: bool,
     /// File for a picture.
     pub svg: Option<PathBuf>,
+    /// Files of collected lines; the VMs are asked if there are none.
+    pub lines: Vec<PathBuf>,
 }
 
 impl Cli {
@@ -196,6 +204,7 @@
         "explain" => Ok(Cli::Explain {
             is_json: args.contains("--json"),
             access: parse_access(args)?,
+            lines: args.values_from_str("--lines")?,
             request: free_text(args, "REQUEST")?,
         }),
         "file" => parse_access(args).map(Cli::File),
@@ -231,6 +240,7 @@
         follow: args.contains("--follow"),
         is_json: args.contains("--json"),
         svg: args.opt_value_from_str("--svg")?,
+        lines: args.values_from_str("--lines")?,
     })
 }
 
@@ -286,10 +296,10 @@
             "gentianridge status [--json] [--to ADDR] [--token TOKEN]\n\nShows every VM, the revision in force on it, and the services with the reasons\nthat the file gives.\n",
         ),
         "timeline" => Ok(
-            "gentianridge timeline [--since 5m] [--service S] [--target T] [--follow] [--json] [--svg FILE]\n\nShows the events of all VMs in the order of their causes.\n",
+            "gentianridge timeline [--since 5m] [--service S] [--target T] [--follow] [--json] [--svg FILE]\ngentianridge timeline --lines FILE... [--service S] [--target T] [--json]\n\nShows the events of all VMs in the order of their causes, or from lines that\nwere collected from daemons what they believed, in the order of time.\n",
         ),
         "explain" => Ok(
-            "gentianridge explain REQUEST [--json] [--to ADDR] [--token TOKEN]\n\nShows where a request waited, what was tried and what its code means.\nThe name of a request is in the x-request-id header of its answer.\n",
+            "gentianridge explain REQUEST [--json] [--to ADDR] [--token TOKEN]\ngentianridge explain REQUEST --lines FILE... [--json]\n\nShows where a request waited, what was tried and what its code means.\nThe name of a request is in the x-request-id header of its answer. With --lines\nit is the id of the caller's attempt, and what the VMs believed of the targets\naround that time is shown as well.\n",
         ),
         "file" => Ok(
             "gentianridge file [--to ADDR] [--token TOKEN]\n\nShows the file in force, to be edited and submitted anew.\n",
--- a/crates/cli/src/command/explain.rs
+++ b/crates/cli/src/command/explain.rs
@@ -3,7 +3,19 @@
 use crate::Exit;
 use crate::args::Access;
 use crate::client::OperatorClient;
-use crate::output::render_trace;
+use crate::lines::{LogLine, read_lines};
+use crate::output::{render_line, render_trace, render_verdict};
+use jiff::{SignedDuration, Timestamp};
+use smol_str::SmolStr;
+use std::path::PathBuf;
+
+/// Topic of lines about what a VM believes.
+pub(super) const BELIEF: &str = "belief";
+/// Field of a line that names its request.
+const REQUEST: &str = "request";
+/// Time before a request in which what was believed may explain it: the period
+/// in which a VM hears of a target's state at the latest.
+const BEFORE: SignedDuration = SignedDuration::from_secs(3);
 
 /// Shows the way of one request.
 pub(super) async fn explain(access: &Access, request: &str, is_json: bool) -> anyhow::Result<Exit> {
@@ -21,3 +33,59 @@
     }
     Ok(Exit::Done)
 }
+
+/// Shows the way of one request by collected lines, and what was believed of
+/// its targets.
+pub(super) fn explain_lines(
+    paths: &[PathBuf],
+    request: &str,
+    is_json: bool,
+) -> anyhow::Result<Exit> {
+    let lines = read_lines(paths, |line| line.get(REQUEST) == Some(request))?;
+    let (Some(first), Some(last)) = (lines.first(), lines.last()) else {
+        eprintln!("no line of request {request}; refusals of a flood may be left out of the log");
+        return Ok(Exit::Failed);
+    };
+    let beliefs = read_beliefs(paths, &lines, first.timestamp - BEFORE, last.timestamp)?;
+    if is_json {
+        for line in beliefs.iter().chain(&lines) {
+            println!("{}", serde_json::to_string(line)?);
+        }
+        return Ok(Exit::Done);
+    }
+    println!("request {request}");
+    for line in &lines {
+        println!("  {}", render_line(line, REQUEST));
+    }
+    if let Some(verdict) = render_verdict(last) {
+        println!("{verdict}");
+    }
+    if !beliefs.is_empty() {
+        println!("believed of its targets:");
+        for line in &beliefs {
+            println!("  {}", render_line(line, REQUEST));
+        }
+    }
+    Ok(Exit::Done)
+}
+
+/// Reads what the VMs of the lines believed of their targets in a time.
+fn read_beliefs(
+    paths: &[PathBuf],
+    lines: &[LogLine],
+    from: Timestamp,
+    to: Timestamp,
+) -> anyhow::Result<Vec<LogLine>> {
+    let mut targets: Vec<&str> = lines.iter().filter_map(|line| line.get("target")).collect();
+    targets.sort_unstable();
+    targets.dedup();
+    let mut vms: Vec<&SmolStr> = lines.iter().map(|line| &line.vm).collect();
+    vms.sort_unstable();
+    vms.dedup();
+    read_lines(paths, |line| {
+        line.topic == BELIEF
+            && (from..=to).contains(&line.timestamp)
+            && vms.binary_search(&&line.vm).is_ok()
+            && targets.iter().any(|target| line.is_about(target))
+    })
+}
--- a/crates/cli/src/command/run.rs
+++ b/crates/cli/src/command/run.rs
@@ -1,10 +1,10 @@
 //! Dispatch of the commands.
 
 use super::check::check;
-use super::explain::explain;
+use super::explain::{explain, explain_lines};
 use super::status::status;
 use super::submit::submit;
-use super::timeline::timeline;
+use super::timeline::{timeline, timeline_of_lines};
 use crate::client::OperatorClient;
 use crate::{Cli, Exit};
 
@@ -26,12 +26,20 @@
         Cli::Check(path) => check(&path),
         Cli::Submit(args) => submit(&args).await,
         Cli::Status { access, is_json } => status(&access, is_json).await,
-        Cli::Timeline(args) => timeline(&args).await,
+        Cli::Timeline(args) if args.lines.is_empty() => timeline(&args).await,
+        Cli::Timeline(args) => timeline_of_lines(&args),
         Cli::Explain {
             access,
             request,
+            lines,
             is_json,
-        } => explain(&access, &request, is_json).await,
+        } if lines.is_empty() => explain(&access, &request, is_json).await,
+        Cli::Explain {
+            request,
+            lines,
+            is_json,
+            ..
+        } => explain_lines(&lines, &request, is_json),
         Cli::File(access) => {
             print!("{}", OperatorClient::of(&access)?.file().await?);
             Ok(Exit::Done)
--- a/crates/cli/src/command/timeline.rs
+++ b/crates/cli/src/command/timeline.rs
@@ -1,10 +1,13 @@
 //! `gentianridge timeline`
 
+use super::explain::BELIEF;
 use crate::Exit;
 use crate::args::TimelineArgs;
 use crate::client::OperatorClient;
-use crate::output::{merge_timelines, render_event, render_timeline_svg};
+use crate::lines::read_lines;
+use crate::output::{merge_timelines, render_event, render_line, render_timeline_svg};
 use gentianridge_core::Event;
+use smol_str::SmolStr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Time between two looks with `--follow`.
@@ -43,6 +46,24 @@
     }
 }
 
+/// Shows what VMs believed by collected lines.
+pub(super) fn timeline_of_lines(args: &TimelineArgs) -> anyhow::Result<Exit> {
+    let lines = read_lines(&args.lines, |line| {
+        let is_about = |name: &SmolStr| line.is_about(name);
+        line.topic == BELIEF
+            && args.service.as_ref().is_none_or(is_about)
+            && args.target.as_ref().is_none_or(is_about)
+    })?;
+    for line in &lines {
+        if args.is_json {
+            println!("{}", serde_json::to_string(line)?);
+        } else {
+            println!("{}", render_line(line, ""));
+        }
+    }
+    Ok(Exit::Done)
+}
+
 fn show(args: &TimelineArgs, events: &[Event]) -> anyhow::Result<()> {
     if let Some(path) = &args.svg {
         std::fs::write(path, render_timeline_svg(events)?)?;
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -6,6 +6,7 @@
 mod client;
 mod command;
 mod exit;
+mod lines;
 mod output;
 
 pub use args::{Cli, UsageError};
--- a/crates/cli/src/output/explain.rs
+++ b/crates/cli/src/output/explain.rs
@@ -39,7 +39,8 @@
     text
 }
 
-fn advice(code: ResultCode) -> &'static str {
+/// Returns what a caller may do after a refusal.
+pub(super) fn advice(code: ResultCode) -> &'static str {
     match code.run_state() {
         RunState::NotRun if code.is_retryable() => {
             "it was not run; the caller may send it again after a pause"
--- a/crates/cli/src/output/mod.rs
+++ b/crates/cli/src/output/mod.rs
@@ -1,11 +1,13 @@
 //! What the commands show.
 
 mod explain;
+mod lines;
 mod status;
 mod svg;
 mod timeline;
 
 pub(crate) use explain::render_trace;
+pub(crate) use lines::{render_line, render_verdict};
 pub(crate) use status::render_status;
 pub use svg::render_timeline_svg;
 pub use timeline::merge_timelines;
