fix(gateway): news of a configuration passes through every VM, a subset of targets

Three faults together: a VM named the version that it has in force, so that a third of the fleet told nothing; a told reading started the timers of others anew without saying which configuration it had seen; long readings were told for a second and used up the bytes of everything else. Besides, a pulse made an old description of a peer count as its newest. Ruled out: calls to the store that hang at the served VMs (no outage in their lines); the jitter of this commit's second part (it touches no exchange). Change: the newest version heard of travels with every datagram, and a reading bears the configuration that it saw; a reading is told in two rounds, and where the budget does not hold it the rest is told without it; pulses have a number of their own. Also: each VM keeps to eight targets of a service, those of its domain first (core/service/subset.rs), and targets to ask are chosen with jitter, since equal scores sent every VM to the first in the list (subset::even_over_vms: 17, 6, 3 and mostly 0 of 40 VMs a target before).

--- a/crates/core/src/discovery/news.rs
+++ b/crates/core/src/discovery/news.rs
@@ -24,6 +24,8 @@
     pub base: u64,
     /// Version of the store up to which they reach.
     pub version: u64,
+    /// Configuration that was the newest at the reading.
+    pub revision: u64,
     /// Time since the reading.
     pub age: Duration,
     /// Time for which entries that go may have lapsed, because the store
--- a/crates/core/src/membership/roster.rs
+++ b/crates/core/src/membership/roster.rs
@@ -38,6 +38,7 @@
     strangers: Vec<Stranger>,
     /// Sizes seen lately, each with its time; later ones are smaller.
     sizes: Vec<(Instant, u16)>,
+    newest_revision: u64,
     rng: Pcg32,
 }
 
@@ -67,6 +68,7 @@
             membership: Membership::new(me),
             strangers: Vec::new(),
             sizes: Vec::new(),
+            newest_revision: 0,
             rng: Pcg32::seed_from_u64(seed),
         }
     }
@@ -136,6 +138,16 @@
         Partners { peers, stranger }
     }
 
+    /// Takes in that a revision exists; returns true if that is news.
+    ///
+    /// A VM tells the newest that it has heard of, whether it can read it or
+    /// not, since others may hear of it from that VM alone.
+    pub fn hear_revision(&mut self, revision: u64) -> bool {
+        let is_news = revision > self.newest_revision;
+        self.newest_revision = self.newest_revision.max(revision);
+        is_news
+    }
+
     /// Takes in that a peer was heard by another.
     pub fn hear_pulse(&mut self, now: Instant, pulse: Pulse) {
         self.membership.hear_pulse(now, pulse);
@@ -144,24 +156,7 @@
     /// Chooses peers to describe to others; none if each of them is told in
     /// every round anyway.
     pub fn choose_digest(&mut self, now: Instant) -> Vec<PeerView> {
-        self.sample_heard(now, Self::DIGEST, PeerView::clone)
-    }
-
-    /// Chooses peers of which others are told that they live.
-    pub fn choose_pulses(&mut self, now: Instant) -> Vec<Pulse> {
-        self.sample_heard(now, Self::PULSES, |view| Pulse {
-            peer: view.get_digest(),
-            seq: view.seq,
-        })
-    }
-
-    fn sample_heard<T>(
-        &mut self,
-        now: Instant,
-        count: usize,
-        make: impl Fn(&PeerView) -> T,
-    ) -> Vec<T> {
-        if self.membership.count_known() <= Self::PARTNERS {
+        if self.hears_all() {
             return Vec::new();
         }
         let heard = self
@@ -169,15 +164,28 @@
             .get_peers(now)
             .filter(|(_, state)| *state != PeerState::Silent);
         heard
-            .map(|(view, _)| make(view))
-            .sample(&mut self.rng, count)
+            .map(|(view, _)| view.clone())
+            .sample(&mut self.rng, Self::DIGEST)
     }
 
-    /// Returns the highest revision that a peer has in force, 0 without one.
-    pub fn get_newest_revision(&self) -> u64 {
+    /// Chooses peers of which others are told that they live.
+    pub fn choose_pulses(&mut self, now: Instant) -> Vec<Pulse> {
+        if self.hears_all() {
+            return Vec::new();
+        }
         self.membership
-            .get_newest()
-            .map_or(0, |newest| newest.revision)
+            .get_pulses(now)
+            .sample(&mut self.rng, Self::PULSES)
+    }
+
+    /// Returns true if every peer is told in every round anyway.
+    fn hears_all(&self) -> bool {
+        self.membership.count_known() <= Self::PARTNERS
+    }
+
+    /// Returns the highest revision that was heard of, 0 without one.
+    pub fn get_newest_revision(&self) -> u64 {
+        self.newest_revision
     }
 
     /// Returns the number of peers that are live.
--- a/crates/core/src/membership/view.rs
+++ b/crates/core/src/membership/view.rs
@@ -28,6 +28,9 @@
 struct Peer {
     view: PeerView,
     digest: u32,
+    /// Number of the newest heartbeat that anybody heard of this start; the
+    /// rest of the view may be older.
+    newest_seq: u64,
     heard: Instant,
     /// Incarnation that the platform's list marks as leaving.
     platform_leaving: Option<u64>,
@@ -88,9 +91,9 @@
     pub fn hear_pulse(&mut self, now: Instant, pulse: Pulse) {
         let known = self.peers.iter_mut().find(|peer| peer.digest == pulse.peer);
         if let Some(peer) = known
-            && pulse.seq > peer.view.seq
+            && pulse.seq > peer.newest_seq
         {
-            peer.view.seq = pulse.seq;
+            peer.newest_seq = pulse.seq;
             peer.heard = now;
         }
     }
@@ -172,6 +175,18 @@
             .map(move |peer| (&peer.view, peer.get_state(now, self.silence)))
     }
 
+    /// Returns the pulse of each peer that is not silent.
+    pub fn get_pulses(&self, now: Instant) -> impl Iterator<Item = Pulse> {
+        let heard = self
+            .peers
+            .iter()
+            .filter(move |peer| peer.get_state(now, self.silence) != PeerState::Silent);
+        heard.map(|peer| Pulse {
+            peer: peer.digest,
+            seq: peer.newest_seq,
+        })
+    }
+
     /// Returns the highest revision that a peer has in force, and the peer.
     pub fn get_newest(&self) -> Option<&PeerView> {
         self.peers
@@ -217,6 +232,7 @@
     fn new(now: Instant, view: PeerView) -> Self {
         Self {
             digest: view.get_digest(),
+            newest_seq: view.seq,
             view,
             heard: now,
             platform_leaving: None,
@@ -233,8 +249,11 @@
         if (view.incarnation, view.seq) <= known {
             return false;
         }
-        self.heard = now;
         let is_same_process = view.incarnation == self.view.incarnation;
+        if !is_same_process || view.seq > self.newest_seq {
+            self.newest_seq = view.seq;
+            self.heard = now;
+        }
         let was_leaving = is_same_process && self.view.is_leaving;
         self.digest = view.get_digest();
         self.view = view;
--- a/crates/core/src/service/machine.rs
+++ b/crates/core/src/service/machine.rs
@@ -9,11 +9,12 @@
 use super::sampling::Sampler;
 use super::target::Target;
 use super::{AttemptKey, CallKey, ClassKey, Counters, Output};
-use crate::{ClassKind, DomainName, RepeatLimit, ResultCode, ServiceSpec};
+use crate::{ClassKind, DomainName, RepeatLimit, ResultCode, ServiceSpec, VmName};
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
 use slotmap::SlotMap;
 use std::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Routing state of one service on one VM.
 ///
@@ -60,6 +61,8 @@
     pub(super) fleet_budget: Option<FleetBudget>,
     pub(super) sampler: Sampler,
     pub(super) domain: DomainName,
+    /// Number that stands for this VM in the choice of its targets.
+    pub(super) vm_digest: u64,
     pub(super) counters: Counters,
     pub(super) rng: Pcg32,
     pub(super) vms: u16,
@@ -84,6 +87,7 @@
             fleet_budget: spec.repeats.map(FleetBudget::new),
             sampler: Sampler::default(),
             domain: DomainName::default(),
+            vm_digest: 0,
             targets: targets.into_iter().map(|t| Target::new(t, None)).collect(),
             classes: classes.into_iter().map(Class::new).collect(),
             calls: SlotMap::with_key(),
@@ -114,6 +118,7 @@
         self.apply_repeat_limit(spec.repeats);
         self.spec = spec;
         self.apply_targets(now, targets);
+        self.choose_subset();
         self.apply_classes(classes, out);
         self.deal_long_slots();
         self.pump(now, out);
@@ -217,10 +222,12 @@
         self.pump(now, out);
     }
 
-    /// Names the failure domain of this VM; targets in it are preferred, since
+    /// Names this VM and its failure domain; targets in it are preferred, since
     /// bytes between domains cost money and time.
-    pub fn set_domain(&mut self, domain: DomainName) {
+    pub fn set_place(&mut self, vm: &VmName, domain: DomainName) {
+        self.vm_digest = xxh3_64(vm.as_bytes());
         self.domain = domain;
+        self.choose_subset();
     }
 
     pub(super) fn deal_long_slots(&mut self) {
--- a/crates/core/src/service/mod.rs
+++ b/crates/core/src/service/mod.rs
@@ -23,6 +23,7 @@
 mod reports;
 mod sampling;
 mod status;
+mod subset;
 mod target;
 mod usual;
 mod view;
--- a/crates/core/src/service/pick.rs
+++ b/crates/core/src/service/pick.rs
@@ -260,8 +260,7 @@
                 continue;
             };
             let penalty = if is_tried { Self::TRIED_PENALTY } else { 0.0 };
-            let score =
-                score + penalty + self.get_distance(target) + Self::JITTER * unit_of(jitter, index);
+            let score = score + penalty + self.get_distance(target) + get_jitter(jitter, index);
             if best.is_none_or(|(held, lowest, _)| is_better(room, score, held, lowest)) {
                 best = Some((room, score, index));
             }
@@ -273,11 +272,12 @@
 impl Service {
     /// Returns the part of a score that the way to the target adds.
     pub(super) fn get_distance(&self, target: &Target) -> f32 {
-        if target.spec.domain == self.domain {
+        let remote = if target.spec.domain == self.domain {
             0.0
         } else {
             Self::REMOTE_PENALTY
-        }
+        };
+        remote + self.get_unfamiliarity(target.is_familiar)
     }
 }
 
@@ -362,8 +362,8 @@
     }
 }
 
-/// Spreads one random word over the targets.
-fn unit_of(word: u32, index: usize) -> f32 {
+/// Returns the random part of a target's score, by one random word for all targets.
+pub(super) fn get_jitter(word: u32, index: usize) -> f32 {
     let mixed = (word ^ (index as u32).wrapping_mul(0x9E37_79B9)).wrapping_mul(0x85EB_CA6B);
-    (mixed >> 8) as f32 / (1 << 24) as f32
+    Service::JITTER * (mixed >> 8) as f32 / (1 << 24) as f32
 }
--- a/crates/core/src/service/sampling.rs
+++ b/crates/core/src/service/sampling.rs
@@ -6,10 +6,11 @@
 //! targets are asked. docs/decisions/0015-sampling.md has the costs.
 
 use super::class::{Class, HedgeCheck};
-use super::pick::Wanted;
+use super::pick::{Wanted, get_jitter};
 use super::records::CallState;
 use super::{CallKey, Output, Service, TargetKey};
 use crate::Sampling;
+use rand::Rng;
 use std::time::{Duration, Instant};
 
 /// What is known about the pace of targets in general, and the room for questions.
@@ -225,6 +226,8 @@
     /// Asks the most promising targets without a fresh report.
     fn ask(&mut self, now: Instant, plan: Sampling, key: CallKey, out: &mut Vec<Output>) -> Asked {
         let overview = self.make_overview(now);
+        // VMs with equal views would otherwise ask the same targets.
+        let jitter = self.rng.next_u32();
         let call = &self.calls[key];
         let mut candidates: Vec<(f32, usize)> = self
             .targets
@@ -242,7 +245,8 @@
             })
             .filter_map(|(index, target)| {
                 let (_, score) = overview.judge(target, Wanted::Free)?;
-                Some((score + self.get_distance(target), index))
+                let score = score + self.get_distance(target) + get_jitter(jitter, index);
+                Some((score, index))
             })
             .collect();
         candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
--- a/crates/core/src/service/target.rs
+++ b/crates/core/src/service/target.rs
@@ -29,6 +29,8 @@
     pub(crate) report: Option<(LoadReport, Instant)>,
     /// Time of the last question for a report.
     pub(crate) sampled_at: Option<Instant>,
+    /// True if this VM keeps to the target, see `Service::choose_subset`.
+    pub(crate) is_familiar: bool,
     /// Attempts of this VM in flight in the order of their start.
     running: Vec<AttemptKey>,
 }
@@ -52,6 +54,7 @@
             others: OthersView::new(),
             report: None,
             sampled_at: None,
+            is_familiar: true,
             running: Vec::new(),
             spec,
         }
--- a/crates/daemon/src/gateway/feeds.rs
+++ b/crates/daemon/src/gateway/feeds.rs
@@ -146,6 +146,10 @@
         if let Ok(Some(news)) = targets
             && config
         {
+            let news = ListNews {
+                revision: gateway.get_version(),
+                ..news
+            };
             gateway.peers.tell_list(gateway.clock.now(), news);
         }
         self.note_targets(is_good)
@@ -280,6 +284,7 @@
         Relayed::Applied => log_news(&news, "peer"),
         Relayed::Known | Relayed::Gap => {}
     }
+    gateway.peers.hear_version(news.revision);
     gateway.peers.tell_list(now, news);
     gateway.peers.note_list();
 }
--- a/crates/daemon/src/gateway/peers/exchange.rs
+++ b/crates/daemon/src/gateway/peers/exchange.rs
@@ -54,9 +54,14 @@
     fn tell_partners(&self, now: Instant) {
         let partners = self.gateway.peers.roster.borrow_mut().next_partners(now);
         let mut datagram = make_datagram(&self.gateway, now);
-        let bytes = encode_within_limit(&mut datagram);
+        let small = encode_within_limit(&mut datagram);
+        datagram.list = self.gateway.peers.next_list(now);
+        let whole = encode_within_limit(&mut datagram);
         for addr in partners.peers {
-            self.send(now, addr, &bytes);
+            // A long reading must not keep back what else there is to tell.
+            if !self.send(now, addr, &whole) {
+                self.send(now, addr, &small);
+            }
         }
         if let Some(addr) = partners.stranger {
             datagram.is_hello = true;
@@ -64,17 +69,19 @@
         }
     }
 
-    /// Sends a datagram if the budget of bytes holds it. What it tells is told
-    /// again in the next rounds, so that a lost or skipped one needs no answer.
-    fn send(&self, now: Instant, addr: SocketAddr, bytes: &[u8]) {
+    /// Sends a datagram; returns false if the budget of bytes does not hold it.
+    /// What it tells is told again in the next rounds, so that a lost one needs
+    /// no answer.
+    fn send(&self, now: Instant, addr: SocketAddr, bytes: &[u8]) -> bool {
         if !self.budget.borrow_mut().spend(now, bytes.len()) {
             self.gateway.metrics.record_datagram("skipped", 0);
-            return;
+            return false;
         }
         match self.socket.try_send_to(bytes, addr) {
             Ok(size) => self.gateway.metrics.record_datagram("sent", size),
             Err(error) => log::debug!("cannot send to peer {addr}: {error}"),
         }
+        true
     }
 
     async fn receive(self: Rc<Self>) {
@@ -114,9 +121,7 @@
         if let Some(news) = datagram.list {
             take_list_news(gateway, news);
         }
-        if gateway.peers.get_newest_version() > gateway.get_version() {
-            gateway.peers.newer.notify_one();
-        }
+        gateway.peers.hear_version(datagram.newest_revision);
         if datagram.is_hello {
             let mut answer = make_datagram(gateway, now);
             self.send(now, addr, &encode_within_limit(&mut answer));
@@ -124,13 +129,15 @@
     }
 }
 
+/// Describes this VM and its peers, without a reading.
 fn make_datagram(gateway: &Gateway, now: Instant) -> PeerDatagram {
     let mut roster = gateway.peers.roster.borrow_mut();
     PeerDatagram {
         me: gateway.describe_me(),
         is_hello: false,
+        newest_revision: gateway.get_version().max(roster.get_newest_revision()),
         crashes: gateway.get_marks_to_tell(),
-        list: gateway.peers.get_list(now),
+        list: None,
         peers: roster.choose_digest(now),
         pulses: roster.choose_pulses(now),
     }
--- a/crates/daemon/src/gateway/peers/table.rs
+++ b/crates/daemon/src/gateway/peers/table.rs
@@ -7,9 +7,9 @@
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
-/// Time for which a reading of the list is told: three rounds, after which a
-/// VM that has not heard of it reads the list itself.
-const TELL_LIST: Duration = Duration::from_secs(1);
+/// Rounds in which a reading of the list is told. With four partners each, one
+/// VM in three thousand does not hear of it, and reads the list itself.
+const TELL_ROUNDS: u8 = 2;
 /// Difference up to which two times mean the same reading, see
 /// `Refresh::judge`.
 const SAME_READING: Duration = Duration::from_millis(50);
@@ -18,6 +18,7 @@
 struct Told {
     news: ListNews,
     read_at: Instant,
+    rounds_left: u8,
 }
 
 /// The peers of this VM.
@@ -85,23 +86,35 @@
             news.version > told.news.version || read_at > told.read_at + SAME_READING
         });
         if is_newer {
-            *told = Some(Told { news, read_at });
+            *told = Some(Told {
+                news,
+                read_at,
+                rounds_left: TELL_ROUNDS,
+            });
             self.note_urgent();
         }
     }
 
-    /// Returns the reading to tell, with its age.
-    pub(super) fn get_list(&self, now: Instant) -> Option<ListNews> {
-        let told = self.told.borrow();
-        let told = told.as_ref()?;
-        let age = now.saturating_duration_since(told.read_at);
-        (age < TELL_LIST).then(|| ListNews {
-            age,
+    /// Returns the reading to tell in this round, with its age.
+    pub(super) fn next_list(&self, now: Instant) -> Option<ListNews> {
+        let mut told = self.told.borrow_mut();
+        let told = told.as_mut()?;
+        told.rounds_left = told.rounds_left.checked_sub(1)?;
+        Some(ListNews {
+            age: now.saturating_duration_since(told.read_at),
             ..told.news.clone()
         })
     }
 
-    /// Returns the newest configuration that a peer has in force.
+    /// Takes in that a configuration exists, and tells it on if it is news.
+    pub(crate) fn hear_version(&self, version: u64) {
+        if self.roster.borrow_mut().hear_revision(version) {
+            self.newer.notify_one();
+            self.note_urgent();
+        }
+    }
+
+    /// Returns the newest configuration that was heard of.
     pub(crate) fn get_newest_version(&self) -> u64 {
         self.roster.borrow().get_newest_revision()
     }
--- a/crates/daemon/src/gateway/services.rs
+++ b/crates/daemon/src/gateway/services.rs
@@ -83,7 +83,10 @@
             self.clock.clone(),
             self.journal.clone(),
         ));
-        handle.set_domain(self.get_settings().domain.clone());
+        {
+            let settings = self.get_settings();
+            handle.set_place(&settings.vm, settings.domain.clone());
+        }
         if let Some(vms) = self.peers.get_size(self.clock.now()) {
             // Peers may be known before the service is.
             handle.set_fleet(vms, 0);
--- a/crates/daemon/src/service/handle.rs
+++ b/crates/daemon/src/service/handle.rs
@@ -84,8 +84,8 @@
         self.with(|machine, now, out| machine.apply(now, spec, out));
     }
 
-    pub(crate) fn set_domain(&self, domain: SmolStr) {
-        self.with(|machine, _, _| machine.set_domain(domain));
+    pub(crate) fn set_place(&self, vm: &SmolStr, domain: SmolStr) {
+        self.with(|machine, _, _| machine.set_place(vm, domain));
     }
 
     /// Returns the targets that the service wants to be asked for their load.
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -24,6 +24,8 @@
     pub me: PeerView,
     /// True if the sender wants to be told at once what the receiver knows.
     pub is_hello: bool,
+    /// Newest configuration that the sender has heard of, in force there or not.
+    pub newest_revision: u64,
     /// Crashes of targets under a request, seen by any VM, newest first.
     pub crashes: Vec<CrashMark>,
     /// The newest reading of the list of targets, as long as it is news.
@@ -51,6 +53,8 @@
     /// Names of services and failure domains, which entries number.
     #[prost(string, repeated, tag = "7")]
     names: Vec<String>,
+    #[prost(uint64, tag = "8")]
+    revision: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -91,6 +95,8 @@
     pulse_peers: Vec<u32>,
     #[prost(uint64, repeated, tag = "8")]
     pulse_seqs: Vec<u64>,
+    #[prost(uint64, tag = "9")]
+    newest_revision: u64,
 }
 
 impl PeerDatagram {
@@ -103,6 +109,7 @@
             format: FORMAT,
             me: Some(encode_peer(&self.me)),
             is_hello: self.is_hello,
+            newest_revision: self.newest_revision,
             crashes: self.crashes.iter().map(encode_mark).collect(),
             list: self.list.as_ref().map(encode_list),
             peers: self.peers.iter().map(encode_peer).collect(),
@@ -132,6 +139,7 @@
         Ok(Self {
             me: decode_peer(me)?,
             is_hello: encoded.is_hello,
+            newest_revision: encoded.newest_revision,
             crashes: crashes.collect::<Result<_, _>>()?,
             list: encoded.list.map(decode_list).transpose()?,
             peers: peers.collect::<Result<_, _>>()?,
@@ -147,6 +155,7 @@
     EncodedList {
         base: list.base,
         version: list.version,
+        revision: list.revision,
         age_ms: millis_of(list.age),
         settle_left_ms: millis_of(list.settle_left),
         entries: entries.collect(),
@@ -184,6 +193,7 @@
     Ok(ListNews {
         base: list.base,
         version: list.version,
+        revision: list.revision,
         age: Duration::from_millis(u64::from(list.age_ms)),
         settle_left: Duration::from_millis(u64::from(list.settle_left_ms)),
         entries: entries.collect::<Result<_, _>>()?,
