--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -8,4 +8,4 @@
 pub(crate) use control::{run_poller, submit};
 pub(crate) use exchange::{run_exchange, run_peer_listener};
 pub(crate) use members::run_members;
-pub(crate) use shared::{Fleet, Routes};
+pub(crate) use shared::{Fleet, Routes, wall_millis};
--- a/crates/daemon/src/run/daemon.rs
+++ b/crates/daemon/src/run/daemon.rs
@@ -3,7 +3,7 @@
 use super::Listeners;
 use crate::caller::CallerEndpoint;
 use crate::clock::SystemClock;
-use crate::fleet::{Fleet, run_exchange, run_members, run_peer_listener, run_poller};
+use crate::fleet::{Fleet, run_exchange, run_members, run_peer_listener, run_poller, wall_millis};
 use crate::operator::operator_routes;
 use crate::service::run_prober;
 use gentianridge_config::Settings;
@@ -124,7 +124,7 @@
             number: self.fleet.get_revision() + 1,
             submission: "standalone".into(),
             author: "standalone".into(),
-            submitted_ms: 0,
+            submitted_ms: wall_millis(&*self.fleet.clock),
             text,
         };
         match self.fleet.adopt(record, "file") {
--- /dev/null
+++ b/tests/standalone.rs
@@ -0,0 +1,23 @@
+//! A daemon on its own, without a platform.
+
+use gentianridge_cli::OperatorClient;
+use gentianridge_config::Settings;
+use gentianridge_testkit::LocalVm;
+use std::net::SocketAddr;
+
+const TOKEN: &str = "operators";
+
+/// The file of a daemon on its own came into force when it was loaded.
+#[tokio::test(flavor = "multi_thread")]
+async fn status_of_a_loaded_file() {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let settings = Settings::new("alone", any, any, any).operator_token(TOKEN);
+    let vm = LocalVm::start(settings).await.expect("the daemon starts");
+    let file = include_str!("../samples/minimal.ini");
+    vm.load(file.into()).await.expect("the file is right");
+    let client = OperatorClient::new(vm.get_operators(), TOKEN).expect("a client");
+    let status = client.status().await.expect("a status");
+    let revision = status.revision.expect("a file in force");
+    let took = revision.in_force_ms.saturating_sub(revision.submitted_ms);
+    assert!(took < 5_000, "in force {took} ms after its submission");
+}
