test(core): a model of the fleet's limit of repeats

Ruled out: a fault in the limit; the first go failed in the model's own subtraction of times, not in the budget.

--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -4,8 +4,8 @@
 
 use gentianridge_core::{
     Arrival, AttemptKey, AttemptKind, CallKey, ClassKey, ClassKind, ClassSpec, EventKind,
-    LoadReport, MethodSet, Outcome, Output, ResultCode, RouteMatch, Sampling, Service, ServiceSpec,
-    TargetKey, TargetSpec,
+    LoadReport, MethodSet, Outcome, Output, RepeatLimit, ResultCode, RouteMatch, Sampling, Service,
+    ServiceSpec, TargetKey, TargetSpec,
 };
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -90,6 +90,13 @@
     }
 }
 
+/// Limit of repeats over a fleet.
+pub const LIMIT: RepeatLimit = RepeatLimit {
+    window: Duration::from_secs(10),
+    percent: 20,
+    extra: 56,
+};
+
 /// Longest wait for the answers to questions, and age up to which they hold.
 pub const WAIT_MS: u64 = 30;
 pub const FRESH_MS: u64 = 60;
@@ -129,6 +136,30 @@
         }
     }
 
+    /// One VM of a fleet under [`LIMIT`].
+    pub fn limited(vms: u16) -> Self {
+        let mut spec = make_spec(6, 50);
+        spec.repeats = Some(LIMIT);
+        spec.retry_percent = 100;
+        let mut bench = Self::with(spec);
+        bench.set_fleet(vms, 0);
+        bench
+    }
+
+    /// Sends one request whose first attempt is shed; returns the repeats.
+    pub fn shed_one(&mut self) -> usize {
+        let before = self.sent.len();
+        let first = self.send(ONCE);
+        self.fail(first, Outcome::Shed);
+        let repeats = self.sent.len() - before - 1;
+        if let Some(last) = self.sent.last().copied()
+            && repeats > 0
+        {
+            self.answer(last);
+        }
+        repeats
+    }
+
     pub fn pass(&mut self, millis: u64) {
         self.now += Duration::from_millis(millis);
         self.service.tick(self.now, &mut self.out);
--- a/crates/core/tests/fleet_limits.rs
+++ b/crates/core/tests/fleet_limits.rs
@@ -1,47 +1,14 @@
-//! Repeats within the fleet's limit, peers' loads and objectives.
+//! Repeats within the fleet's limit, and objectives.
 
 mod common;
 
-use common::{Bench, ONCE, SHORT, make_spec};
-use gentianridge_core::{Outcome, RepeatLimit, ResultCode};
+use common::{Bench, LIMIT, ONCE, SHORT, make_spec};
+use gentianridge_core::ResultCode;
 use std::time::{Duration, Instant};
 
-const LIMIT: RepeatLimit = RepeatLimit {
-    window: Duration::from_secs(10),
-    percent: 20,
-    extra: 56,
-};
-
-fn limited(vms: usize) -> Vec<Bench> {
-    (0..vms)
-        .map(|_| {
-            let mut spec = make_spec(6, 50);
-            spec.repeats = Some(LIMIT);
-            spec.retry_percent = 100;
-            let mut bench = Bench::with(spec);
-            bench.set_fleet(vms as u16, 0);
-            bench
-        })
-        .collect()
-}
-
-/// Sends one request whose first attempt is shed; returns the repeats.
-fn shed_one(bench: &mut Bench) -> usize {
-    let before = bench.sent.len();
-    let first = bench.send(ONCE);
-    bench.fail(first, Outcome::Shed);
-    let repeats = bench.sent.len() - before - 1;
-    if let Some(last) = bench.sent.last().copied()
-        && repeats > 0
-    {
-        bench.answer(last);
-    }
-    repeats
-}
-
 #[test]
 fn every_window() {
-    let mut vms = limited(5);
+    let mut vms: Vec<Bench> = (0..5).map(|_| Bench::limited(5)).collect();
     let start = Instant::now();
     let mut repeats: Vec<Instant> = Vec::new();
     let mut firsts: Vec<Instant> = Vec::new();
@@ -50,7 +17,7 @@
         bench.now = start + Duration::from_millis(10 * step as u64);
         let now = bench.now;
         firsts.push(now);
-        repeats.extend(std::iter::repeat_n(now, shed_one(bench)));
+        repeats.extend(std::iter::repeat_n(now, bench.shed_one()));
     }
     for end in &repeats {
         let is_within = |at: &&Instant| **at <= *end && *end - **at < LIMIT.window;
@@ -69,10 +36,11 @@
 fn replaced_vms() {
     let mut spent = 0;
     for round in 0..2 {
-        for bench in &mut limited(5) {
+        for _ in 0..5 {
+            let mut bench = Bench::limited(5);
             bench.now += Duration::from_millis(round);
             for _ in 0..5 {
-                spent += shed_one(bench);
+                spent += bench.shed_one();
             }
         }
     }
@@ -84,7 +52,7 @@
     let mut spec = make_spec(6, 50);
     spec.repeats = Some(LIMIT);
     let mut bench = Bench::with(spec);
-    let spent: usize = (0..10).map(|_| shed_one(&mut bench)).sum();
+    let spent: usize = (0..10).map(|_| bench.shed_one()).sum();
     assert!(spent <= 3, "a VM that knows no peer is careful: {spent}");
 }
 
--- /dev/null
+++ b/crates/core/tests/repeat_model.rs
@@ -0,0 +1,135 @@
+//! A model of the fleet's limit of repeats, with VMs that fail everything they
+//! get, come late, are replaced and are cut off from each other.
+
+mod common;
+
+use common::{Bench, LIMIT};
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use std::time::{Duration, Instant};
+
+const VMS: usize = 5;
+
+#[derive(Debug, Clone)]
+enum Transition {
+    /// Requests arrive at a VM, and the first attempt of each is shed.
+    Requests { vm: usize, count: usize },
+    /// Time goes by.
+    Pass { millis: u64 },
+    /// A VM is replaced by one that does not know what was spent.
+    Replace { vm: usize },
+}
+
+/// Time, and when each VM was replaced last.
+#[derive(Debug, Clone)]
+struct Fleet {
+    now: Duration,
+    replaced: [Option<Duration>; VMS],
+}
+
+impl ReferenceStateMachine for Fleet {
+    type State = Fleet;
+    type Transition = Transition;
+
+    fn init_state() -> BoxedStrategy<Fleet> {
+        Just(Fleet {
+            now: Duration::ZERO,
+            replaced: [None; VMS],
+        })
+        .boxed()
+    }
+
+    fn transitions(_: &Fleet) -> BoxedStrategy<Transition> {
+        prop_oneof![
+            6 => (0..VMS, 1usize..30).prop_map(|(vm, count)| Transition::Requests { vm, count }),
+            4 => (1u64..2_500).prop_map(|millis| Transition::Pass { millis }),
+            1 => (0..VMS).prop_map(|vm| Transition::Replace { vm }),
+        ]
+        .boxed()
+    }
+
+    /// The limit is divided for one replacement of each VM in a window.
+    fn preconditions(fleet: &Fleet, transition: &Transition) -> bool {
+        match transition {
+            Transition::Replace { vm } => {
+                fleet.replaced[*vm].is_none_or(|at| fleet.now.saturating_sub(at) > LIMIT.window)
+            }
+            Transition::Requests { .. } | Transition::Pass { .. } => true,
+        }
+    }
+
+    fn apply(mut fleet: Fleet, transition: &Transition) -> Fleet {
+        match transition {
+            Transition::Pass { millis } => fleet.now += Duration::from_millis(*millis),
+            Transition::Replace { vm } => fleet.replaced[*vm] = Some(fleet.now),
+            Transition::Requests { .. } => {}
+        }
+        fleet
+    }
+}
+
+struct Daemons {
+    start: Instant,
+    vms: Vec<Bench>,
+    firsts: Vec<Duration>,
+    repeats: Vec<Duration>,
+}
+
+struct Repeats;
+
+impl StateMachineTest for Repeats {
+    type SystemUnderTest = Daemons;
+    type Reference = Fleet;
+
+    fn init_test(_: &Fleet) -> Daemons {
+        Daemons {
+            start: Instant::now(),
+            vms: (0..VMS).map(|_| Bench::limited(VMS as u16)).collect(),
+            firsts: Vec::new(),
+            repeats: Vec::new(),
+        }
+    }
+
+    fn apply(mut daemons: Daemons, fleet: &Fleet, transition: Transition) -> Daemons {
+        match transition {
+            Transition::Requests { vm, count } => {
+                let bench = &mut daemons.vms[vm];
+                bench.now = daemons.start + fleet.now;
+                for _ in 0..count {
+                    let repeats = bench.shed_one();
+                    daemons.firsts.push(fleet.now);
+                    daemons
+                        .repeats
+                        .extend(std::iter::repeat_n(fleet.now, repeats));
+                }
+            }
+            Transition::Replace { vm } => daemons.vms[vm] = Bench::limited(VMS as u16),
+            Transition::Pass { .. } => {}
+        }
+        daemons
+    }
+
+    /// No window of the limit's length holds more repeats than it allows.
+    fn check_invariants(daemons: &Daemons, _: &Fleet) {
+        let Some(end) = daemons.repeats.last().copied() else {
+            return;
+        };
+        let is_within = |at: &&Duration| end.saturating_sub(**at) < LIMIT.window;
+        let spent = daemons.repeats.iter().filter(is_within).count();
+        let asked = daemons.firsts.iter().filter(is_within).count();
+        let allowed = f64::from(LIMIT.percent) / 100.0 * asked as f64 + f64::from(LIMIT.extra);
+        assert!(spent as f64 <= allowed, "{spent} repeats of {asked}");
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(Config {
+        cases: 200,
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn within_the_limit(sequential 1..80 => Repeats);
+}
