fix(gateway): a version that the store does not have does not keep VMs asking

Cause: found on reading the diff. The newest version heard of is kept now; one that the store does not have (another fleet's datagram, a stale reading) came before every other reason to read: the store was asked without a pause and the list not at all. Besides, a failure after a gap left only the missed changes to read, so that the configuration would have been believed for too long. Change: the list goes first, a reading in vain pauses as a failure does but not beyond the list's time, a failure forgets the gap. Tests: peers::unknown_version (without the change it asks on and on: 12 calls in 3 s are allowed), refresh::gap. Open: such a version stays known for the life of the process and costs about one call a second and VM.

--- a/crates/core/src/discovery/refresh.rs
+++ b/crates/core/src/discovery/refresh.rs
@@ -116,8 +116,11 @@
     }
 
     /// Ends the timer, for a reading that has failed in part.
+    ///
+    /// After a failure everything is read, and not only what was missed.
     pub fn hurry(&mut self) {
         self.due = None;
+        self.has_gap = false;
     }
 
     fn restart(&mut self, read_at: Instant, draw: f64) {
--- a/crates/core/tests/refresh.rs
+++ b/crates/core/tests/refresh.rs
@@ -31,6 +31,10 @@
     assert!(refresh.has_gap());
     refresh.note_read(later, 15, 0.5);
     assert!(!refresh.has_gap());
+    assert_eq!(refresh.judge(later, 17, 18, 0.5), Relayed::Gap);
+    refresh.hurry();
+    assert!(!refresh.has_gap(), "after a failure everything is read");
+    assert_eq!(refresh.get_due(), None);
 }
 
 /// A late word of a slow peer must not make an old list count as fresh.
--- a/crates/daemon/src/gateway/feeds.rs
+++ b/crates/daemon/src/gateway/feeds.rs
@@ -78,41 +78,52 @@
         backoff: Backoff::new(),
     };
     loop {
-        let is_good = match wait_for_reason(&follower.gateway).await {
+        let reason = wait_for_reason(&follower.gateway).await;
+        let is_good = match reason {
             Reason::Due => follower.read_all().await,
             Reason::MissedChanges => follower.read_missed().await,
             Reason::NewerConfig => follower.read_config(None).await,
         };
         follower.note(is_good);
-        if is_good {
+        // A version that the store does not have is no reason to ask it on and on.
+        let is_behind = is_behind(&follower.gateway);
+        if is_good && !is_behind {
             follower.backoff.reset();
+        }
+        if is_good && !(is_behind && reason == Reason::NewerConfig) {
             continue;
         }
         let gateway = follower.gateway.clone();
+        let due = gateway.get_list_due().unwrap_or(gateway.clock.now());
         tokio::select! {
             () = follower.backoff.pause() => {}
+            () = tokio::time::sleep_until(due.into()), if is_good => {}
             // A peer that reads the store makes its state known to all.
             () = gateway.peers.wait_list() => follower.backoff.reset(),
         }
     }
 }
 
+/// Returns true if a newer configuration than the one in force was heard of.
+fn is_behind(gateway: &Gateway) -> bool {
+    gateway.peers.get_newest_version() > gateway.get_version()
+}
+
 /// Waits until this VM has to turn to the store and drops lapsed targets that
 /// are due meanwhile.
 async fn wait_for_reason(gateway: &Gateway) -> Reason {
     loop {
-        if gateway.peers.get_newest_version() > gateway.get_version() {
-            return Reason::NewerConfig;
-        }
+        // The list first: a version that the store does not have must not keep
+        // this VM from reading it.
         let now = gateway.clock.now();
         if gateway.list.borrow().has_gap() {
             return Reason::MissedChanges;
         }
-        let Some(due) = gateway.get_list_due() else {
+        let Some(due) = gateway.get_list_due().filter(|due| *due > now) else {
             return Reason::Due;
         };
-        if due <= now {
-            return Reason::Due;
+        if is_behind(gateway) {
+            return Reason::NewerConfig;
         }
         let expiry = gateway.list.borrow().next_expiry().filter(|at| *at < due);
         tokio::select! {
--- a/tests/gateway/peers.rs
+++ b/tests/gateway/peers.rs
@@ -2,7 +2,9 @@
 
 use crate::configuration::{APPLY, MORE};
 use crate::site::{Site, eventually, put_config, register};
+use gentianridge_core::PeerView;
 use gentianridge_testkit::{GatewayVm, PublishedStore, PublishedTarget, StoreFault};
+use gentianridge_wire::PeerDatagram;
 use std::time::Duration;
 
 const DRAIN: Duration = Duration::from_secs(2);
@@ -158,3 +160,35 @@
     })
     .await;
 }
+
+/// A datagram that names a configuration which the store does not have, from
+/// another fleet say, makes no VM ask the store on and on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unknown_version() {
+    let site = Site::start(1).await;
+    let stranger = tokio::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let datagram = PeerDatagram {
+        me: PeerView {
+            vm: "stranger".into(),
+            incarnation: 1,
+            seq: 1,
+            addr: stranger.local_addr().unwrap(),
+            operator_addr: None,
+            is_leaving: false,
+            revision: 99,
+        },
+        is_hello: false,
+        newest_revision: 99,
+        crashes: Vec::new(),
+        list: None,
+        peers: Vec::new(),
+        pulses: Vec::new(),
+    };
+    let peers = site.vm.get_settings().peers;
+    stranger.send_to(&datagram.encode(), peers).await.unwrap();
+    let before = site.store.count_calls("table=op");
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let calls = site.store.count_calls("table=op") - before;
+    assert!((1..=12).contains(&calls), "{calls} calls in 3 s");
+    assert_eq!(site.ask("GET", "/look/x", "a1").await.status, 200);
+}
