--- a/crates/core/tests/leave_model.rs
+++ b/crates/core/tests/leave_model.rs
@@ -3,7 +3,7 @@
 
 use gentianridge_core::{Incarnation, ListNews, Reading, Relayed, TargetEntry, TargetList};
 use proptest::prelude::*;
-use proptest::test_runner::Config;
+use proptest::test_runner::{Config, RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 use std::time::{Duration, Instant};
 
@@ -279,6 +279,7 @@
     #![proptest_config(Config {
         cases: 300,
         failure_persistence: None,
+        rng_seed: RngSeed::Fixed(1),
         ..Config::default()
     })]
 
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -2,6 +2,7 @@
 
 use gentianridge_core::{EventKind, Membership, PeerView, Pulse, Roster, VmName};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use std::net::SocketAddr;
@@ -162,7 +163,11 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(24))]
+    #![proptest_config(ProptestConfig {
+        cases: 24,
+        rng_seed: RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    })]
 
     /// News of one VM reaches all others within a few hundred milliseconds,
     /// however many they are and with one datagram in ten lost.
