--- a/crates/core/src/discovery/directory.rs
+++ b/crates/core/src/discovery/directory.rs
@@ -1,6 +1,6 @@
 //! The targets in the local state of this VM.
 
-use super::{Incarnation, TargetEntry};
+use super::{Incarnation, LeavingTargets, RestingTargets, TargetEntry, TargetListUpdate};
 use crate::TargetSpec;
 use smol_str::SmolStr;
 use std::time::{Duration, Instant};
@@ -8,6 +8,10 @@
 #[derive(Debug)]
 struct KnownTarget {
     entry: TargetEntry,
+    /// Digest of the entry in the store, `None` if it was removed or cannot be
+    /// decoded. The entry in use differs from it if it holds lasting state or if
+    /// the one in the store belongs to an older incarnation.
+    listed: Option<u64>,
     /// True if the entry was removed at a time when it may only have expired.
     is_expired: bool,
     /// True if another process answered at the address.
@@ -38,9 +42,13 @@
 ///   they have more likely stopped while this VM could not read the list.
 /// - `is_draining` lasts as long as an incarnation: a stale read does not reset
 ///   it, a new incarnation does.
+/// - If an entry is replaced by one that cannot be decoded, its target may still
+///   run and stays in use.
 #[derive(Debug, Default)]
 pub struct Directory {
     targets: Vec<KnownTarget>,
+    leaving: LeavingTargets,
+    resting: RestingTargets,
     is_unreadable: bool,
     settles_at: Option<Instant>,
 }
@@ -71,29 +79,53 @@
         let uses_expired = listed * 2 < of_service().count();
         of_service()
             .filter(|known| uses_expired || !known.is_expired)
-            .map(|known| known.entry.make_spec(connections))
+            .map(|known| {
+                let mut spec = known.entry.make_spec(connections);
+                spec.drain |= self.leaving.contains(&known.entry.incarnation);
+                spec.rest_until = self.resting.get_end(&known.entry.incarnation);
+                spec
+            })
             .collect()
     }
 
-    /// Returns true if the entry would change the directory.
-    pub fn is_change(&self, entry: &TargetEntry) -> bool {
-        match self.find(&entry.incarnation.id) {
-            Err(_) => true,
-            Ok(index) => {
-                let known = &self.targets[index];
-                let mut entry = entry.clone();
-                known.keep_lasting_state(&mut entry);
-                known.is_expired || entry != known.entry
-            }
+    /// Returns a digest of the entries in the store, as far as they can be decoded.
+    ///
+    /// It does not depend on the order in which this VM received them.
+    pub fn get_digest(&self) -> u64 {
+        let listed = self.targets.iter().filter_map(|known| known.listed);
+        listed.fold(0, u64::wrapping_add)
+    }
+
+    /// Returns the digest that the directory will have after an update.
+    pub fn predict_digest(&self, update: &TargetListUpdate) -> u64 {
+        let mut predicted = self.get_digest();
+        for entry in &update.entries {
+            let old = self.get_listed(&entry.incarnation.id).unwrap_or(0);
+            predicted = predicted.wrapping_sub(old).wrapping_add(entry.get_digest());
+        }
+        for id in update.removed.iter().chain(&update.unreadable) {
+            predicted = predicted.wrapping_sub(self.get_listed(id).unwrap_or(0));
         }
+        predicted
+    }
+
+    /// Returns true if the store's entry differs from the one that was last read.
+    pub fn is_change(&self, entry: &TargetEntry) -> bool {
+        self.get_listed(&entry.incarnation.id) != Some(entry.get_digest())
     }
 
-    /// Returns the names of known targets that are missing from a full list.
-    pub fn find_missing(&self, entries: &[TargetEntry]) -> Vec<SmolStr> {
+    /// Returns the names of known targets that have no entry in a full list.
+    ///
+    /// `unreadable` are the names of the entries that cannot be decoded.
+    pub fn find_missing(&self, entries: &[TargetEntry], unreadable: &[SmolStr]) -> Vec<SmolStr> {
+        let mut names: Vec<&SmolStr> = entries.iter().map(|e| &e.incarnation.id).collect();
+        names.extend(unreadable);
+        names.sort_unstable();
         self.targets
             .iter()
-            .map(|known| known.entry.incarnation.id.clone())
-            .filter(|id| entries.iter().all(|entry| entry.incarnation.id != *id))
+            .map(|known| &known.entry.incarnation.id)
+            .filter(|id| names.binary_search(id).is_err())
+            .cloned()
             .collect()
     }
 
@@ -103,6 +135,73 @@
             .is_ok_and(|index| !self.targets[index].is_expired)
     }
 
+    /// Returns true if the incarnation is known and is not leaving.
+    pub fn is_active(&self, incarnation: &Incarnation) -> bool {
+        self.find(&incarnation.id).is_ok_and(|index| {
+            let known = &self.targets[index];
+            known.entry.incarnation == *incarnation
+                && !known.entry.is_draining
+                && !known.is_replaced
+                && !self.leaving.contains(incarnation)
+        })
+    }
+
+    /// Records that an incarnation announced its leave; returns false if that is
+    /// known.
+    pub fn record_leaving(
+        &mut self,
+        now: Instant,
+        digest: u64,
+        changed: &mut Vec<SmolStr>,
+    ) -> bool {
+        let is_new = self.leaving.record(now, digest);
+        if is_new {
+            let targets = self.targets.iter();
+            let affected = targets.filter(|t| t.entry.incarnation.get_digest() == digest);
+            changed.extend(affected.map(|known| known.entry.service.clone()));
+        }
+        is_new
+    }
+
+    /// Records that an incarnation asked this VM to send it nothing for a while;
+    /// returns false if that does not prolong a known pause.
+    pub fn record_rest(
+        &mut self,
+        now: Instant,
+        incarnation: &Incarnation,
+        pause: Duration,
+        changed: &mut Vec<SmolStr>,
+    ) -> bool {
+        let is_longer = self.resting.record(now, incarnation.get_digest(), pause);
+        if is_longer && let Ok(index) = self.find(&incarnation.id) {
+            changed.push(self.targets[index].entry.service.clone());
+        }
+        is_longer
+    }
+
+    /// Returns true if the incarnation announced that it is leaving.
+    pub fn is_leaving(&self, incarnation: &Incarnation) -> bool {
+        self.leaving.contains(incarnation)
+    }
+
+    /// Returns the service of an incarnation, if it is known.
+    pub fn get_service(&self, incarnation: &Incarnation) -> Option<SmolStr> {
+        let index = self.find(&incarnation.id).ok()?;
+        let entry = &self.targets[index].entry;
+        (entry.incarnation == *incarnation).then(|| entry.service.clone())
+    }
+
+    /// Returns the end of the pause that an incarnation asked this VM for.
+    pub fn get_rest_end(&self, incarnation: &Incarnation) -> Option<Instant> {
+        self.resting.get_end(incarnation)
+    }
+
+    /// Returns the incarnation with a digest, if it is known.
+    pub fn find_incarnation(&self, digest: u64) -> Option<&Incarnation> {
+        let mut incarnations = self.targets.iter().map(|known| &known.entry.incarnation);
+        incarnations.find(|incarnation| incarnation.get_digest() == digest)
+    }
+
     /// Returns the rest of the settle period, in which a removed entry may only
     /// have expired.
     pub fn get_settle_left(&self, now: Instant) -> Duration {
@@ -134,7 +233,7 @@
     /// Applies a full list and returns the services that changed.
     pub fn apply_full(&mut self, now: Instant, entries: Vec<TargetEntry>) -> Vec<SmolStr> {
         let mut changed = Vec::new();
-        for id in self.find_missing(&entries) {
+        for id in self.find_missing(&entries, &[]) {
             self.remove(now, &id, &mut changed);
         }
         for entry in entries {
@@ -151,6 +250,7 @@
             Err(index) => {
                 changed.push(entry.service.clone());
                 let known = KnownTarget {
+                    listed: Some(entry.get_digest()),
                     entry,
                     is_expired: false,
                     is_replaced: false,
@@ -168,6 +268,7 @@
         if self.is_settling(now) {
             let known = &mut self.targets[index];
             known.is_expired = true;
+            known.listed = None;
             changed.push(known.entry.service.clone());
             return;
         }
@@ -175,6 +276,13 @@
         changed.push(known.entry.service);
     }
 
+    /// Applies the replacement of an entry by one that cannot be decoded.
+    pub fn set_unreadable_entry(&mut self, id: &str) {
+        if let Ok(index) = self.find(id) {
+            self.targets[index].listed = None;
+        }
+    }
+
     /// Records that another process answered at a target's address.
     pub fn set_replaced(&mut self, incarnation: &Incarnation, changed: &mut Vec<SmolStr>) {
         let Ok(index) = self.find(&incarnation.id) else {
@@ -196,6 +304,7 @@
 
     /// Removes the targets that did not register again within the settle period.
     pub fn expire(&mut self, now: Instant, changed: &mut Vec<SmolStr>) {
+        self.leaving.expire(now);
         if self.is_settling(now) {
             return;
         }
@@ -209,6 +318,7 @@
 
     fn update(&mut self, index: usize, mut entry: TargetEntry, changed: &mut Vec<SmolStr>) {
         let known = &mut self.targets[index];
+        known.listed = Some(entry.get_digest());
         let old = &known.entry;
         if entry.incarnation.born_ms < old.incarnation.born_ms {
             return;
@@ -231,6 +341,11 @@
         self.is_unreadable || self.settles_at.is_some_and(|at| now < at)
     }
 
+    fn get_listed(&self, id: &str) -> Option<u64> {
+        let index = self.find(id).ok()?;
+        self.targets[index].listed
+    }
+
     fn find(&self, id: &str) -> Result<usize, usize> {
         self.targets
             .binary_search_by(|known| known.entry.incarnation.id.as_str().cmp(id))
--- a/crates/core/src/discovery/entry.rs
+++ b/crates/core/src/discovery/entry.rs
@@ -4,7 +4,7 @@
 use smol_str::SmolStr;
 use std::net::SocketAddr;
 use std::time::Duration;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
 
 /// One run of a target's process.
 ///
@@ -48,6 +48,22 @@
 }
 
 impl TargetEntry {
+    /// Returns a number that identifies the content of the entry.
+    ///
+    /// The warm-up time is not part of it, because it differs between two reads
+    /// of the same entry.
+    pub(crate) fn get_digest(&self) -> u64 {
+        let mut hasher = Xxh3::with_seed(self.incarnation.get_digest());
+        for text in [&self.service, &self.domain] {
+            hasher.update(&(text.len() as u64).to_le_bytes());
+            hasher.update(text.as_bytes());
+        }
+        hasher.update(self.addr.to_string().as_bytes());
+        hasher.update(&self.slots.to_le_bytes());
+        hasher.update(&[u8::from(self.is_draining)]);
+        hasher.digest()
+    }
+
     /// Returns the declaration of the target for its service.
     pub(crate) fn make_spec(&self, connections: u16) -> TargetSpec {
         TargetSpec {
@@ -61,6 +77,7 @@
             note: None,
             incarnation: self.incarnation.born_ms,
             warm_up: Some(self.cold_left),
+            rest_until: None,
         }
     }
 }
--- a/crates/core/src/discovery/list.rs
+++ b/crates/core/src/discovery/list.rs
@@ -16,15 +16,35 @@
     pub is_relayable: bool,
 }
 
+/// Whether a request may be sent to a target now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendCheck {
+    /// The target may receive the request.
+    Allowed,
+    /// The target has left or is leaving.
+    Withdrawn,
+    /// The target asked this VM to send it nothing for now.
+    Resting,
+    /// The list is so old that the target may have left since.
+    Outdated,
+}
+
 /// The targets, and when they have to be read again.
 ///
 /// Reads of this VM and updates from peers arrive in any order, and an update
 /// can arrive during a read. The list never returns to an older version. An
-/// update that this VM sends holds the changes since the base that it states.
+/// update that this VM sends holds the changes since the base that it states,
+/// and the digest of the list that they lead to. A VM applies an update only if
+/// its list then has the same digest, so that by induction the list of every VM
+/// is what the store held at the list's version.
+/// docs/decisions/0018-leaving-targets.md has the reasons.
 #[derive(Debug)]
 pub struct TargetList {
     directory: Directory,
     refresh_timer: RefreshTimer,
+    /// True if the list lacks a change that no incremental read is certain to
+    /// contain.
+    has_diverged: bool,
 }
 
 /// Construction and timer.
@@ -34,6 +54,7 @@
         Self {
             directory: Directory::new(),
             refresh_timer: RefreshTimer::new(bound),
+            has_diverged: false,
         }
     }
 
@@ -56,15 +77,40 @@
     pub fn has_gap(&self) -> bool {
         self.refresh_timer.has_gap()
     }
+
+    /// Returns true if the next read has to be a full one.
+    pub fn needs_full_read(&self) -> bool {
+        self.has_diverged || self.get_version().is_none()
+    }
+
+    /// Returns the time since the read of the store that the list reflects, which
+    /// this VM or a peer made.
+    pub fn get_age(&self, now: Instant) -> Option<Duration> {
+        self.refresh_timer.get_age(now)
+    }
+
+    /// Returns the digest that the list will have after an update.
+    pub fn predict_digest(&self, update: &TargetListUpdate) -> u64 {
+        self.directory.predict_digest(update)
+    }
+
+    /// Returns the digest of the list, see [`Directory::get_digest`].
+    pub fn get_digest(&self) -> u64 {
+        self.directory.get_digest()
+    }
 }
 
 /// Reads and updates.
 impl TargetList {
     /// Applies a read of this VM, or returns `None` if an update from a peer is
-    /// newer. `draw` is uniform in [0, 1).
+    /// newer.
+    ///
+    /// `sent_at` is the time at which the read was sent: a change that the store
+    /// acknowledged later may be missing from it. `draw` is uniform in [0, 1).
     pub fn apply_read(
         &mut self,
         now: Instant,
+        sent_at: Instant,
         read: TargetListRead,
         draw: f64,
         changed: &mut Vec<SmolStr>,
@@ -76,19 +122,23 @@
         directory.set_readable(now);
         let mut removed = read.removed;
         if read.is_full {
-            removed = directory.find_missing(&read.entries);
+            removed = directory.find_missing(&read.entries, &read.unreadable);
+            removed.retain(|id| directory.is_listed(id));
+            self.has_diverged = false;
         }
-        removed.retain(|id| directory.is_listed(id));
         let is_change = |entry: &&super::TargetEntry| directory.is_change(entry);
-        let update = TargetListUpdate {
+        let mut update = TargetListUpdate {
             version: read.version,
+            age: now.saturating_duration_since(sent_at),
             settle_left: directory.get_settle_left(now),
             entries: read.entries.iter().filter(is_change).cloned().collect(),
             removed,
+            unreadable: read.unreadable,
             ..TargetListUpdate::default()
         };
         self.apply(now, &update, changed);
-        let base = self.refresh_timer.record_read(now, read.version, draw);
+        update.digest = self.directory.get_digest();
+        let base = self.refresh_timer.record_read(sent_at, read.version, draw);
         Some(AppliedRead {
             update: TargetListUpdate {
                 base: base.unwrap_or_default(),
@@ -99,6 +149,10 @@
     }
 
     /// Applies an update from a peer.
+    ///
+    /// The update can hold too little for this VM even if it starts at or before
+    /// the local version: a target that was registered and removed between two
+    /// full reads of the sender is in no update. The digest shows that.
     pub fn apply_update(
         &mut self,
         now: Instant,
@@ -107,9 +161,15 @@
         changed: &mut Vec<SmolStr>,
     ) -> UpdateOutcome {
         let read_at = now.checked_sub(update.age).unwrap_or(now);
-        let outcome = self
-            .refresh_timer
-            .check_update(read_at, update.base, update.version, draw);
+        let timer = &mut self.refresh_timer;
+        if timer.is_applicable(update.base, update.version)
+            && self.directory.predict_digest(update) != update.digest
+        {
+            self.has_diverged = true;
+            timer.set_gap();
+            return UpdateOutcome::Gap;
+        }
+        let outcome = timer.check_update(read_at, update.base, update.version, draw);
         if matches!(outcome, UpdateOutcome::Applied | UpdateOutcome::Unchanged) {
             self.directory.set_readable(now);
             self.directory.extend_settle(now, update.settle_left);
@@ -143,6 +203,9 @@
         for id in &update.removed {
             self.directory.remove(now, id, changed);
         }
+        for id in &update.unreadable {
+            self.directory.set_unreadable_entry(id);
+        }
     }
 }
 
@@ -158,6 +221,66 @@
         self.directory.get_targets(service, connections)
     }
 
+    /// Checks whether a request may be sent to a target now.
+    ///
+    /// The check belongs directly before the send: the request may have waited
+    /// for a connection since the target was chosen.
+    pub fn check_send(&self, now: Instant, incarnation: &Incarnation) -> SendCheck {
+        if !self.directory.is_active(incarnation) {
+            SendCheck::Withdrawn
+        } else if self.is_resting(now, incarnation) {
+            SendCheck::Resting
+        } else if self.refresh_timer.is_outdated(now) {
+            SendCheck::Outdated
+        } else {
+            SendCheck::Allowed
+        }
+    }
+
+    /// Records that an incarnation announced its leave; returns false if that is
+    /// known.
+    pub fn record_leaving(
+        &mut self,
+        now: Instant,
+        digest: u64,
+        changed: &mut Vec<SmolStr>,
+    ) -> bool {
+        self.directory.record_leaving(now, digest, changed)
+    }
+
+    /// Records that an incarnation asked this VM to send it nothing for a while;
+    /// returns false if that does not prolong a known pause.
+    pub fn record_rest(
+        &mut self,
+        now: Instant,
+        incarnation: &Incarnation,
+        pause: Duration,
+        changed: &mut Vec<SmolStr>,
+    ) -> bool {
+        self.directory.record_rest(now, incarnation, pause, changed)
+    }
+
+    /// Returns true if the incarnation announced that it is leaving.
+    pub fn is_leaving(&self, incarnation: &Incarnation) -> bool {
+        self.directory.is_leaving(incarnation)
+    }
+
+    /// Returns the service of an incarnation, if it is known.
+    pub fn get_service(&self, incarnation: &Incarnation) -> Option<SmolStr> {
+        self.directory.get_service(incarnation)
+    }
+
+    /// Returns true if the incarnation asked this VM to send it nothing for now.
+    pub fn is_resting(&self, now: Instant, incarnation: &Incarnation) -> bool {
+        let end = self.directory.get_rest_end(incarnation);
+        end.is_some_and(|until| until > now)
+    }
+
+    /// Returns the incarnation with a digest, if it is known.
+    pub fn find_incarnation(&self, digest: u64) -> Option<&Incarnation> {
+        self.directory.find_incarnation(digest)
+    }
+
     /// Records that another process answered at a target's address.
     pub fn set_replaced(&mut self, incarnation: &Incarnation, changed: &mut Vec<SmolStr>) {
         self.directory.set_replaced(incarnation, changed);
--- a/crates/core/src/discovery/mod.rs
+++ b/crates/core/src/discovery/mod.rs
@@ -4,12 +4,16 @@
 
 mod directory;
 mod entry;
+mod leaving;
 mod list;
 mod refresh;
+mod resting;
 mod update;
 
 pub use directory::Directory;
 pub use entry::{Incarnation, TargetEntry};
-pub use list::{AppliedRead, TargetList};
+pub use leaving::LeavingTargets;
+pub use list::{AppliedRead, SendCheck, TargetList};
 pub use refresh::{RefreshTimer, UpdateOutcome};
+pub use resting::RestingTargets;
 pub use update::{TargetListRead, TargetListUpdate};
--- a/crates/core/src/discovery/refresh.rs
+++ b/crates/core/src/discovery/refresh.rs
@@ -38,6 +38,10 @@
     const EARLIEST: f64 = 0.45;
     /// Fraction of the bound over which the ends of the timers are spread.
     const SPREAD: f64 = 0.25;
+    /// Fraction of the bound up to which a list is recent enough to send a
+    /// request by it. The rest covers the time of the request on its way and the
+    /// delay of a datagram that is received late, which its age does not include.
+    const MAX_SEND_AGE: f64 = 0.8;
     /// Greatest difference of two times that belong to the same read. An update
     /// reaches VMs over paths that differ by some hops.
     const SAME_READ_TOLERANCE: Duration = Duration::from_millis(50);
@@ -68,12 +72,27 @@
         self.due
     }
 
-    /// Records that this VM read the list up to `version`; `draw` is uniform in [0, 1).
+    /// Returns the time since the read that the list reflects.
+    pub fn get_age(&self, now: Instant) -> Option<Duration> {
+        let read_at = self.read_at?;
+        Some(now.saturating_duration_since(read_at))
+    }
+
+    /// Returns true if a target may have left for longer than the bound by the
+    /// time at which a request that is sent now reaches it.
+    pub fn is_outdated(&self, now: Instant) -> bool {
+        let limit = self.bound.mul_f64(Self::MAX_SEND_AGE);
+        self.get_age(now).is_none_or(|age| age > limit)
+    }
+
+    /// Records a read of the list up to `version` that this VM sent at `sent_at`;
+    /// `draw` is uniform in [0, 1).
     ///
     /// Returns the previous version, which is the base of the update to peers.
     /// Changes that peers sent during the read are part of the base.
-    pub fn record_read(&mut self, now: Instant, version: u64, draw: f64) -> Option<u64> {
-        self.restart(now, draw);
+    pub fn record_read(&mut self, sent_at: Instant, version: u64, draw: f64) -> Option<u64> {
+        let read_at = self.read_at.map_or(sent_at, |newest| newest.max(sent_at));
+        self.restart(read_at, draw);
         self.version.replace(version)
     }
 
@@ -88,6 +107,19 @@
         self.has_gap
     }
 
+    /// Returns true if an update leads from the local version or an older one to
+    /// the local version or a newer one.
+    pub fn is_applicable(&self, base: u64, version: u64) -> bool {
+        self.version
+            .is_some_and(|known| base <= known && known <= version)
+    }
+
+    /// Makes a read due at once, since the local state lacks a change.
+    pub fn set_gap(&mut self) {
+        self.due = None;
+        self.has_gap = true;
+    }
+
     /// Compares an update from a peer with the local state, and records its
     /// version and the time of its read if they are newer.
     ///
@@ -104,8 +136,7 @@
             return UpdateOutcome::Gap;
         };
         if base > known {
-            self.due = None;
-            self.has_gap = true;
+            self.set_gap();
             return UpdateOutcome::Gap;
         }
         let is_newer = self
--- /dev/null
+++ b/crates/core/src/discovery/resting.rs
@@ -0,0 +1,53 @@
+//! Targets that asked this VM for a pause.
+
+use super::Incarnation;
+use std::time::{Duration, Instant};
+
+/// Digests of the incarnations that asked this VM to send them nothing for a
+/// while, with the end of that time.
+///
+/// A pause outlasts a change of the target list, so that a target that is
+/// dropped and listed again still rests.
+#[derive(Debug, Default)]
+pub struct RestingTargets {
+    pauses: Vec<(u64, Instant)>,
+}
+
+impl RestingTargets {
+    /// Longest pause. A longer one that a target asks for is shortened, so that
+    /// an absurd figure does not take the target out of use for good.
+    pub const MAX_PAUSE: Duration = Duration::from_secs(600);
+
+    /// Records a pause; a shorter one does not end a longer one earlier.
+    ///
+    /// Returns false if nothing changed.
+    pub fn record(&mut self, now: Instant, digest: u64, pause: Duration) -> bool {
+        self.pauses.retain(|(_, until)| *until > now);
+        let until = now + pause.min(Self::MAX_PAUSE);
+        match self.find(digest) {
+            Ok(index) if self.pauses[index].1 >= until => false,
+            Ok(index) => {
+                self.pauses[index].1 = until;
+                true
+            }
+            Err(index) => {
+                self.pauses.insert(index, (digest, until));
+                true
+            }
+        }
+    }
+
+    /// Returns the end of the pause of an incarnation, if it asked for one.
+    pub fn get_end(&self, incarnation: &Incarnation) -> Option<Instant> {
+        if self.pauses.is_empty() {
+            return None;
+        }
+        let index = self.find(incarnation.get_digest()).ok()?;
+        Some(self.pauses[index].1)
+    }
+
+    fn find(&self, digest: u64) -> Result<usize, usize> {
+        self.pauses
+            .binary_search_by_key(&digest, |(digest, _)| *digest)
+    }
+}
--- a/crates/core/src/discovery/update.rs
+++ b/crates/core/src/discovery/update.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 /// Result of one read of the target list from the store.
+///
+/// Each name is in at most one of the lists, by its last change.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct TargetListRead {
     /// Version of the store that the read reflects.
@@ -15,6 +17,8 @@
     pub entries: Vec<TargetEntry>,
     /// Names of the targets whose entries were removed.
     pub removed: Vec<SmolStr>,
+    /// Names under which there is an entry that cannot be decoded.
+    pub unreadable: Vec<SmolStr>,
 }
 
 /// Changes of the target list, sent to peers so that they need not read the store.
@@ -35,4 +39,9 @@
     pub entries: Vec<TargetEntry>,
     /// Names of the targets whose entries were removed.
     pub removed: Vec<SmolStr>,
+    /// Names under which there is an entry that cannot be decoded.
+    pub unreadable: Vec<SmolStr>,
+    /// Digest of the complete list at `version`. A receiver whose list would have
+    /// another digest after the update lacks a change.
+    pub digest: u64,
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,8 +22,8 @@
 pub use clock::{Clock, HybridClock, HybridTime};
 pub use code::{ResultCode, RunState};
 pub use discovery::{
-    AppliedRead, Directory, Incarnation, RefreshTimer, TargetEntry, TargetList, TargetListRead,
-    TargetListUpdate, UpdateOutcome,
+    AppliedRead, Directory, Incarnation, LeavingTargets, RefreshTimer, RestingTargets, SendCheck,
+    TargetEntry, TargetList, TargetListRead, TargetListUpdate, UpdateOutcome,
 };
 pub use event::{Event, EventKind, EventRing};
 pub use ledger::{
@@ -31,8 +31,8 @@
     Version,
 };
 pub use membership::{
-    ByteBudget, GossipState, Heartbeat, HeartbeatSummary, Membership, PeerState, PeerView,
-    PlatformState, RoundPeers, TargetNotice, TargetNotices,
+    ByteBudget, GossipState, Heartbeat, HeartbeatSummary, Membership, NoticeQueue, PeerState,
+    PeerView, PlatformState, RoundPeers, StallDetector, TargetNotice, TargetNotices,
 };
 pub use probe::{ProbeBudget, is_probe_owner};
 pub use quarantine::{CrashRecord, Quarantine, QuarantineChange};
--- a/crates/core/src/service/attempts.rs
+++ b/crates/core/src/service/attempts.rs
@@ -224,12 +224,14 @@
         out: &mut Vec<Output>,
     ) -> bool {
         match outcome {
-            Outcome::Withdrawn | Outcome::TimedOut | Outcome::Declined | Outcome::Quarantined => {
-                false
-            }
-            Outcome::Shed | Outcome::Refused | Outcome::Broken | Outcome::Silent => {
-                self.try_retry(now, key, out)
-            }
+            Outcome::Withdrawn => self.handle_withdrawn(now, key, out),
+            Outcome::TimedOut | Outcome::Declined | Outcome::Quarantined => false,
+            Outcome::Shed
+            | Outcome::Paused
+            | Outcome::PausedUnknown
+            | Outcome::Refused
+            | Outcome::Broken
+            | Outcome::Silent => self.try_retry(now, key, out),
         }
     }
 
--- a/crates/core/src/service/fleet_budget.rs
+++ b/crates/core/src/service/fleet_budget.rs
@@ -52,6 +52,16 @@
         self.repeats.push_back(now);
     }
 
+    /// Takes back the newest first attempt, which was not sent.
+    pub(crate) fn withdraw_first(&mut self) {
+        self.firsts.pop_back();
+    }
+
+    /// Takes back the newest repeat, which was not sent.
+    pub(crate) fn withdraw_repeat(&mut self) {
+        self.repeats.pop_back();
+    }
+
     /// Returns true if one more repeat stays within the limit.
     pub(crate) fn has_budget(&mut self, now: Instant) -> bool {
         self.prune(now);
--- a/crates/core/src/service/input.rs
+++ b/crates/core/src/service/input.rs
@@ -19,6 +19,10 @@
 pub enum Outcome {
     /// The target answered that it did not accept the request.
     Shed,
+    /// The target answered that it did not accept the request and asked for a pause.
+    Paused,
+    /// The target asked for a pause and did not state whether it ran the request.
+    PausedUnknown,
     /// The target refused the request unrun after its own retries.
     Declined,
     /// No connection could be opened, so nothing was sent.
@@ -31,7 +35,8 @@
     Silent,
     /// The deadline of the call passed.
     TimedOut,
-    /// The attempt was withdrawn before anything was sent.
+    /// The attempt was withdrawn before anything was sent, because the target left
+    /// or rests.
     Withdrawn,
 }
 
@@ -40,7 +45,7 @@
     pub fn is_not_run(self) -> bool {
         matches!(
             self,
-            Self::Shed | Self::Declined | Self::Refused | Self::Withdrawn
+            Self::Shed | Self::Paused | Self::Declined | Self::Refused | Self::Withdrawn
         )
     }
 
@@ -53,6 +58,8 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Shed => "shed",
+            Self::Paused => "paused",
+            Self::PausedUnknown => "paused-unknown",
             Self::Declined => "declined",
             Self::Refused => "refused",
             Self::Broken => "broken",
--- a/crates/core/src/service/mod.rs
+++ b/crates/core/src/service/mod.rs
@@ -22,6 +22,7 @@
 mod pick;
 mod records;
 mod reports;
+mod rest;
 mod sampling;
 mod status;
 mod subset;
--- a/crates/core/src/service/pick.rs
+++ b/crates/core/src/service/pick.rs
@@ -181,7 +181,8 @@
         let mut other_vms = WeightedMean::default();
         let (mut usable, mut active) = (0_u32, 0_u32);
         let (mut slowness, mut slots) = (0.0, 0.0);
-        for target in self.targets.iter().filter(|t| t.is_usable()) {
+        let in_use = self.targets.iter();
+        for target in in_use.filter(|t| t.is_usable() && !t.is_resting(now)) {
             usable += 1;
             other_vms.add_target(target);
             if target.health.is_active() {
@@ -243,7 +244,9 @@
         }
         self.targets
             .iter()
-            .position(|t| t.is_usable() && t.own == 0 && t.health.is_trial_due(now))
+            .position(|t| {
+                t.is_usable() && !t.is_resting(now) && t.own == 0 && t.health.is_trial_due(now)
+            })
             .map(|index| TargetKey(index as u16))
     }
 
@@ -304,7 +307,8 @@
         target: &Target,
         allowed: AllowedCapacity,
     ) -> Option<(Capacity, f32)> {
-        if !target.health.is_active() && !self.is_ejection_ignored {
+        let is_ejected = !target.health.is_active() && !self.is_ejection_ignored;
+        if is_ejected || target.is_resting(self.now) {
             return None;
         }
         let slots = target.get_slots(self.now);
--- a/crates/core/src/service/records.rs
+++ b/crates/core/src/service/records.rs
@@ -38,6 +38,8 @@
     pub(crate) may_have_run: bool,
     pub(crate) running: [Option<AttemptKey>; 2],
     pub(crate) sampling: SampleState,
+    /// Attempts that were withdrawn before the send.
+    pub(crate) withdrawals: u8,
     tried: [Option<TargetKey>; MAX_ATTEMPTS],
 }
 
@@ -53,6 +55,7 @@
             may_have_run: false,
             running: [None; 2],
             sampling: SampleState::default(),
+            withdrawals: 0,
             tried: [None; MAX_ATTEMPTS],
         }
     }
@@ -83,6 +86,18 @@
         self.state = CallState::Running;
     }
 
+    /// Removes an attempt on a target to which nothing was sent.
+    pub(crate) fn forget_attempt(&mut self, target: TargetKey) {
+        let last = self
+            .tried
+            .iter_mut()
+            .rev()
+            .find(|slot| **slot == Some(target));
+        if let Some(slot) = last {
+            *slot = None;
+        }
+    }
+
     pub(crate) fn stop(&mut self, attempt: AttemptKey) {
         for slot in &mut self.running {
             if *slot == Some(attempt) {
--- a/crates/core/src/service/target.rs
+++ b/crates/core/src/service/target.rs
@@ -96,6 +96,11 @@
         !self.is_removed && !self.is_leaving && !self.spec.drain && self.spec.weight > 0
     }
 
+    /// Returns true if the target asked this VM to send it nothing for now.
+    pub(crate) fn is_resting(&self, now: Instant) -> bool {
+        self.spec.rest_until.is_some_and(|until| now < until)
+    }
+
     /// Slots of the target that the fleet may use now.
     pub(crate) fn get_slots(&self, now: Instant) -> f32 {
         let weighted = self.limit.get() * f32::from(self.spec.weight) / 100.0;
--- a/crates/core/src/spec/target.rs
+++ b/crates/core/src/spec/target.rs
@@ -3,7 +3,7 @@
 use crate::Incarnation;
 use smol_str::SmolStr;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Name of a failure domain.
 pub type DomainName = SmolStr;
@@ -41,6 +41,8 @@
     pub incarnation: u64,
     /// Warm-up time in which the target is slower than usual, if it reports one.
     pub warm_up: Option<Duration>,
+    /// Time until which the target asked this VM to send it nothing.
+    pub rest_until: Option<Instant>,
 }
 
 impl TargetSpec {
--- /dev/null
+++ b/crates/core/tests/leave_fleet.rs
@@ -0,0 +1,429 @@
+//! A model of a fleet of 5 to 300 VMs whose targets join and leave while datagrams are lost,
+//! VMs get their processor late, readers stop and the store drops its history.
+//!
+//! At each send, the age of the leave is held against the bound. Each guard is taken out
+//! once, to see that the model fails without it.
+
+use gentianridge_core::{
+    Incarnation, SendCheck, StallDetector, TargetEntry, TargetList, TargetListRead,
+    TargetListUpdate, UpdateOutcome,
+};
+use rand::seq::IteratorRandom;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use std::time::{Duration, Instant};
+
+const BOUND: Duration = Duration::from_millis(2_000);
+const STEP: Duration = Duration::from_millis(10);
+/// Longest time of a request on its way to a target.
+const TRANSIT: Duration = Duration::from_millis(20);
+const TARGETS: usize = 40;
+const FANOUT: usize = 4;
+const ROUNDS: u8 = 2;
+/// Entries above which an update does not fit into a datagram.
+const MAX_ENTRIES: usize = 12;
+/// Time after the last change in which every list has to become equal.
+const SETTLE: Duration = Duration::from_millis(2_500);
+
+/// The guard that a run of the model takes out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Mutant {
+    None,
+    /// Updates are applied whatever their digest is.
+    NoDigest,
+    /// The age of a list counts from the arrival of the answer.
+    AgeFromAnswer,
+    /// Requests are sent by lists of any age.
+    NoAgeLimit,
+    /// The ages of updates are trusted that waited while the process was paused.
+    NoStallDetection,
+}
+
+#[derive(Debug, Clone)]
+struct Change {
+    version: u64,
+    target: usize,
+    /// Start of the incarnation, `None` for a removal.
+    born_ms: Option<u64>,
+    is_draining: bool,
+}
+
+/// The store with all its changes.
+struct Store {
+    changes: Vec<Change>,
+    version: u64,
+    compacted: u64,
+    leaves: Vec<(Incarnation, Duration)>,
+}
+
+fn make_incarnation(target: usize, born_ms: u64) -> Incarnation {
+    Incarnation {
+        id: format!("t{target:02}").into(),
+        born_ms,
+    }
+}
+
+fn make_entry(change: &Change, born_ms: u64) -> TargetEntry {
+    TargetEntry {
+        incarnation: make_incarnation(change.target, born_ms),
+        service: "cart".into(),
+        addr: ([10, 0, 0, change.target as u8], 80).into(),
+        domain: "d1".into(),
+        slots: 3,
+        is_draining: change.is_draining,
+        cold_left: Duration::ZERO,
+    }
+}
+
+impl Store {
+    fn new() -> Self {
+        let mut store = Self {
+            changes: Vec::new(),
+            version: 0,
+            compacted: 0,
+            leaves: Vec::new(),
+        };
+        for target in 0..TARGETS {
+            store.write(target, Some(1), false);
+        }
+        store
+    }
+
+    fn write(&mut self, target: usize, born_ms: Option<u64>, is_draining: bool) {
+        self.version += 1;
+        self.changes.push(Change {
+            version: self.version,
+            target,
+            born_ms,
+            is_draining,
+        });
+    }
+
+    fn get_last(&self, target: usize) -> Option<&Change> {
+        self.changes
+            .iter()
+            .rev()
+            .find(|change| change.target == target)
+    }
+
+    /// Starts a target that is gone, and drains or removes one that is there.
+    fn change(&mut self, now: Duration, target: usize, drains: bool) {
+        let last = self.get_last(target).cloned();
+        let born_ms = last.as_ref().and_then(|change| change.born_ms);
+        let Some(born_ms) = born_ms else {
+            self.write(target, Some(self.version + 2), false);
+            return;
+        };
+        let is_draining = last.is_some_and(|change| change.is_draining);
+        if !is_draining {
+            self.leaves.push((make_incarnation(target, born_ms), now));
+        }
+        if drains && !is_draining {
+            self.write(target, Some(born_ms), true);
+        } else {
+            self.write(target, None, false);
+        }
+    }
+
+    fn read(&self, after: Option<u64>) -> TargetListRead {
+        let after = after.filter(|after| *after >= self.compacted);
+        let mut read = TargetListRead {
+            version: self.version,
+            is_full: after.is_none(),
+            ..TargetListRead::default()
+        };
+        for target in 0..TARGETS {
+            let Some(change) = self.get_last(target) else {
+                continue;
+            };
+            let is_new = after.is_none_or(|after| change.version > after);
+            match change.born_ms.filter(|_| is_new) {
+                Some(born_ms) => read.entries.push(make_entry(change, born_ms)),
+                None if is_new && after.is_some() => {
+                    read.removed.push(make_incarnation(target, 0).id);
+                }
+                None => {}
+            }
+        }
+        read
+    }
+}
+
+struct PendingRead {
+    sent_at: Duration,
+    arrives_at: Duration,
+    read: TargetListRead,
+}
+
+struct Queued {
+    update: TargetListUpdate,
+    read_at: Duration,
+    rounds_left: u8,
+}
+
+struct Vm {
+    list: TargetList,
+    pending: Option<PendingRead>,
+    queued: Option<Queued>,
+    inbox: Vec<(Duration, TargetListUpdate, Duration)>,
+    stall: StallDetector,
+    /// The VM runs only in steps whose number is a multiple of this.
+    runs_every: u64,
+    /// Time from a read to its answer.
+    store_delay: Duration,
+    /// True if no datagram reaches the VM or leaves it.
+    is_cut_off: bool,
+    is_stopped: bool,
+}
+
+struct Fleet {
+    mutant: Mutant,
+    start: Instant,
+    now: Duration,
+    step: u64,
+    vms: Vec<Vm>,
+    store: Store,
+    rng: Pcg32,
+    reads: usize,
+    /// Sends later than the bound after the leave of their target.
+    late_sends: usize,
+}
+
+impl Fleet {
+    fn new(size: usize, mutant: Mutant, seed: u64) -> Self {
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let vms = (0..size)
+            .map(|index| Vm {
+                list: TargetList::new(BOUND),
+                pending: None,
+                queued: None,
+                inbox: Vec::new(),
+                stall: StallDetector::default(),
+                runs_every: if rng.random_bool(0.1) { 8 } else { 1 },
+                // One VM has a slow path to the store and no path to its peers.
+                store_delay: Duration::from_millis(if index == 1 { 900 } else { 20 }),
+                is_cut_off: index == 1,
+                is_stopped: false,
+            })
+            .collect();
+        Self {
+            mutant,
+            start: Instant::now(),
+            now: Duration::ZERO,
+            step: 0,
+            vms,
+            store: Store::new(),
+            rng,
+            reads: 0,
+            late_sends: 0,
+        }
+    }
+
+    /// Runs the fleet while targets come and go, in bursts that do not fit into one update.
+    fn run_changes(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            if self.rng.random_bool(0.06) {
+                let count = if self.rng.random_bool(0.1) { 16 } else { 2 };
+                for _ in 0..count {
+                    let target = self.rng.random_range(0..TARGETS);
+                    let drains = self.rng.random_bool(0.5);
+                    self.store.change(self.now, target, drains);
+                }
+            }
+            if self.rng.random_bool(0.01) {
+                self.store.compacted = self.store.version;
+            }
+            if self.rng.random_bool(0.005) {
+                let vm = self.rng.random_range(0..self.vms.len());
+                self.vms[vm].is_stopped = !self.vms[vm].is_stopped;
+            }
+            self.advance();
+        }
+    }
+
+    fn run_quietly(&mut self, time: Duration) {
+        for vm in &mut self.vms {
+            vm.is_stopped = false;
+        }
+        let end = self.now + time;
+        while self.now < end {
+            self.advance();
+        }
+    }
+
+    fn advance(&mut self) {
+        self.now += STEP;
+        self.step += 1;
+        for index in 0..self.vms.len() {
+            let vm = &self.vms[index];
+            if !vm.is_stopped && self.step.is_multiple_of(vm.runs_every) {
+                self.receive(index);
+                self.read(index);
+                self.relay(index);
+                self.send_request(index);
+            }
+        }
+    }
+
+    fn receive(&mut self, index: usize) {
+        let now = self.now;
+        let vm = &mut self.vms[index];
+        vm.stall.observe(self.start + now);
+        let has_backlog = vm.stall.has_backlog(self.start + now);
+        let inbox = std::mem::take(&mut vm.inbox);
+        let (arrived, waiting): (Vec<_>, Vec<_>) =
+            inbox.into_iter().partition(|(at, _, _)| *at <= now);
+        self.vms[index].inbox = waiting;
+        let is_trusted = !has_backlog || self.mutant == Mutant::NoStallDetection;
+        for (_, update, read_at) in arrived.into_iter().filter(|_| is_trusted) {
+            self.apply_update(index, update, read_at);
+        }
+    }
+
+    fn apply_update(&mut self, index: usize, mut update: TargetListUpdate, read_at: Duration) {
+        let (at, draw) = (self.start + self.now, self.rng.random());
+        let vm = &mut self.vms[index];
+        if self.mutant == Mutant::NoDigest {
+            update.digest = vm.list.predict_digest(&update);
+        }
+        let outcome = vm.list.apply_update(at, &update, draw, &mut Vec::new());
+        if outcome != UpdateOutcome::Stale {
+            vm.queue(update, read_at);
+        }
+    }
+
+    fn read(&mut self, index: usize) {
+        let (now, at, draw) = (self.now, self.start + self.now, self.rng.random());
+        let vm = &mut self.vms[index];
+        if let Some(pending) = vm.pending.take_if(|read| read.arrives_at <= now) {
+            let read_at = match self.mutant {
+                Mutant::AgeFromAnswer => now,
+                _ => pending.sent_at,
+            };
+            let changed = &mut Vec::new();
+            let sent_at = self.start + read_at;
+            let applied = vm.list.apply_read(at, sent_at, pending.read, draw, changed);
+            if let Some(applied) = applied.filter(|applied| applied.is_relayable) {
+                vm.queue(applied.update, read_at);
+            }
+        }
+        let list = &vm.list;
+        let is_due = list.has_gap() || list.get_due().is_none_or(|due| due <= at);
+        if vm.pending.is_none() && is_due {
+            self.reads += 1;
+            let after = list.get_version().filter(|_| !list.needs_full_read());
+            vm.pending = Some(PendingRead {
+                sent_at: now,
+                arrives_at: now + vm.store_delay,
+                read: self.store.read(after),
+            });
+        }
+    }
+
+    /// Sends the queued update to random peers; one datagram in twenty is lost, and an update
+    /// that is too large reaches nobody.
+    fn relay(&mut self, index: usize) {
+        let now = self.now;
+        let vm = &mut self.vms[index];
+        let Some(queued) = vm.queued.as_mut().filter(|queued| queued.rounds_left > 0) else {
+            return;
+        };
+        queued.rounds_left -= 1;
+        let (update, read_at) = (queued.update.clone(), queued.read_at);
+        if vm.is_cut_off || update.entries.len() + update.removed.len() > MAX_ENTRIES {
+            return;
+        }
+        let size = self.vms.len();
+        for to in (0..size).sample(&mut self.rng, FANOUT) {
+            if to == index || self.vms[to].is_cut_off || self.rng.random_bool(0.05) {
+                continue;
+            }
+            let update = TargetListUpdate {
+                age: now - read_at,
+                ..update.clone()
+            };
+            self.vms[to].inbox.push((now + STEP, update, read_at));
+        }
+    }
+
+    fn send_request(&mut self, index: usize) {
+        let at = self.start + self.now;
+        let list = &self.vms[index].list;
+        let targets = list.get_targets("cart", 10);
+        let Some(target) = targets.iter().filter(|t| !t.drain).choose(&mut self.rng) else {
+            return;
+        };
+        let incarnation = target.get_incarnation();
+        let is_sent = match list.check_send(at, &incarnation) {
+            SendCheck::Allowed => true,
+            SendCheck::Outdated => self.mutant == Mutant::NoAgeLimit,
+            SendCheck::Withdrawn | SendCheck::Resting => false,
+        };
+        let mut leaves = self.store.leaves.iter();
+        let leave = leaves.find(|(left, _)| *left == incarnation);
+        let is_late = leave.is_some_and(|(_, left_at)| self.now + TRANSIT - *left_at > BOUND);
+        self.late_sends += usize::from(is_sent && is_late);
+    }
+
+    fn count_different_lists(&self) -> usize {
+        let mut reader = TargetList::new(BOUND);
+        let changed = &mut Vec::new();
+        reader.apply_read(self.start, self.start, self.store.read(None), 0.5, changed);
+        let lists = self.vms.iter().map(|vm| vm.list.get_digest());
+        lists
+            .filter(|digest| *digest != reader.get_digest())
+            .count()
+    }
+}
+
+impl Vm {
+    fn queue(&mut self, update: TargetListUpdate, read_at: Duration) {
+        let is_newer = self.queued.as_ref().is_none_or(|queued| {
+            update.version > queued.update.version || read_at > queued.read_at
+        });
+        if is_newer {
+            self.queued = Some(Queued {
+                update,
+                read_at,
+                rounds_left: ROUNDS,
+            });
+        }
+    }
+}
+
+fn run(size: usize, mutant: Mutant, seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(size, mutant, seed);
+    fleet.run_quietly(Duration::from_secs(1));
+    fleet.run_changes(Duration::from_secs(10));
+    fleet.run_quietly(SETTLE);
+    fleet
+}
+
+/// No request is sent later than the bound after the leave of its target, and all lists are
+/// equal to the store's once the changes stop.
+#[test]
+fn no_late_send() {
+    for (size, seeds) in [(5, 30), (46, 6), (124, 2), (300, 1)] {
+        for seed in 0..seeds {
+            let fleet = run(size, Mutant::None, seed);
+            assert_eq!(fleet.late_sends, 0, "{size} VMs, seed {seed}");
+            assert_eq!(fleet.count_different_lists(), 0, "{size} VMs, seed {seed}");
+        }
+    }
+}
+
+/// Without any one of the guards the model finds late sends.
+#[test]
+fn guards_needed() {
+    let mutants = [
+        Mutant::NoDigest,
+        Mutant::AgeFromAnswer,
+        Mutant::NoAgeLimit,
+        Mutant::NoStallDetection,
+    ];
+    for mutant in mutants {
+        let late_sends: usize = (0..30).map(|seed| run(5, mutant, seed).late_sends).sum();
+        assert!(late_sends > 0, "{mutant:?}");
+    }
+}
--- a/crates/daemon/src/gateway/answer.rs
+++ b/crates/daemon/src/gateway/answer.rs
@@ -8,10 +8,12 @@
 use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::collections::VecDeque;
+use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
-use std::time::Duration;
+use std::time::{Duration, Instant};
+use tokio::time::Sleep;
 
 /// An answer received from a target.
 #[derive(Debug)]
@@ -58,10 +60,20 @@
 #[derive(Debug)]
 pub(crate) struct AnswerBody {
     chunks: VecDeque<Bytes>,
-    rest: Option<(Incoming, Connection)>,
+    rest: Option<StreamedRest>,
     slot: Option<SlotGuard>,
 }
 
+/// The unread rest of a long body, with the connection that it arrives on.
+#[derive(Debug)]
+struct StreamedRest {
+    body: Incoming,
+    /// Closed with the rest: a body that is not read to its end cannot be skipped.
+    _connection: Connection,
+    /// Time at which the body is broken off, since a target may send without end.
+    deadline: Pin<Box<Sleep>>,
+}
+
 impl AnswerBody {
     pub(crate) fn complete(chunks: Vec<Bytes>) -> Self {
         Self {
@@ -71,10 +83,20 @@
         }
     }
 
-    pub(crate) fn streamed(chunks: Vec<Bytes>, rest: Incoming, connection: Connection) -> Self {
+    pub(crate) fn streamed(
+        chunks: Vec<Bytes>,
+        body: Incoming,
+        connection: Connection,
+        deadline: Instant,
+    ) -> Self {
+        let rest = StreamedRest {
+            body,
+            _connection: connection,
+            deadline: Box::pin(tokio::time::sleep_until(deadline.into())),
+        };
         Self {
             chunks: chunks.into(),
-            rest: Some((rest, connection)),
+            rest: Some(rest),
             slot: None,
         }
     }
@@ -82,23 +104,26 @@
 
 impl Body for AnswerBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = io::Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         if let Some(chunk) = self.chunks.pop_front() {
             return Poll::Ready(Some(Ok(Frame::data(chunk))));
         }
-        let Some((rest, _)) = &mut self.rest else {
+        let Some(rest) = &mut self.rest else {
             return Poll::Ready(None);
         };
-        let frame = ready!(Pin::new(rest).poll_frame(cx));
+        if rest.deadline.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Some(Err(io::ErrorKind::TimedOut.into())));
+        }
+        let frame = ready!(Pin::new(&mut rest.body).poll_frame(cx));
         if frame.is_none() {
             self.rest = None;
         }
-        Poll::Ready(frame)
+        Poll::Ready(frame.map(|frame| frame.map_err(io::Error::other)))
     }
 
     fn is_end_stream(&self) -> bool {
@@ -108,7 +133,7 @@
     fn size_hint(&self) -> SizeHint {
         let buffered: u64 = self.chunks.iter().map(|chunk| chunk.len() as u64).sum();
         let rest = match &self.rest {
-            Some((rest, _)) => rest.size_hint(),
+            Some(rest) => rest.body.size_hint(),
             None => SizeHint::with_exact(0),
         };
         let mut hint = SizeHint::new();
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt on one target.
 
+use super::announcements::Announcements;
 use super::answer::{Answer, AnswerBody};
 use super::connections::{Connection, ReusePolicy, SendError};
 use super::request::CallerRequest;
@@ -93,9 +94,19 @@
             .find_target()
             .ok_or_else(|| make_failure(Outcome::Withdrawn, "the target is no longer declared"))?;
         let (connection, response) = self.send(&target).await?;
+        let announcements = self.gateway.record_announcements(
+            &target.incarnation,
+            response.status(),
+            response.headers(),
+        );
         *report = get_text(response.headers(), &self.gateway.headers.load)
             .and_then(|text| parse_load(&text));
-        self.check_head(&target, response.status(), response.headers())?;
+        self.check_head(
+            &target,
+            response.status(),
+            response.headers(),
+            announcements,
+        )?;
         self.read_answer(target, connection, response).await
     }
 
@@ -202,6 +213,10 @@
         target: &AttemptTarget,
         connection: &mut Connection,
     ) -> Result<Response<Incoming>, SendFailure> {
+        let check = self.gateway.check_send(&target.incarnation, self.deadline);
+        if let Err(reason) = check.await {
+            return Err(SendFailure::Final(make_failure(Outcome::Withdrawn, reason)));
+        }
         let now = self.gateway.clock.now();
         let time_left = self.deadline.saturating_duration_since(now);
         let request = self
@@ -229,6 +244,7 @@
         target: &AttemptTarget,
         status: StatusCode,
         headers: &HeaderMap,
+        announcements: Announcements,
     ) -> Result<(), Failure> {
         let names = &self.gateway.headers;
         let echoed = get_text(headers, &names.attempt_id);
@@ -246,8 +262,13 @@
             ));
         }
         if headers.contains_key(&names.not_run) {
+            let outcome = if announcements.asks_for_pause {
+                Outcome::Paused
+            } else {
+                Outcome::Shed
+            };
             return Err(make_failure(
-                Outcome::Shed,
+                outcome,
                 format!("not run, status {}", status.as_u16()),
             ));
         }
@@ -266,8 +287,13 @@
             ));
         }
         if is_not_run_status(status) {
+            let outcome = if announcements.asks_for_pause {
+                Outcome::PausedUnknown
+            } else {
+                Outcome::Broken
+            };
             return Err(make_failure(
-                Outcome::Broken,
+                outcome,
                 format!("status {} without the not-executed header", status.as_u16()),
             ));
         }
@@ -312,7 +338,7 @@
             }
         }
         // The body owns the connection, which is closed after the body.
-        let body = AnswerBody::streamed(chunks, body, connection);
+        let body = AnswerBody::streamed(chunks, body, connection, self.deadline);
         Ok(Answer::new(head.status, head.headers, body))
     }
 }
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -18,6 +18,9 @@
 /// Callers honour a `Retry-After` of at most the time that they have left
 /// divided by this.
 const RETRY_AFTER_DIVISOR: u32 = 3;
+/// Multiple of the time until the first target returns over which the retries of
+/// callers are spread, so that they do not all arrive at that moment.
+const REST_SPREAD: f64 = 1.25;
 
 /// Answers one request.
 ///
@@ -76,7 +79,7 @@
         Ok((answer, slot)) => Ok(answer.into_response(slot)),
         Err(code) => {
             gateway.metrics.record_refusal(code);
-            Ok(make_refusal(code, Some(get_retry_after(&cx))))
+            Ok(make_refusal(code, Some(get_retry_after(&cx, code))))
         }
     }
 }
@@ -130,12 +133,16 @@
 /// caller retries at about that time. Otherwise the answer will be late anyway,
 /// and retries are spread over the longest pause that callers honour, so that
 /// they do not take the capacity of requests that can still be in time.
-fn get_retry_after(cx: &CallContext) -> Duration {
+fn get_retry_after(cx: &CallContext, code: ResultCode) -> Duration {
     let now = cx.gateway.clock.now();
+    if code == ResultCode::TargetsRest {
+        let rest_left = cx.service.read(|machine, now| machine.get_rest_left(now));
+        return rest_left.mul_f64(rand::rng().random_range(1.0..REST_SPREAD));
+    }
     let longest = cx.deadline.saturating_duration_since(now) / RETRY_AFTER_DIVISOR;
     let wait = cx
         .service
-        .read(|machine, _| machine.estimate_capacity_wait(cx.class));
+        .read(|machine, now| machine.estimate_capacity_wait(now, cx.class));
     let mut rng = rand::rng();
     if now + wait * 2 < cx.arrived + cx.objective {
         wait.mul_f64(rng.random_range(0.5..1.5)).min(longest)
--- a/crates/daemon/src/gateway/feeds.rs
+++ b/crates/daemon/src/gateway/feeds.rs
@@ -8,7 +8,7 @@
 use gentianridge_core::{EventKind, TargetListRead, TargetListUpdate, UpdateOutcome};
 use rand::RngExt;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Key of the configuration in the operators' table.
 const CONFIG_KEY: &str = "config";
@@ -85,20 +85,23 @@
             ReadReason::NewerConfig => follower.read_config(None).await,
         };
         follower.record_store_state(is_success);
-        // If the store does not have the newer version, the next read waits for
-        // the backoff.
+        // If the store does not have the newer version of the configuration or of
+        // the list, the next read waits for the backoff.
         let is_behind = is_behind(&follower.gateway);
-        if is_success && !is_behind {
+        let gateway = follower.gateway.clone();
+        let now = gateway.clock.now();
+        let due = gateway.get_list_due().filter(|due| *due > now);
+        let is_refreshed = due.is_some() && !gateway.list.borrow().has_gap();
+        if is_success && is_refreshed && !is_behind {
             follower.backoff.reset();
         }
-        if is_success && !(is_behind && reason == ReadReason::NewerConfig) {
+        let is_waiting_for_config = is_behind && reason == ReadReason::NewerConfig;
+        if is_success && is_refreshed && !is_waiting_for_config {
             continue;
         }
-        let gateway = follower.gateway.clone();
-        let due = gateway.get_list_due().unwrap_or(gateway.clock.now());
         tokio::select! {
             () = follower.backoff.pause() => {}
-            () = tokio::time::sleep_until(due.into()), if is_success => {}
+            () = tokio::time::sleep_until(due.unwrap_or(now).into()), if is_success && is_refreshed => {}
             // A list update of a peer shows that the store answers.
             () = gateway.peers.wait_list_update() => follower.backoff.reset(),
         }
@@ -152,6 +155,7 @@
     /// if either cannot be read.
     async fn read_all(&mut self) -> bool {
         let gateway = self.gateway.clone();
+        gateway.list_reader.start(gateway.clock.now());
         let (config, targets) =
             tokio::join!(self.read_config(self.config_after), read_targets(&gateway));
         let is_success = config && targets.is_ok();
@@ -169,6 +173,7 @@
 
     /// Reads changes of the targets that peers have read already.
     async fn read_missed_changes(&mut self) -> bool {
+        self.gateway.list_reader.start(self.gateway.clock.now());
         let targets = read_targets(&self.gateway).await;
         self.record_list_result(targets.is_ok())
     }
@@ -177,6 +182,7 @@
         if !is_success {
             self.gateway.list.borrow_mut().record_failure();
         }
+        self.gateway.list_reader.finish(is_success);
         is_success
     }
 
@@ -238,7 +244,11 @@
 
 /// Reads the targets; returns the update to send to the peers.
 async fn read_targets(gateway: &Gateway) -> Result<Option<TargetListUpdate>, StoreError> {
-    let after = gateway.list.borrow().get_version();
+    let sent_at = gateway.clock.now();
+    let after = {
+        let list = gateway.list.borrow();
+        list.get_version().filter(|_| !list.needs_full_read())
+    };
     let store = gateway.get_store();
     let changed = match after {
         None => None,
@@ -256,20 +266,21 @@
     };
     gateway.metrics.record_store_call("targets", result.is_ok());
     let changes = result.inspect_err(|error| log::debug!("cannot read the targets: {error}"))?;
-    Ok(apply_target_changes(gateway, changes, is_full))
+    Ok(apply_target_changes(gateway, sent_at, changes, is_full))
 }
 
 /// Applies a read of this VM; returns the update to send to the peers.
 fn apply_target_changes(
     gateway: &Gateway,
+    sent_at: Instant,
     changes: Changes,
     is_full: bool,
 ) -> Option<TargetListUpdate> {
     let now = gateway.clock.now();
     let draw = rand::rng().random();
     let read = decode_read(changes, is_full);
-    let applied =
-        gateway.change_targets(|list, changed| list.apply_read(now, read, draw, changed))?;
+    let applied = gateway
+        .change_targets(|list, changed| list.apply_read(now, sent_at, read, draw, changed))?;
     log_list_update(&applied.update, "store");
     gateway.notify_loaded();
     applied.is_relayable.then_some(applied.update)
@@ -281,7 +292,7 @@
         is_full,
         ..TargetListRead::default()
     };
-    for row in changes.rows {
+    for row in keep_last_changes(changes.rows) {
         let Some(value) = &row.value else {
             read.removed.push(row.key);
             continue;
@@ -291,12 +302,25 @@
             // An entry that cannot be decoded names no target. It is not
             // recorded as removed, since it may have replaced the entry of a
             // target that is still running.
-            Err(error) => log::warn!("entry {} cannot be decoded: {error}", row.key),
+            Err(error) => {
+                log::warn!("entry {} cannot be decoded: {error}", row.key);
+                read.unreadable.push(row.key);
+            }
         }
     }
     read
 }
 
+/// Keeps the last change of each row. The history holds every change, so that a
+/// target that registers and leaves between two reads has an entry and a removal.
+fn keep_last_changes(mut rows: Vec<Row>) -> Vec<Row> {
+    // The sort is stable: changes of one row stay in their order.
+    rows.sort_by(|a, b| a.key.cmp(&b.key));
+    rows.reverse();
+    rows.dedup_by(|older, newer| older.key == newer.key);
+    rows
+}
+
 /// Applies a list update of a peer, and queues it for other peers.
 pub(crate) fn apply_list_update(gateway: &Gateway, update: TargetListUpdate) {
     let now = gateway.clock.now();
@@ -306,6 +330,7 @@
         UpdateOutcome::Applied => log_list_update(&update, "peer"),
         UpdateOutcome::Unchanged | UpdateOutcome::Gap => {}
     }
+    gateway.list_reader.confirm();
     gateway.peers.record_version(update.revision);
     gateway.peers.queue_list_update(now, update);
     gateway.peers.notify_list_update();
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -33,7 +33,10 @@
     vms: Gauge<f64>,
     datagrams: Counter<u64>,
     datagram_bytes: Counter<u64>,
+    announcements: Counter<u64>,
+    outdated_sends: Counter<u64>,
     list_due: Gauge<f64>,
+    list_age: Gauge<f64>,
     log_lines: Gauge<f64>,
 }
 
@@ -88,6 +91,21 @@
                 "gentianridge.peer.sent",
                 "Bytes of datagrams to peers",
             ),
+            announcements: counter(
+                &meter,
+                "gentianridge.target.announcements",
+                "Targets that announced their leave or asked for a pause, by source",
+            ),
+            outdated_sends: counter(
+                &meter,
+                "gentianridge.list.outdated.sends",
+                "Requests sent by an outdated list because the store did not answer",
+            ),
+            list_age: gauge(
+                &meter,
+                "gentianridge.list.age",
+                "Time since the read of the store that the list of targets reflects",
+            ),
             list_due: gauge(
                 &meter,
                 "gentianridge.list.due",
@@ -150,6 +168,15 @@
         self.datagram_bytes.add(size as u64, &[]);
     }
 
+    pub(crate) fn record_announcement(&self, kind: &'static str, source: &'static str) {
+        let labels = [KeyValue::new("kind", kind), KeyValue::new("source", source)];
+        self.announcements.add(1, &labels);
+    }
+
+    pub(crate) fn record_outdated_send(&self) {
+        self.outdated_sends.add(1, &[]);
+    }
+
     pub(crate) fn record_store_call(&self, call: &'static str, is_success: bool) {
         let outcome = if is_success { "ok" } else { "failed" };
         let labels = [
@@ -165,8 +192,11 @@
         self.version.record(gateway.get_version() as f64, &[]);
         self.vms
             .record(gateway.peers.count_live(gateway.clock.now()) as f64, &[]);
+        let now = gateway.clock.now();
+        if let Some(age) = gateway.list.borrow().get_age(now) {
+            self.list_age.record(age.as_secs_f64(), &[]);
+        }
         if let Some(due) = gateway.get_list_due() {
-            let now = gateway.clock.now();
             let ahead = due.saturating_duration_since(now).as_secs_f64();
             let behind = now.saturating_duration_since(due).as_secs_f64();
             self.list_due.record(ahead - behind, &[]);
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! is described in docs/decisions/0013-platform.md.
 
 mod activity;
+mod announcements;
 mod answer;
 mod attempt;
 mod auxiliary;
@@ -15,6 +16,7 @@
 mod crashes;
 mod exchange;
 mod feeds;
+mod list_reader;
 mod metrics;
 mod peers;
 mod ready;
@@ -22,6 +24,7 @@
 mod routing;
 mod run;
 mod samples;
+mod send_check;
 mod services;
 mod sockets;
 mod state;
--- a/crates/daemon/src/gateway/peers/gossip.rs
+++ b/crates/daemon/src/gateway/peers/gossip.rs
@@ -3,7 +3,8 @@
 use super::register::remove_rows;
 use crate::gateway::feeds::apply_list_update;
 use crate::gateway::state::Gateway;
-use gentianridge_core::{ByteBudget, VmName};
+use crate::telemetry::STATE_LOG_TARGET;
+use gentianridge_core::{ByteBudget, StallDetector, VmName};
 use gentianridge_wire::PeerDatagram;
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -26,6 +27,7 @@
         gateway,
         socket,
         budget: RefCell::new(ByteBudget::new()),
+        stall: RefCell::default(),
     });
     let receiver = tokio::task::spawn_local(runner.clone().receive());
     runner.run_rounds().await;
@@ -36,6 +38,7 @@
     gateway: Rc<Gateway>,
     socket: UdpSocket,
     budget: RefCell<ByteBudget>,
+    stall: RefCell<StallDetector>,
 }
 
 impl GossipRunner {
@@ -49,14 +52,23 @@
                 tokio::time::sleep(BATCH_DELAY).await;
             }
             let now = self.gateway.clock.now();
+            self.observe_run(now);
             update_members(&self.gateway, now);
             self.send_round(now);
         }
     }
 
+    fn observe_run(&self, now: Instant) {
+        if self.stall.borrow_mut().observe(now) {
+            log::info!(target: STATE_LOG_TARGET, "this process did not run for a while");
+        }
+    }
+
     fn send_round(&self, now: Instant) {
         let round = self.gateway.peers.gossip.borrow_mut().next_peers(now);
         let mut datagram = make_datagram(&self.gateway, now);
+        datagram.leaving = self.gateway.peers.leaving.borrow_mut().next_round();
+        datagram.resting = self.gateway.peers.resting.borrow_mut().next_round();
         let without_list = encode_within_limit(&mut datagram);
         datagram.list = self.gateway.peers.next_list_update(now);
         let with_list = encode_within_limit(&mut datagram);
@@ -108,6 +120,7 @@
     fn apply_datagram(&self, addr: SocketAddr, mut datagram: PeerDatagram) {
         let gateway = &self.gateway;
         let now = gateway.clock.now();
+        self.observe_run(now);
         // Replies go to the source address, so that address is recorded.
         datagram.me.addr = addr;
         let mut is_change = false;
@@ -129,7 +142,15 @@
             update_members(gateway, now);
         }
         gateway.apply_crash_records(&datagram.crashes);
-        if let Some(update) = datagram.list {
+        for digest in datagram.leaving {
+            gateway.record_leaving(digest, "peer");
+        }
+        for digest in datagram.resting {
+            gateway.record_peer_pause(digest);
+        }
+        // The age of an update that waited during a stall is unknown.
+        let has_backlog = self.stall.borrow().has_backlog(now);
+        if let Some(update) = datagram.list.filter(|_| !has_backlog) {
             apply_list_update(gateway, update);
         }
         gateway.peers.record_version(datagram.newest_revision);
@@ -149,6 +170,8 @@
         newest_revision: gateway.get_version().max(gossip.get_newest_revision()),
         crashes: gateway.get_crash_records(),
         list: None,
+        leaving: Vec::new(),
+        resting: Vec::new(),
         peers: gossip.choose_peer_views(now),
         summaries: gossip.choose_summaries(now),
     }
--- a/crates/daemon/src/gateway/peers/table.rs
+++ b/crates/daemon/src/gateway/peers/table.rs
@@ -1,7 +1,7 @@
 //! State of the peers, and the list update to send to them.
 
 use crate::gateway::state::{Gateway, Phase};
-use gentianridge_core::{GossipState, PeerView, TargetListUpdate, VmName};
+use gentianridge_core::{GossipState, NoticeQueue, PeerView, TargetListUpdate, VmName};
 use rand::RngExt;
 use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant};
@@ -30,6 +30,8 @@
     pub(super) newer_version: Notify,
     list_update: Notify,
     queued: RefCell<Option<QueuedUpdate>>,
+    pub(super) leaving: RefCell<NoticeQueue>,
+    pub(super) resting: RefCell<NoticeQueue>,
     seq: Cell<u64>,
     incarnation: Cell<u64>,
 }
@@ -42,6 +44,8 @@
             newer_version: Notify::new(),
             list_update: Notify::new(),
             queued: RefCell::new(None),
+            leaving: RefCell::default(),
+            resting: RefCell::default(),
             seq: Cell::new(0),
             incarnation: Cell::new(0),
         }
@@ -57,6 +61,18 @@
         self.incarnation.get()
     }
 
+    /// Queues the notice that a target is leaving, and requests a round.
+    pub(crate) fn queue_leaving(&self, digest: u64) {
+        self.leaving.borrow_mut().push(digest);
+        self.request_round();
+    }
+
+    /// Queues the notice that a target asked this VM for a pause.
+    pub(crate) fn queue_resting(&self, digest: u64) {
+        self.resting.borrow_mut().push(digest);
+        self.request_round();
+    }
+
     /// Requests a round at once, to send an urgent change.
     pub(crate) fn request_round(&self) {
         self.round_requested.notify_one();
--- a/crates/daemon/src/gateway/samples.rs
+++ b/crates/daemon/src/gateway/samples.rs
@@ -7,7 +7,7 @@
 use anyhow::Context;
 use bytes::Bytes;
 use gentianridge_adapter::parse_load;
-use gentianridge_core::TargetKey;
+use gentianridge_core::{SendCheck, TargetKey};
 use http::{HeaderValue, Request, header};
 use http_body_util::{BodyExt, Full};
 use std::rc::Rc;
@@ -62,6 +62,13 @@
             Connection::open(addr, now).await?
         }
     };
+    let check = gateway
+        .list
+        .borrow()
+        .check_send(gateway.clock.now(), &incarnation);
+    if matches!(check, SendCheck::Withdrawn | SendCheck::Resting) {
+        return Ok(());
+    }
     let mut request = Request::new(Full::<Bytes>::default());
     *request.uri_mut() = path.parse()?;
     let host = HeaderValue::from_str(&addr.to_string())?;
@@ -71,12 +78,13 @@
         .await
         .map_err(|error| anyhow::anyhow!("{error:?}"))?;
     let (head, body) = response.into_parts();
+    gateway.record_announcements(&incarnation, head.status, &head.headers);
     body.collect().await?;
     if connection.record_answer(gateway.clock.now(), &head.headers) && connection.wait_ready().await
     {
         // The connection is kept before the report is recorded, since the
         // request that waits for the report is sent to this target next.
-        gateway.connections.keep(&incarnation, connection);
+        gateway.keep_ready_connection(&incarnation, connection);
     }
     if let Some(report) =
         get_text(&head.headers, &gateway.headers.load).and_then(|text| parse_load(&text))
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -2,6 +2,7 @@
 
 use super::connections::ConnectionPool;
 use super::crashes::CRASH_PERIOD;
+use super::list_reader::ListReader;
 use super::metrics::GatewayMetrics;
 use super::peers::Peers;
 use super::services::ServiceEntry;
@@ -37,6 +38,7 @@
     pub(crate) metrics: GatewayMetrics,
     pub(super) routes: RefCell<Option<RouteTable>>,
     pub(super) list: RefCell<TargetList>,
+    pub(super) list_reader: ListReader,
     pub(super) services: RefCell<Vec<ServiceEntry>>,
     pub(super) quarantine: RefCell<Quarantine>,
     phase: Cell<Phase>,
@@ -75,6 +77,7 @@
             metrics: GatewayMetrics::new(lines)?,
             routes: RefCell::new(None),
             list: RefCell::new(TargetList::new(get_list_bound(&settings))),
+            list_reader: ListReader::default(),
             services: RefCell::new(Vec::new()),
             quarantine: RefCell::new(Quarantine::new(CRASH_PERIOD)),
             phase: Cell::new(Phase::Running),
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -45,8 +45,15 @@
         let gateway = self.clone();
         tokio::task::spawn_local(async move {
             if connection.wait_ready().await {
-                gateway.connections.keep(&target, connection);
+                gateway.keep_ready_connection(&target, connection);
             }
         });
     }
+
+    /// Adds a connection to the pool, unless its target is leaving.
+    pub(crate) fn keep_ready_connection(&self, target: &Incarnation, connection: Connection) {
+        if !self.list.borrow().is_leaving(target) {
+            self.connections.keep(target, connection);
+        }
+    }
 }
--- a/crates/daemon/src/service/handle.rs
+++ b/crates/daemon/src/service/handle.rs
@@ -154,6 +154,15 @@
         });
     }
 
+    /// Records that a target asked a peer for a pause.
+    pub(crate) fn record_peer_pause(&self, target: &str) {
+        self.with(|machine, now, _| {
+            if let Some(key) = machine.find_target(target) {
+                machine.record_peer_pause(now, key);
+            }
+        });
+    }
+
     /// Reads the state machine without changing it.
     pub(crate) fn read<T>(&self, read: impl FnOnce(&Service, Instant) -> T) -> T {
         let now = self.clock.now();
--- a/crates/testkit/src/gateway/caller.rs
+++ b/crates/testkit/src/gateway/caller.rs
@@ -116,6 +116,16 @@
         }))
     }
 
+    /// Returns all bytes that arrive until the connection ends.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection does not end within 15 seconds.
+    pub async fn read_to_end(&mut self) -> anyhow::Result<Vec<u8>> {
+        let read = self.messages.read_to_end();
+        Ok(tokio::time::timeout(Self::ANSWER_TIMEOUT, read).await?)
+    }
+
     /// Sends a request and waits for its answer.
     ///
     /// # Errors
--- a/crates/testkit/src/gateway/http.rs
+++ b/crates/testkit/src/gateway/http.rs
@@ -76,6 +76,12 @@
         while let Ok(true) = self.fill().await {}
     }
 
+    /// Returns all bytes that arrive until the connection ends.
+    pub(crate) async fn read_to_end(&mut self) -> Vec<u8> {
+        self.wait_closed().await;
+        std::mem::take(&mut self.buf)
+    }
+
     pub(crate) async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.stream.write_all(bytes).await
     }
--- a/crates/testkit/src/gateway/store.rs
+++ b/crates/testkit/src/gateway/store.rs
@@ -38,6 +38,8 @@
 #[derive(Debug)]
 struct State {
     rows: Vec<StoredRow>,
+    /// All writes in their order, also those that a later write has replaced.
+    history: Vec<StoredRow>,
     ver: u64,
     /// Changes up to and including this version have been dropped from the history.
     compacted: u64,
@@ -103,6 +105,7 @@
         let shared = Arc::new(Shared {
             state: Mutex::new(State {
                 rows: Vec::new(),
+                history: Vec::new(),
                 ver: 0,
                 compacted: 0,
                 calls: Vec::new(),
@@ -187,13 +190,15 @@
 impl State {
     fn write(&mut self, table: &str, key: &str, value: Option<Vec<u8>>) {
         self.ver += 1;
-        self.rows.retain(|row| row.table != table || row.key != key);
-        self.rows.push(StoredRow {
+        let row = StoredRow {
             table: table.into(),
             key: key.into(),
             value,
             ver: self.ver,
-        });
+        };
+        self.rows.retain(|row| row.table != table || row.key != key);
+        self.rows.push(row.clone());
+        self.history.push(row);
     }
 
     /// Returns the version of a row, 0 if it does not exist.
@@ -205,23 +210,29 @@
         row.map_or(0, |row| row.ver)
     }
 
-    /// Returns the rows with keys in `from..to`; with `after`, the changes since that
-    /// version, removed rows included.
-    fn read(&self, table: &str, after: Option<u64>, from: &str, to: &str) -> Value {
+    /// Returns the rows with keys in `from..to`.
+    fn read(&self, table: &str, from: &str, to: &str) -> Value {
         let mut rows: Vec<&StoredRow> = self
             .rows
             .iter()
-            .filter(|row| row.table == table)
-            .filter(|row| match after {
-                Some(after) => row.ver > after,
-                None => row.value.is_some(),
-            })
+            .filter(|row| row.table == table && row.value.is_some())
             .filter(|row| row.key.as_str() >= from && (to.is_empty() || row.key.as_str() < to))
             .collect();
-        match after {
-            Some(_) => rows.sort_by_key(|row| row.ver),
-            None => rows.sort_by(|a, b| a.key.cmp(&b.key)),
-        }
+        rows.sort_by(|a, b| a.key.cmp(&b.key));
+        self.reply(&rows)
+    }
+
+    /// Returns every change of a table after a version, so that a row that changed
+    /// twice is in the reply twice.
+    fn read_history(&self, table: &str, after: u64) -> Value {
+        let changes = self.history.iter();
+        let changes: Vec<&StoredRow> = changes
+            .filter(|row| row.table == table && row.ver > after)
+            .collect();
+        self.reply(&changes)
+    }
+
+    fn reply(&self, rows: &[&StoredRow]) -> Value {
         let rows: Vec<Value> = rows.iter().map(|row| row_json(row)).collect();
         json!({"rows": rows, "has_more": false, "ver": self.ver, "now": "1ms"})
     }
@@ -283,7 +294,6 @@
             let state = shared.state.lock();
             let rows = state.read(
                 &param(query, "table"),
-                None,
                 &param(query, "from"),
                 &param(query, "to"),
             );
@@ -313,7 +323,7 @@
                 .iter()
                 .any(|row| row.table == table && row.ver > after);
             if has_changes || tokio::time::Instant::now() >= end {
-                return (200, state.read(&table, Some(after), "", ""));
+                return (200, state.read_history(&table, after));
             }
         }
         // A timeout needs no handling: the clock is compared with `end` above.
--- a/crates/testkit/src/gateway/target.rs
+++ b/crates/testkit/src/gateway/target.rs
@@ -34,6 +34,13 @@
     /// Runs the request and closes its connection without an answer; the target accepts
     /// no connections from then on.
     Crash,
+    /// Runs the request and answers with a body of [`FakeTarget::LARGE_BODY`] bytes.
+    LargeBody,
+    /// Runs the request, sends the head of a large body and a part of it, and closes the
+    /// connection.
+    TruncatedLargeBody,
+    /// Runs the request and sends a body without end.
+    EndlessBody,
 }
 
 /// Fields of a target's entry in the store.
@@ -55,6 +62,11 @@
     behavior: Mutex<TargetBehavior>,
     work_time: Mutex<Duration>,
     work_percent: Mutex<u16>,
+    /// Header lines that are added to answers of requests.
+    request_headers: Mutex<String>,
+    /// Header lines that are added to answers of health and load requests.
+    health_headers: Mutex<String>,
+    health_status: Mutex<u16>,
     runs: Mutex<Vec<Run>>,
     /// Ids of the requests that arrived, run or not.
     arrivals: Mutex<Vec<String>>,
@@ -90,6 +102,9 @@
 }
 
 impl FakeTarget {
+    /// Size in bytes of a large body, above what a daemon buffers.
+    pub const LARGE_BODY: usize = 1024 * 1024;
+
     /// Starts a target that answers normally after a work time of 5 ms.
     ///
     /// # Errors
@@ -103,6 +118,9 @@
             behavior: Mutex::new(TargetBehavior::Normal),
             work_time: Mutex::new(Duration::from_millis(5)),
             work_percent: Mutex::new(100),
+            request_headers: Mutex::new(String::new()),
+            health_headers: Mutex::new(String::new()),
+            health_status: Mutex::new(200),
             runs: Mutex::new(Vec::new()),
             arrivals: Mutex::new(Vec::new()),
             running: AtomicUsize::new(0),
@@ -140,6 +158,23 @@
         *self.shared.work_percent.lock() = percent;
     }
 
+    /// Sets header lines, each with its line end, that are added to the answers of
+    /// requests.
+    pub fn set_request_headers(&self, headers: &str) {
+        *self.shared.request_headers.lock() = headers.into();
+    }
+
+    /// Sets header lines, each with its line end, that are added to the answers of health
+    /// and load requests.
+    pub fn set_health_headers(&self, headers: &str) {
+        *self.shared.health_headers.lock() = headers.into();
+    }
+
+    /// Sets the status of answers to health and load requests.
+    pub fn set_health_status(&self, status: u16) {
+        *self.shared.health_status.lock() = status;
+    }
+
     /// Returns how often the target ran the request with the id.
     pub fn count_runs(&self, id: &str) -> usize {
         let runs = self.shared.runs.lock();
@@ -249,13 +284,18 @@
     let load = format!(
         "gentianridge-server-load: {},0,3,{}\r\n",
         shared.running.load(Ordering::Relaxed),
-        *shared.work_percent.lock()
+        *shared.work_percent.lock(),
     );
     if request.start_line.starts_with("GET /health ") {
         shared.load_requests.fetch_add(1, Ordering::Relaxed);
+        let status = *shared.health_status.lock();
         let text = reply(
-            200,
-            &format!("gentianridge-instance-id: {}\r\n{load}", shared.id),
+            status,
+            &format!(
+                "gentianridge-instance-id: {}\r\n{load}{}",
+                shared.id,
+                shared.health_headers.lock()
+            ),
             "",
         );
         return messages.write(text.as_bytes()).await.is_ok();
@@ -266,7 +306,10 @@
     }
     shared.arrivals.lock().push(id.to_owned());
     let behavior = *shared.behavior.lock();
-    let echo = format!("gentianridge-attempt-id: {id}\r\n{load}");
+    let echo = format!(
+        "gentianridge-attempt-id: {id}\r\n{load}{}",
+        shared.request_headers.lock()
+    );
     let signed = format!("{echo}gentianridge-response-signature: {}\r\n", shared.id);
     match behavior {
         TargetBehavior::NotRun => {
@@ -292,6 +335,18 @@
         TargetBehavior::OtherId => reply(200, &signed.replace(id, "another"), &body),
         TargetBehavior::Unsigned => reply(200, &echo, &body),
         TargetBehavior::PlainRefusal => reply(503, &echo, &body),
+        TargetBehavior::LargeBody => reply(200, &signed, &"x".repeat(FakeTarget::LARGE_BODY)),
+        TargetBehavior::TruncatedLargeBody => {
+            let complete = reply(200, &signed, &"x".repeat(FakeTarget::LARGE_BODY));
+            let part = &complete.as_bytes()[..FakeTarget::LARGE_BODY / 8];
+            // The connection closes in any case.
+            let _ = messages.write(part).await;
+            return false;
+        }
+        TargetBehavior::EndlessBody => {
+            send_endless_body(messages, &signed, shared).await;
+            return false;
+        }
         TargetBehavior::TruncatedBody => {
             let complete = reply(200, &signed, &body);
             // The last 4 bytes that `content-length` announces are missing.
@@ -335,6 +390,18 @@
     is_done
 }
 
+/// Sends a chunked body until the connection closes, which counts as a cancellation.
+async fn send_endless_body(messages: &mut MessageStream, headers: &str, shared: &Shared) {
+    let head = format!("HTTP/1.1 200 x\r\n{headers}transfer-encoding: chunked\r\n\r\n");
+    let chunk = format!("{:x}\r\n{}\r\n", 4096, "x".repeat(4096));
+    let mut is_open = messages.write(head.as_bytes()).await.is_ok();
+    while is_open {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+        is_open = messages.write(chunk.as_bytes()).await.is_ok();
+    }
+    shared.cancelled.fetch_add(1, Ordering::Relaxed);
+}
+
 fn reply(status: u16, headers: &str, body: &str) -> String {
     format!(
         "HTTP/1.1 {status} x\r\nkeep-alive: timeout=10\r\n{headers}content-length: {}\r\n\r\n{body}",
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -34,6 +34,10 @@
     /// Changes from the newest read of the target list, sent in a limited
     /// number of rounds.
     pub list: Option<TargetListUpdate>,
+    /// Digests of incarnations that announced that they are leaving, newest first.
+    pub leaving: Vec<u64>,
+    /// Digests of incarnations that asked the sender to pause, newest first.
+    pub resting: Vec<u64>,
     /// Views of other VMs.
     pub peers: Vec<PeerView>,
     /// Summaries of recent heartbeats of further VMs.
@@ -59,6 +63,11 @@
     names: Vec<String>,
     #[prost(uint64, tag = "8")]
     revision: u64,
+    #[prost(string, repeated, tag = "9")]
+    unreadable: Vec<String>,
+    /// Missing from messages of processes before version 0.2, which no list matches.
+    #[prost(fixed64, tag = "10")]
+    digest: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -101,6 +110,10 @@
     summary_seqs: Vec<u64>,
     #[prost(uint64, tag = "9")]
     newest_revision: u64,
+    #[prost(fixed64, repeated, tag = "10")]
+    leaving: Vec<u64>,
+    #[prost(fixed64, repeated, tag = "11")]
+    resting: Vec<u64>,
 }
 
 impl PeerDatagram {
@@ -119,6 +132,8 @@
             peers: self.peers.iter().map(encode_peer).collect(),
             summary_peers: self.summaries.iter().map(|summary| summary.peer).collect(),
             summary_seqs: self.summaries.iter().map(|summary| summary.seq).collect(),
+            leaving: self.leaving.clone(),
+            resting: self.resting.clone(),
         };
         encoded.encode_to_vec()
     }
@@ -147,6 +162,8 @@
             newest_revision: encoded.newest_revision,
             crashes: crashes.collect::<Result<_, _>>()?,
             list: encoded.list.map(decode_list).transpose()?,
+            leaving: encoded.leaving,
+            resting: encoded.resting,
             peers: peers.collect::<Result<_, _>>()?,
             summaries: summaries
                 .map(|(&peer, &seq)| HeartbeatSummary { peer, seq })
@@ -167,6 +184,8 @@
         settle_left_ms: saturate_ms(list.settle_left),
         entries: entries.collect(),
         removed: list.removed.iter().map(SmolStr::to_string).collect(),
+        unreadable: list.unreadable.iter().map(SmolStr::to_string).collect(),
+        digest: list.digest,
         names,
     }
 }
@@ -206,6 +225,8 @@
         settle_left: Duration::from_millis(u64::from(list.settle_left_ms)),
         entries: entries.collect::<Result<_, _>>()?,
         removed: list.removed.into_iter().map(SmolStr::from).collect(),
+        unreadable: list.unreadable.into_iter().map(SmolStr::from).collect(),
+        digest: list.digest,
     })
 }
 
--- a/crates/wire/tests/datagrams.rs
+++ b/crates/wire/tests/datagrams.rs
@@ -37,22 +37,27 @@
         prop::option::of(any_list()),
         prop::collection::vec(any_peer(), 0..5),
         prop::collection::vec(any::<(u32, u64)>(), 0..30),
+        any::<(Vec<u64>, Vec<u64>)>(),
     )
         .prop_map(
-            |(me, (is_hello, newest_revision), crashes, list, peers, summaries)| PeerDatagram {
-                crashes: crashes
-                    .into_iter()
-                    .map(|crash| make_crash("vm-7", crash))
-                    .collect(),
-                me,
-                is_hello,
-                newest_revision,
-                list,
-                peers,
-                summaries: summaries
-                    .into_iter()
-                    .map(|(peer, seq)| HeartbeatSummary { peer, seq })
-                    .collect(),
+            |(me, (is_hello, newest_revision), crashes, list, peers, summaries, notices)| {
+                PeerDatagram {
+                    crashes: crashes
+                        .into_iter()
+                        .map(|crash| make_crash("vm-7", crash))
+                        .collect(),
+                    me,
+                    is_hello,
+                    newest_revision,
+                    list,
+                    leaving: notices.0,
+                    resting: notices.1,
+                    peers,
+                    summaries: summaries
+                        .into_iter()
+                        .map(|(peer, seq)| HeartbeatSummary { peer, seq })
+                        .collect(),
+                }
             },
         )
 }
@@ -94,16 +99,21 @@
         any::<(u16, u16)>(),
         prop::collection::vec(entry, 0..6),
         prop::collection::vec("[a-z]{1,9}".prop_map(SmolStr::from), 0..4),
+        prop::collection::vec("[a-z]{1,9}".prop_map(SmolStr::from), 0..4),
     )
         .prop_map(
-            |(base, (version, revision), (settle, age), entries, removed)| TargetListUpdate {
-                base,
-                version,
-                revision,
-                age: Duration::from_millis(u64::from(age)),
-                settle_left: Duration::from_millis(u64::from(settle)),
-                entries,
-                removed,
+            |(base, (version, revision), (settle, age), entries, removed, unreadable)| {
+                TargetListUpdate {
+                    base,
+                    version,
+                    revision,
+                    age: Duration::from_millis(u64::from(age)),
+                    settle_left: Duration::from_millis(u64::from(settle)),
+                    entries,
+                    removed,
+                    unreadable,
+                    digest: base ^ version,
+                }
             },
         )
 }
@@ -140,6 +150,8 @@
         newest_revision: 70_000,
         crashes: Vec::new(),
         list: Some(TargetListUpdate::default()),
+        leaving: Vec::new(),
+        resting: Vec::new(),
         peers: (1..=GossipState::PEER_VIEWS as u16).map(view).collect(),
         summaries: (0..GossipState::SUMMARIES as u32)
             .map(|peer| HeartbeatSummary { peer, seq: 100_000 })
--- a/tests/gateway/discovery.rs
+++ b/tests/gateway/discovery.rs
@@ -44,6 +44,22 @@
     assert!(bodies.iter().all(|body| body == "done by t1"), "{bodies:?}");
 }
 
+/// A target that registers and leaves between two reads of the store has both changes
+/// in the next read, and a target that leaves and registers again as well.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn short_lived_targets() {
+    let env = TestEnv::start(2).await;
+    let short_lived = FakeTarget::start("t9").await.unwrap();
+    env.targets[0].set_work_percent(500);
+    register(&env.store, &short_lived, false, 1);
+    env.store.remove("servers", "t9");
+    env.store.remove("servers", "t1");
+    register(&env.store, &env.targets[1], false, 2);
+    tokio::time::sleep(DRAIN_BOUND).await;
+    let bodies = collect_bodies(&env, "a").await;
+    assert!(bodies.iter().all(|body| body == "done by t1"), "{bodies:?}");
+}
+
 /// A request is not run by another target that has taken over the address.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn reused_address() {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,10 +1,12 @@
 //! Tests of the daemon on the users' platform, over sockets, with stand-ins for
 //! the store, the targets and the callers.
 
+mod announcements;
 mod answers;
 mod configuration;
 mod crashes;
 mod discovery;
+mod downloads;
 mod leaving;
 mod limits;
 mod metrics;
--- a/tests/gateway/peers.rs
+++ b/tests/gateway/peers.rs
@@ -182,6 +182,8 @@
         newest_revision: 99,
         crashes: Vec::new(),
         list: None,
+        leaving: Vec::new(),
+        resting: Vec::new(),
         peers: Vec::new(),
         summaries: Vec::new(),
     };
