--- a/crates/config/src/gateway/parse.rs
+++ b/crates/config/src/gateway/parse.rs
@@ -6,9 +6,10 @@
 use crate::settings::read_log;
 use crate::{FaultReport, parse_fractional_duration};
 use std::net::SocketAddr;
+use std::num::NonZeroU16;
 use std::time::Duration;
 
-const SECTIONS: [&str; 6] = ["vm", "listen", "store", "bounds", "repeats", "log"];
+const SECTIONS: [&str; 7] = ["vm", "listen", "store", "fleet", "bounds", "repeats", "log"];
 
 /// Parses the settings of a daemon on the platform.
 ///
@@ -51,6 +52,7 @@
         "store" => {
             settings.store = reader.address("address").unwrap_or(settings.store);
         }
+        "fleet" => read_fleet(reader, settings),
         "bounds" => {
             read_duration(reader, "drain", &mut settings.drain);
             read_duration(reader, "apply", &mut settings.apply);
@@ -68,6 +70,29 @@
     }
 }
 
+/// Reads how to find other VMs. `seed_port` replaces the ports of the seeds, if a
+/// platform knows the VMs by another port than the one for messages of peers.
+fn read_fleet(reader: &mut SectionReader<'_>, settings: &mut GatewaySettings) {
+    let expected = "IP addresses with ports, separated by commas";
+    let seeds = reader.optional_non_empty("seeds", expected, parse_addrs);
+    settings.seeds = seeds.unwrap_or_default();
+    let expected = "a port from 1 to 65535";
+    let port: Option<NonZeroU16> =
+        reader.optional_non_empty("seed_port", expected, |text| text.parse().ok());
+    for seed in &mut settings.seeds {
+        seed.set_port(port.map_or(seed.port(), NonZeroU16::get));
+    }
+    let bootstrap =
+        reader.optional_non_empty("bootstrap", "true or false", |text| text.parse().ok());
+    settings.is_bootstrap = bootstrap.unwrap_or(false);
+}
+
+fn parse_addrs(text: &str) -> Option<Vec<SocketAddr>> {
+    text.split(',')
+        .map(|addr| addr.trim().parse().ok())
+        .collect()
+}
+
 fn read_duration(reader: &mut SectionReader<'_>, key: &'static str, setting: &mut Duration) {
     let expected = "a duration such as 250ms or 2.5s";
     if let Some(value) = reader.optional_non_empty(key, expected, parse_fractional_duration) {
--- a/crates/config/src/gateway/values.rs
+++ b/crates/config/src/gateway/values.rs
@@ -26,6 +26,10 @@
     pub metrics: Option<SocketAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Addresses for messages of a few VMs of the fleet, which may be down.
+    pub seeds: Vec<SocketAddr>,
+    /// True if the whole fleet starts for the first time.
+    pub is_bootstrap: bool,
     /// Time after which a leaving target must receive no more requests.
     pub drain: Duration,
     /// Time after which a new configuration must be in force.
@@ -83,6 +87,8 @@
             peers,
             metrics: None,
             store,
+            seeds: Vec::new(),
+            is_bootstrap: false,
             drain: Self::DRAIN,
             apply: Self::APPLY,
             grace: Self::GRACE,
--- a/crates/core/src/discovery/directory.rs
+++ b/crates/core/src/discovery/directory.rs
@@ -19,6 +19,18 @@
 }
 
 impl KnownTarget {
+    /// Returns the entry as the store lists it.
+    ///
+    /// `is_draining` is the only lasting state that is part of an entry's digest.
+    fn get_listed_entry(&self) -> TargetEntry {
+        let mut entry = self.entry.clone();
+        entry.is_draining = true;
+        if self.listed != Some(entry.get_digest()) {
+            entry.is_draining = false;
+        }
+        entry
+    }
+
     /// Copies to `entry` the state that lasts as long as the incarnation.
     ///
     /// A draining target does not stop draining. The warm-up time of the first
@@ -202,6 +214,24 @@
         incarnations.find(|incarnation| incarnation.get_digest() == digest)
     }
 
+    /// Returns the entries that the store lists, as they were last read.
+    ///
+    /// An entry whose incarnation is older than the one in use is left out of use
+    /// and not kept, so that a list with one cannot be passed on.
+    pub fn get_listed_entries(&self) -> Vec<TargetEntry> {
+        let listed = self.targets.iter().filter(|known| known.listed.is_some());
+        listed.map(KnownTarget::get_listed_entry).collect()
+    }
+
+    /// Returns the names of the targets in use whose entry cannot be decoded.
+    pub fn get_unreadable(&self) -> Vec<SmolStr> {
+        let unreadable = |known: &&KnownTarget| known.listed.is_none() && !known.is_expired;
+        let targets = self.targets.iter().filter(unreadable);
+        targets
+            .map(|known| known.entry.incarnation.id.clone())
+            .collect()
+    }
+
     /// Returns the rest of the settle period, in which a removed entry may only
     /// have expired.
     pub fn get_settle_left(&self, now: Instant) -> Duration {
--- a/crates/core/src/discovery/list.rs
+++ b/crates/core/src/discovery/list.rs
@@ -1,7 +1,8 @@
 //! The target list of one VM, from its own reads and from peers' updates.
 
 use super::{
-    Directory, Incarnation, RefreshTimer, TargetListRead, TargetListUpdate, UpdateOutcome,
+    Directory, Incarnation, ReadTurn, RefreshTimer, TargetEntry, TargetListRead, TargetListUpdate,
+    UpdateContent, UpdateOutcome,
 };
 use crate::TargetSpec;
 use smol_str::SmolStr;
@@ -75,7 +76,7 @@
 
     /// Returns true if changes between the local state and a peer's update are missing.
     pub fn has_gap(&self) -> bool {
-        self.refresh_timer.has_gap()
+        self.has_diverged || self.refresh_timer.has_gap()
     }
 
     /// Returns true if the next read has to be a full one.
@@ -106,13 +107,13 @@
     /// newer.
     ///
     /// `sent_at` is the time at which the read was sent: a change that the store
-    /// acknowledged later may be missing from it. `draw` is uniform in [0, 1).
+    /// acknowledged later may be missing from it.
     pub fn apply_read(
         &mut self,
         now: Instant,
         sent_at: Instant,
         read: TargetListRead,
-        draw: f64,
+        turn: ReadTurn,
         changed: &mut Vec<SmolStr>,
     ) -> Option<AppliedRead> {
         if self.refresh_timer.is_overtaken(read.version) {
@@ -126,7 +127,7 @@
             removed.retain(|id| directory.is_listed(id));
             self.has_diverged = false;
         }
-        let is_change = |entry: &&super::TargetEntry| directory.is_change(entry);
+        let is_change = |entry: &&TargetEntry| directory.is_change(entry);
         let mut update = TargetListUpdate {
             version: read.version,
             age: now.saturating_duration_since(sent_at),
@@ -138,7 +139,7 @@
         };
         self.apply(now, &update, changed);
         update.digest = self.directory.get_digest();
-        let base = self.refresh_timer.record_read(sent_at, read.version, draw);
+        let base = self.refresh_timer.record_read(sent_at, read.version, turn);
         Some(AppliedRead {
             update: TargetListUpdate {
                 base: base.unwrap_or_default(),
@@ -157,19 +158,30 @@
         &mut self,
         now: Instant,
         update: &TargetListUpdate,
-        draw: f64,
+        turn: ReadTurn,
         changed: &mut Vec<SmolStr>,
     ) -> UpdateOutcome {
+        match update.content {
+            UpdateContent::Changes => {}
+            UpdateContent::Full => return self.apply_full(now, update, turn, changed),
+            UpdateContent::Omitted if self.get_version() < Some(update.version) => {
+                self.refresh_timer.record_known_version(update.version);
+                return UpdateOutcome::Gap;
+            }
+            // A list of the same version has the same content if its digest is the
+            // same, which is checked below.
+            UpdateContent::Omitted => {}
+        }
         let read_at = now.checked_sub(update.age).unwrap_or(now);
         let timer = &mut self.refresh_timer;
         if timer.is_applicable(update.base, update.version)
             && self.directory.predict_digest(update) != update.digest
         {
             self.has_diverged = true;
-            timer.set_gap();
+            timer.record_known_version(update.version);
             return UpdateOutcome::Gap;
         }
-        let outcome = timer.check_update(read_at, update.base, update.version, draw);
+        let outcome = timer.check_update(read_at, update.base, update.version, turn);
         if matches!(outcome, UpdateOutcome::Applied | UpdateOutcome::Unchanged) {
             self.directory.set_readable(now);
             self.directory.extend_settle(now, update.settle_left);
@@ -180,6 +192,65 @@
         outcome
     }
 
+    /// Returns the rest of the settle period, see [`Directory::get_settle_left`].
+    pub fn get_settle_left(&self, now: Instant) -> Duration {
+        self.directory.get_settle_left(now)
+    }
+
+    /// Applies a complete list from a peer.
+    ///
+    /// A list whose entries do not add up to its digest is refused, and so is one
+    /// that is older than the local state.
+    fn apply_full(
+        &mut self,
+        now: Instant,
+        update: &TargetListUpdate,
+        turn: ReadTurn,
+        changed: &mut Vec<SmolStr>,
+    ) -> UpdateOutcome {
+        if self.refresh_timer.is_overtaken(update.version) {
+            return UpdateOutcome::Stale;
+        }
+        if update.digest != sum_digests(&update.entries) {
+            return UpdateOutcome::Corrupt;
+        }
+        let read_at = now.checked_sub(update.age).unwrap_or(now);
+        let directory = &mut self.directory;
+        directory.set_readable(now);
+        directory.extend_settle(now, update.settle_left);
+        let missing = directory.find_missing(&update.entries, &update.unreadable);
+        let complete = TargetListUpdate {
+            removed: missing,
+            ..update.clone()
+        };
+        self.apply(now, &complete, changed);
+        self.has_diverged = false;
+        self.refresh_timer
+            .record_read(read_at, update.version, turn);
+        UpdateOutcome::Applied
+    }
+
+    /// Returns the complete list for a peer.
+    ///
+    /// `None` as long as there is none, or if this VM does not keep an entry that
+    /// the store holds, see [`Directory::get_listed_entries`].
+    pub fn make_full_update(&self, now: Instant) -> Option<TargetListUpdate> {
+        let entries = self.directory.get_listed_entries();
+        if sum_digests(&entries) != self.get_digest() {
+            return None;
+        }
+        Some(TargetListUpdate {
+            version: self.get_version()?,
+            age: self.get_age(now)?,
+            settle_left: self.directory.get_settle_left(now),
+            entries,
+            unreadable: self.directory.get_unreadable(),
+            content: UpdateContent::Full,
+            digest: self.get_digest(),
+            ..TargetListUpdate::default()
+        })
+    }
+
     /// Records that the store could not be read.
     pub fn record_failure(&mut self) {
         self.refresh_timer.set_overdue();
@@ -286,3 +357,9 @@
         self.directory.set_replaced(incarnation, changed);
     }
 }
+
+/// Returns the digest of a list with these entries, see [`Directory::get_digest`].
+fn sum_digests(entries: &[TargetEntry]) -> u64 {
+    let digests = entries.iter().map(TargetEntry::get_digest);
+    digests.fold(0, u64::wrapping_add)
+}
--- a/crates/core/src/discovery/mod.rs
+++ b/crates/core/src/discovery/mod.rs
@@ -8,7 +8,9 @@
 mod list;
 mod refresh;
 mod resting;
+mod turn;
 mod update;
+mod update_log;
 
 pub use directory::Directory;
 pub use entry::{Incarnation, TargetEntry};
@@ -16,4 +18,6 @@
 pub use list::{AppliedRead, SendCheck, TargetList};
 pub use refresh::{RefreshTimer, UpdateOutcome};
 pub use resting::RestingTargets;
-pub use update::{TargetListRead, TargetListUpdate};
+pub use turn::ReadTurn;
+pub use update::{TargetListRead, TargetListUpdate, UpdateContent};
+pub use update_log::UpdateLog;
--- a/crates/core/src/discovery/refresh.rs
+++ b/crates/core/src/discovery/refresh.rs
@@ -1,5 +1,6 @@
 //! The timer that decides when a VM reads the target list itself.
 
+use super::ReadTurn;
 use std::time::{Duration, Instant};
 
 /// Timer that lets one read of the list serve the entire fleet.
@@ -7,15 +8,17 @@
 /// Every VM has a timer that restarts whenever its list is refreshed. The VM
 /// whose timer ends first reads the store and sends an update to the others,
 /// which restarts their timers. No VM has to be elected for the work. If the
-/// reading VM fails or cannot be reached, the next timer ends shortly after.
-/// The number of calls to the store therefore does not grow with the fleet.
+/// reading VM fails or cannot be reached, the next timer ends shortly after, see
+/// [`ReadTurn`]. The number of calls to the store therefore does not grow with
+/// the fleet.
 #[derive(Debug)]
 pub struct RefreshTimer {
     bound: Duration,
     version: Option<u64>,
     read_at: Option<Instant>,
     due: Option<Instant>,
-    has_gap: bool,
+    /// Newest version of the list that is known to exist.
+    newest_known: u64,
 }
 
 /// Result of checking an update from a peer.
@@ -29,15 +32,11 @@
     Stale,
     /// Changes between the local state and the update are missing.
     Gap,
+    /// The content does not match its digest; nothing was applied.
+    Corrupt,
 }
 
 impl RefreshTimer {
-    /// Fraction of the bound after which the first timers end. The rest after
-    /// [`Self::SPREAD`] covers the read, the update to the peers and a request
-    /// in transit.
-    const EARLIEST: f64 = 0.45;
-    /// Fraction of the bound over which the ends of the timers are spread.
-    const SPREAD: f64 = 0.25;
     /// Fraction of the bound up to which a list is recent enough to send a
     /// request by it. The rest covers the time of the request on its way and the
     /// delay of a datagram that is received late, which its age does not include.
@@ -53,7 +52,7 @@
             version: None,
             read_at: None,
             due: None,
-            has_gap: false,
+            newest_known: 0,
         }
     }
 
@@ -85,14 +84,13 @@
         self.get_age(now).is_none_or(|age| age > limit)
     }
 
-    /// Records a read of the list up to `version` that this VM sent at `sent_at`;
-    /// `draw` is uniform in [0, 1).
+    /// Records a read of the list up to `version` that this VM sent at `sent_at`.
     ///
     /// Returns the previous version, which is the base of the update to peers.
     /// Changes that peers sent during the read are part of the base.
-    pub fn record_read(&mut self, sent_at: Instant, version: u64, draw: f64) -> Option<u64> {
+    pub fn record_read(&mut self, sent_at: Instant, version: u64, turn: ReadTurn) -> Option<u64> {
         let read_at = self.read_at.map_or(sent_at, |newest| newest.max(sent_at));
-        self.restart(read_at, draw);
+        self.restart(read_at, turn);
         self.version.replace(version)
     }
 
@@ -104,7 +102,7 @@
 
     /// Returns true if changes between the local state and a peer's update are missing.
     pub fn has_gap(&self) -> bool {
-        self.has_gap
+        self.version.unwrap_or_default() < self.newest_known
     }
 
     /// Returns true if an update leads from the local version or an older one to
@@ -114,10 +112,11 @@
             .is_some_and(|known| base <= known && known <= version)
     }
 
-    /// Makes a read due at once, since the local state lacks a change.
-    pub fn set_gap(&mut self) {
-        self.due = None;
-        self.has_gap = true;
+    /// Records that a version of the list exists. If the local state is older and no
+    /// update leads to that version, the changes have to be fetched from a peer or read
+    /// from the store.
+    pub fn record_known_version(&mut self, version: u64) {
+        self.newest_known = self.newest_known.max(version);
     }
 
     /// Compares an update from a peer with the local state, and records its
@@ -130,13 +129,13 @@
         read_at: Instant,
         base: u64,
         version: u64,
-        draw: f64,
+        turn: ReadTurn,
     ) -> UpdateOutcome {
         let Some(known) = self.version else {
             return UpdateOutcome::Gap;
         };
         if base > known {
-            self.set_gap();
+            self.record_known_version(version);
             return UpdateOutcome::Gap;
         }
         let is_newer = self
@@ -147,7 +146,7 @@
             return UpdateOutcome::Stale;
         }
         if is_newer {
-            self.restart(read_at, draw);
+            self.restart(read_at, turn);
         }
         if version == known {
             return UpdateOutcome::Unchanged;
@@ -157,18 +156,12 @@
     }
 
     /// Makes a read due at once, after a read that failed at least in part.
-    ///
-    /// The gap is cleared, so that the next read covers everything and not only
-    /// the missing changes.
     pub fn set_overdue(&mut self) {
         self.due = None;
-        self.has_gap = false;
     }
 
-    fn restart(&mut self, read_at: Instant, draw: f64) {
-        let fraction = Self::EARLIEST + Self::SPREAD * draw;
-        self.has_gap = false;
+    fn restart(&mut self, read_at: Instant, turn: ReadTurn) {
         self.read_at = Some(read_at);
-        self.due = Some(read_at + self.bound.mul_f64(fraction));
+        self.due = Some(read_at + self.bound.mul_f64(turn.get_fraction()));
     }
 }
--- a/crates/core/src/discovery/update.rs
+++ b/crates/core/src/discovery/update.rs
@@ -21,6 +21,19 @@
     pub unreadable: Vec<SmolStr>,
 }
 
+/// What the entries of a [`TargetListUpdate`] are.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum UpdateContent {
+    /// All changes from the base to the version.
+    #[default]
+    Changes,
+    /// The complete list at the version.
+    Full,
+    /// Nothing: the changes do not fit into a message. A receiver that lacks them
+    /// fetches them.
+    Omitted,
+}
+
 /// Changes of the target list, sent to peers so that they need not read the store.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct TargetListUpdate {
@@ -41,7 +54,25 @@
     pub removed: Vec<SmolStr>,
     /// Names under which there is an entry that cannot be decoded.
     pub unreadable: Vec<SmolStr>,
+    /// What the entries are.
+    pub content: UpdateContent,
+    /// Digest of the VM that reads the list next, see [`ReadTurn`](super::ReadTurn).
+    pub next_reader: u32,
     /// Digest of the complete list at `version`. A receiver whose list would have
     /// another digest after the update lacks a change.
     pub digest: u64,
 }
+
+impl TargetListUpdate {
+    /// Returns the update without its changes, which still tells peers that the
+    /// version exists and how old it is.
+    pub fn omit_changes(&self) -> Self {
+        Self {
+            entries: Vec::new(),
+            removed: Vec::new(),
+            unreadable: Vec::new(),
+            content: UpdateContent::Omitted,
+            ..self.clone()
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,8 +22,9 @@
 pub use clock::{Clock, HybridClock, HybridTime};
 pub use code::{ResultCode, RunState};
 pub use discovery::{
-    AppliedRead, Directory, Incarnation, LeavingTargets, RefreshTimer, RestingTargets, SendCheck,
-    TargetEntry, TargetList, TargetListRead, TargetListUpdate, UpdateOutcome,
+    AppliedRead, Directory, Incarnation, LeavingTargets, ReadTurn, RefreshTimer, RestingTargets,
+    SendCheck, TargetEntry, TargetList, TargetListRead, TargetListUpdate, UpdateContent, UpdateLog,
+    UpdateOutcome,
 };
 pub use event::{Event, EventKind, EventRing};
 pub use ledger::{
--- a/crates/core/src/membership/gossip.rs
+++ b/crates/core/src/membership/gossip.rs
@@ -1,12 +1,13 @@
 //! Choice of the peers and the contents of gossip messages, for a fleet of any size.
 
 use super::{HeartbeatSummary, Membership, PeerState, PeerView};
-use crate::{EventKind, VmName};
+use crate::{DomainName, EventKind, VmName};
 use rand::SeedableRng;
 use rand::seq::IteratorRandom;
 use rand_pcg::Pcg32;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// A VM that is registered in the store and has not sent a message yet.
 #[derive(Debug)]
@@ -22,8 +23,8 @@
 pub struct RoundPeers {
     /// Peers from which a heartbeat was received.
     pub peers: Vec<SocketAddr>,
-    /// Unconfirmed peer that receives a hello in this round.
-    pub unconfirmed: Option<SocketAddr>,
+    /// Unconfirmed peers that receive a hello in this round.
+    pub unconfirmed: Vec<SocketAddr>,
 }
 
 /// The VMs of a fleet, and the choice of those that this VM exchanges gossip with.
@@ -40,6 +41,8 @@
     /// Recent fleet sizes with their times, in descending order of size.
     recent_sizes: Vec<(Instant, u16)>,
     newest_revision: u64,
+    /// Failure domain of this VM, empty if it is not known.
+    domain: DomainName,
     rng: Pcg32,
 }
 
@@ -74,10 +77,16 @@
             unconfirmed: Vec::new(),
             recent_sizes: Vec::new(),
             newest_revision: 0,
+            domain: DomainName::default(),
             rng: Pcg32::seed_from_u64(seed),
         }
     }
 
+    /// Sets the failure domain of this VM.
+    pub fn set_domain(&mut self, domain: DomainName) {
+        self.domain = domain;
+    }
+
     /// Records that a VM registered in the store with an address.
     pub fn add_registered(&mut self, now: Instant, vm: VmName, addr: SocketAddr) {
         if vm == *self.membership.get_me() || self.membership.is_known(&vm) {
@@ -128,23 +137,54 @@
         (events, removed)
     }
 
-    /// Chooses the peers to send to in this round.
+    /// Chooses the peers to send to in this round: all but one in the own failure
+    /// domain, since bytes between domains cost more.
     ///
     /// With random peers an update spreads in a number of rounds that grows
     /// with the logarithm of the fleet. Peers chosen in the order of their names
     /// would receive the same update from each other many times.
     pub fn next_peers(&mut self, now: Instant) -> RoundPeers {
-        let peers = self.membership.get_peers(now).map(|(view, _)| view.addr);
-        let peers = peers.sample(&mut self.rng, Self::FANOUT);
-        let unconfirmed = self
-            .unconfirmed
-            .iter_mut()
-            .min_by_key(|peer| peer.hellos_sent);
-        let unconfirmed = unconfirmed.map(|peer| {
+        let peers = self.choose_round_peers(now);
+        let count = if peers.len() < Self::FANOUT {
+            Self::FANOUT
+        } else {
+            1
+        };
+        let mut order: Vec<usize> = (0..self.unconfirmed.len()).sample(&mut self.rng, usize::MAX);
+        order.sort_by_key(|index| self.unconfirmed[*index].hellos_sent);
+        let unconfirmed = order.into_iter().take(count).map(|index| {
+            let peer = &mut self.unconfirmed[index];
             peer.hellos_sent += 1;
             peer.addr
         });
-        RoundPeers { peers, unconfirmed }
+        RoundPeers {
+            unconfirmed: unconfirmed.collect(),
+            peers,
+        }
+    }
+
+    fn choose_round_peers(&mut self, now: Instant) -> Vec<SocketAddr> {
+        let is_near = |view: &PeerView| view.domain == self.domain;
+        let near = self.membership.get_peers(now);
+        let near = near.filter(|(view, _)| is_near(view));
+        let mut chosen = near
+            .map(|(view, _)| view.addr)
+            .sample(&mut self.rng, Self::FANOUT - 1);
+        let left = Self::FANOUT - chosen.len();
+        let others = self.membership.get_peers(now);
+        let others = others.filter(|(view, _)| !is_near(view));
+        chosen.extend(
+            others
+                .map(|(view, _)| view.addr)
+                .sample(&mut self.rng, left),
+        );
+        // A domain that holds the entire fleet leaves a place free.
+        let left = Self::FANOUT - chosen.len();
+        let rest = self.membership.get_peers(now).map(|(view, _)| view.addr);
+        let rest = rest.filter(|addr| !chosen.contains(addr));
+        let rest = rest.sample(&mut self.rng, left);
+        chosen.extend(rest);
+        chosen
     }
 
     /// Records that a revision exists; returns true if it is newer than those known.
@@ -204,6 +244,81 @@
             .count()
     }
 
+    /// Returns the number of VMs that read the store before this one if the whole
+    /// fleet starts and no VM has a list.
+    pub fn get_start_rank(&self) -> usize {
+        let own_digest = self.get_own_reader_digest();
+        let known = self.membership.get_names();
+        let known = known.chain(self.unconfirmed.iter().map(|peer| &peer.vm));
+        known
+            .filter(|vm| get_reader_digest(vm) < own_digest)
+            .count()
+    }
+
+    /// Returns the addresses of up to `count` VMs to ask for their state: live ones
+    /// in the own failure domain with the revision in force first, then others, then
+    /// registered ones that have not sent a message yet.
+    pub fn choose_holders(
+        &mut self,
+        now: Instant,
+        domain: &str,
+        revision: u64,
+        count: usize,
+    ) -> Vec<SocketAddr> {
+        let live = |view: &PeerView, state: PeerState, is_near: bool| {
+            let is_holder = view.revision >= revision;
+            state == PeerState::Live && is_holder && (view.domain == domain) == is_near
+        };
+        let mut chosen = Vec::new();
+        for is_near in [true, false] {
+            let peers = self.membership.get_peers(now);
+            let peers = peers.filter(|(view, state)| live(view, *state, is_near));
+            let left = count - chosen.len();
+            chosen.extend(peers.map(|(view, _)| view.addr).sample(&mut self.rng, left));
+        }
+        let left = count - chosen.len();
+        let registered = self.unconfirmed.iter().map(|peer| peer.addr);
+        chosen.extend(registered.sample(&mut self.rng, left));
+        chosen
+    }
+
+    /// Returns the views of the live peers.
+    pub fn get_live_views(&self, now: Instant) -> Vec<PeerView> {
+        let peers = self.membership.get_peers(now);
+        let live = peers.filter(|(_, state)| *state == PeerState::Live);
+        live.map(|(view, _)| view.clone()).collect()
+    }
+
+    /// Returns the number of live VMs that read the store before this one if
+    /// `next_reader` reads next, see [`ReadTurn`](crate::ReadTurn).
+    pub fn get_read_rank(&self, now: Instant, next_reader: u32) -> usize {
+        let me = self.membership.get_me();
+        if get_reader_digest(me) == next_reader {
+            return 0;
+        }
+        let place = |vm: &VmName| xxh3_64_with_seed(vm.as_bytes(), u64::from(next_reader));
+        let own_place = place(me);
+        let live = self.membership.get_peers(now);
+        let before = live.filter(|(view, state)| {
+            *state == PeerState::Live
+                && get_reader_digest(&view.vm) != next_reader
+                && place(&view.vm) < own_place
+        });
+        before.count() + 1
+    }
+
+    /// Chooses a live VM, this one included, as the next reader of the store.
+    pub fn choose_reader(&mut self, now: Instant) -> u32 {
+        let live = self.membership.get_live(now);
+        let chosen = live.iter().sample(&mut self.rng, 1);
+        chosen.first().map_or(0, |vm| get_reader_digest(vm))
+    }
+
+    /// Returns the digest by which updates name this VM as the next reader.
+    pub fn get_own_reader_digest(&self) -> u32 {
+        get_reader_digest(self.membership.get_me())
+    }
+
     /// Returns true if this VM has to clean up after a VM that is gone.
     ///
     /// The owner is the live VM that follows the one that is gone in the order
@@ -235,3 +350,8 @@
         self.unconfirmed.binary_search_by(|peer| peer.vm.cmp(vm))
     }
 }
+
+/// Returns the digest by which updates of the target list name a VM.
+fn get_reader_digest(vm: &VmName) -> u32 {
+    xxh3_64(vm.as_bytes()) as u32
+}
--- a/crates/core/src/membership/heartbeat.rs
+++ b/crates/core/src/membership/heartbeat.rs
@@ -1,7 +1,7 @@
 //! Messages in which a VM describes itself and its peers.
 
 use super::TargetNotice;
-use crate::{CrashRecord, HybridTime, VmName};
+use crate::{CrashRecord, DomainName, HybridTime, VmName};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -23,6 +23,8 @@
     pub is_leaving: bool,
     /// Revision in force on the VM, 0 if there is none.
     pub revision: u64,
+    /// Failure domain of the VM, empty if it is not known.
+    pub domain: DomainName,
 }
 
 impl PeerView {
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -17,6 +17,7 @@
         operator_addr: None,
         is_leaving: false,
         revision: 1,
+        domain: "d1".into(),
     }
 }
 
--- a/crates/daemon/src/fleet/gossip.rs
+++ b/crates/daemon/src/fleet/gossip.rs
@@ -174,6 +174,7 @@
             operator_addr: Some(fleet.settings.operators),
             is_leaving: fleet.is_stopping(),
             revision: fleet.get_revision(),
+            domain: gentianridge_core::DomainName::default(),
         },
         at: fleet.journal.tick(),
         crashes: fleet.quarantine.lock().get_crash_records(now, MAX_RECORDS),
--- a/crates/daemon/src/gateway/feeds.rs
+++ b/crates/daemon/src/gateway/feeds.rs
@@ -1,12 +1,14 @@
 //! Reads of the platform's store: the configuration and the list of targets.
 
-use super::state::Gateway;
+use super::peers::{is_behind, load_state};
+use super::state::{Gateway, get_list_bound};
 use crate::telemetry::STATE_LOG_TARGET;
 use gentianridge_adapter::{
     Changes, Row, StoreError, StoreErrorKind, Table, decode_entry, decode_routes,
 };
-use gentianridge_core::{EventKind, TargetListRead, TargetListUpdate, UpdateOutcome};
+use gentianridge_core::{EventKind, ReadTurn, TargetListRead, TargetListUpdate, UpdateOutcome};
 use rand::RngExt;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -16,6 +18,8 @@
 /// the VMs when the store returns.
 const MIN_PAUSE: Duration = Duration::from_millis(100);
 const MAX_PAUSE: Duration = Duration::from_millis(1_000);
+/// Longest time in which peers are asked for the state after a start.
+const MAX_START_WAIT: Duration = Duration::from_millis(1_500);
 
 /// Exponential backoff with jitter between failed calls.
 struct Backoff {
@@ -42,15 +46,31 @@
     if row.key != CONFIG_KEY {
         return;
     }
-    let Some(value) = &row.value else {
-        log::warn!("the configuration's row was removed; the configuration in force stays");
-        return;
-    };
+    match &row.value {
+        Some(value) => {
+            apply_config(gateway, value, "store");
+        }
+        None => {
+            log::warn!("the configuration's row was removed; the configuration in force stays");
+        }
+    }
+}
+
+/// Puts a configuration in force that the store holds; returns false if it is not
+/// newer than the one in force.
+pub(super) fn apply_config(gateway: &Rc<Gateway>, value: &[u8], source: &'static str) -> bool {
     match decode_routes(value) {
         Ok(table) => {
-            gateway.apply_routes(table, "store");
+            let is_newer = gateway.apply_routes(table, source);
+            if is_newer {
+                gateway.set_config_value(value);
+            }
+            is_newer
+        }
+        Err(error) => {
+            log::error!("invalid configuration from a {source}: {error}");
+            false
         }
-        Err(error) => log::error!("invalid configuration in the store: {error}"),
     }
 }
 
@@ -59,75 +79,71 @@
 enum ReadReason {
     /// Its refresh timer expired: it reads for the fleet.
     Due,
-    /// It missed changes of the list that a peer has read.
+    /// It lacks changes of the list, and no peer has them.
     MissedChanges,
-    /// A peer has a newer configuration in force.
+    /// A configuration exists that no peer has.
     NewerConfig,
 }
 
-/// Keeps the configuration and the list of targets current, by reads of this VM
-/// and by updates from peers.
+/// Keeps the configuration and the list of targets current, by reads of this VM.
 ///
-/// A long poll would receive a configuration sooner, but a store that silently
-/// ignores this VM cannot be distinguished from one without changes.
+/// The VM whose turn it is waits at the store for a change, for a fraction of the
+/// bound. The answer shows the state at the time of the call: a store that silently
+/// ignores this VM cannot be distinguished from one without changes, so a longer wait
+/// would make the list too old.
 pub(crate) async fn follow_store(gateway: Rc<Gateway>) {
     let mut follower = Follower {
         gateway,
         is_down: false,
+        is_config_readable: true,
         config_after: None,
+        reads: 0,
         backoff: Backoff::new(),
     };
+    // Registration goes on if it takes longer, and the state may come from peers.
+    let started = tokio::time::timeout(MAX_START_WAIT, load_state(&follower.gateway));
+    if started.await.is_err() {
+        log::info!(target: STATE_LOG_TARGET, "no state from peers; reading the store");
+    }
     loop {
         let reason = wait_for_reason(&follower.gateway).await;
         let is_success = match reason {
             ReadReason::Due => follower.read_all().await,
             ReadReason::MissedChanges => follower.read_missed_changes().await,
-            ReadReason::NewerConfig => follower.read_config(None).await,
+            ReadReason::NewerConfig => follower.read_config(None, Duration::ZERO).await,
         };
         follower.record_store_state(is_success);
-        // If the store does not have the newer version of the configuration or of
-        // the list, the next read waits for the backoff.
-        let is_behind = is_behind(&follower.gateway);
         let gateway = follower.gateway.clone();
         let now = gateway.clock.now();
         let due = gateway.get_list_due().filter(|due| *due > now);
-        let is_refreshed = due.is_some() && !gateway.list.borrow().has_gap();
-        if is_success && is_refreshed && !is_behind {
+        if is_success && due.is_some() {
             follower.backoff.reset();
-        }
-        let is_waiting_for_config = is_behind && reason == ReadReason::NewerConfig;
-        if is_success && is_refreshed && !is_waiting_for_config {
             continue;
         }
         tokio::select! {
             () = follower.backoff.pause() => {}
-            () = tokio::time::sleep_until(due.unwrap_or(now).into()), if is_success && is_refreshed => {}
             // A list update of a peer shows that the store answers.
             () = gateway.peers.wait_list_update() => follower.backoff.reset(),
         }
     }
 }
 
-/// Returns true if a peer has reported a newer configuration than the one in
-/// force.
-fn is_behind(gateway: &Gateway) -> bool {
-    gateway.peers.get_newest_version() > gateway.get_version()
-}
-
 /// Waits until this VM must read the store, and drops expired targets meanwhile.
 async fn wait_for_reason(gateway: &Gateway) -> ReadReason {
     loop {
         // The list has priority: a configuration version that the store does
         // not have must not prevent reads of the list.
         let now = gateway.clock.now();
-        if gateway.list.borrow().has_gap() {
-            return ReadReason::MissedChanges;
-        }
         let Some(due) = gateway.get_list_due().filter(|due| *due > now) else {
             return ReadReason::Due;
         };
-        if is_behind(gateway) {
-            return ReadReason::NewerConfig;
+        if gateway.peers.take_store_read_request() {
+            if gateway.list.borrow().has_gap() {
+                return ReadReason::MissedChanges;
+            }
+            if is_behind(gateway) {
+                return ReadReason::NewerConfig;
+            }
         }
         let expiry = gateway.list.borrow().next_expiry().filter(|at| *at < due);
         tokio::select! {
@@ -136,7 +152,7 @@
                 gateway.change_targets(|list, changed| list.expire(now, changed));
             }
             () = gateway.peers.wait_list_update() => {}
-            () = gateway.peers.wait_newer_version() => {}
+            () = gateway.peers.wait_store_read() => {}
         }
     }
 }
@@ -145,36 +161,79 @@
 struct Follower {
     gateway: Rc<Gateway>,
     is_down: bool,
+    /// True if the last read of the configuration succeeded.
+    is_config_readable: bool,
     /// Version of the store at the last read of the configuration.
     config_after: Option<u64>,
+    /// Reads of this VM for the fleet in a row.
+    reads: u32,
     backoff: Backoff,
 }
 
 impl Follower {
-    /// Reads the changes of the configuration and of the targets; returns false
-    /// if either cannot be read.
+    /// Reads after which another VM is chosen, so that the work goes round.
+    const READS_IN_A_ROW: u32 = 16;
+
+    /// Reads the changes of the configuration and of the targets, and waits for one if
+    /// there is none; returns false if either cannot be read.
     async fn read_all(&mut self) -> bool {
         let gateway = self.gateway.clone();
-        gateway.list_reader.start(gateway.clock.now());
-        let (config, targets) =
-            tokio::join!(self.read_config(self.config_after), read_targets(&gateway));
-        let is_success = config && targets.is_ok();
-        if let Ok(Some(update)) = targets
-            && config
-        {
-            let update = TargetListUpdate {
-                revision: gateway.get_version(),
-                ..update
-            };
-            gateway.peers.queue_list_update(gateway.clock.now(), update);
+        let wait = self.get_wait();
+        gateway.list_reader.start(gateway.clock.now() + wait);
+        let next_reader = self.choose_next_reader();
+        let is_config_readable = self.is_config_readable;
+        let read_targets = async {
+            let read = read_targets(&gateway, wait, next_reader).await;
+            // An update restarts the timers of all VMs, which must not end the reads of
+            // the configuration if this VM cannot read it.
+            if let Ok(Some(update)) = &read
+                && is_config_readable
+            {
+                let update = TargetListUpdate {
+                    revision: gateway.get_version(),
+                    ..update.clone()
+                };
+                gateway.peers.queue_list_update(gateway.clock.now(), update);
+            }
+            read.is_ok()
+        };
+        let after = self.config_after;
+        let (config, targets) = tokio::join!(self.read_config(after, wait), read_targets);
+        self.is_config_readable = config;
+        self.record_list_result(config && targets)
+    }
+
+    /// Returns how long the store may wait for a change. The first reads of this VM and
+    /// those after a failure are answered at once.
+    fn get_wait(&self) -> Duration {
+        let is_following = self.config_after.is_some() && !self.is_down;
+        if !is_following || self.gateway.list.borrow().needs_full_read() {
+            return Duration::ZERO;
         }
-        self.record_list_result(is_success)
+        let bound = get_list_bound(&self.gateway.get_settings());
+        bound.mul_f64(ReadTurn::CYCLE)
     }
 
-    /// Reads changes of the targets that peers have read already.
+    /// Returns the digest of the VM that reads next: this one, and another after some
+    /// reads.
+    fn choose_next_reader(&mut self) -> u32 {
+        let gateway = &self.gateway;
+        let now = gateway.clock.now();
+        let own_digest = gateway.peers.get_own_reader_digest();
+        let was_own_turn = gateway.peers.get_next_reader() == own_digest;
+        self.reads = if was_own_turn { self.reads + 1 } else { 0 };
+        if self.reads < Self::READS_IN_A_ROW {
+            return own_digest;
+        }
+        self.reads = 0;
+        gateway.peers.choose_reader(now)
+    }
+
+    /// Reads changes of the targets that neither this VM nor its peers have.
     async fn read_missed_changes(&mut self) -> bool {
         self.gateway.list_reader.start(self.gateway.clock.now());
-        let targets = read_targets(&self.gateway).await;
+        let next_reader = self.gateway.peers.get_next_reader();
+        let targets = read_targets(&self.gateway, Duration::ZERO, next_reader).await;
         self.record_list_result(targets.is_ok())
     }
 
@@ -186,14 +245,12 @@
         is_success
     }
 
-    async fn read_config(&mut self, after: Option<u64>) -> bool {
+    async fn read_config(&mut self, after: Option<u64>, wait: Duration) -> bool {
         let store = self.gateway.get_store();
         let changed = match after {
             None => None,
             Some(after) => {
-                let result = store
-                    .poll_changes(Table::Operators, after, Duration::ZERO)
-                    .await;
+                let result = store.poll_changes(Table::Operators, after, wait).await;
                 filter_history_gone(result)
             }
         };
@@ -243,7 +300,11 @@
 }
 
 /// Reads the targets; returns the update to send to the peers.
-async fn read_targets(gateway: &Gateway) -> Result<Option<TargetListUpdate>, StoreError> {
+async fn read_targets(
+    gateway: &Gateway,
+    wait: Duration,
+    next_reader: u32,
+) -> Result<Option<TargetListUpdate>, StoreError> {
     let sent_at = gateway.clock.now();
     let after = {
         let list = gateway.list.borrow();
@@ -253,37 +314,48 @@
     let changed = match after {
         None => None,
         Some(after) => {
-            let result = store
-                .poll_changes(Table::Targets, after, Duration::ZERO)
-                .await;
+            let result = store.poll_changes(Table::Targets, after, wait).await;
             filter_history_gone(result)
         }
     };
     let is_full = changed.is_none();
+    let full_sent_at = gateway.clock.now();
     let result = match changed {
         Some(result) => result,
         None => store.get_all(Table::Targets).await,
     };
     gateway.metrics.record_store_call("targets", result.is_ok());
     let changes = result.inspect_err(|error| log::debug!("cannot read the targets: {error}"))?;
-    Ok(apply_target_changes(gateway, sent_at, changes, is_full))
+    let sent_at = if is_full { full_sent_at } else { sent_at };
+    let read = decode_read(changes, is_full);
+    Ok(apply_target_changes(gateway, sent_at, read, next_reader))
 }
 
 /// Applies a read of this VM; returns the update to send to the peers.
 fn apply_target_changes(
     gateway: &Gateway,
     sent_at: Instant,
-    changes: Changes,
-    is_full: bool,
+    read: TargetListRead,
+    next_reader: u32,
 ) -> Option<TargetListUpdate> {
     let now = gateway.clock.now();
-    let draw = rand::rng().random();
-    let read = decode_read(changes, is_full);
+    gateway.peers.set_next_reader(next_reader);
+    let turn = gateway.peers.get_turn(now, next_reader);
     let applied = gateway
-        .change_targets(|list, changed| list.apply_read(now, sent_at, read, draw, changed))?;
-    log_list_update(&applied.update, "store");
+        .change_targets(|list, changed| list.apply_read(now, sent_at, read, turn, changed))?;
+    let update = TargetListUpdate {
+        next_reader,
+        ..applied.update
+    };
+    log_list_update(&update, "store");
+    gateway.update_log.borrow_mut().push(&update);
     gateway.notify_loaded();
-    applied.is_relayable.then_some(applied.update)
+    if applied.is_relayable {
+        return Some(update);
+    }
+    // The first read has no base. If the whole fleet starts, the others fetch the list.
+    let is_bootstrap = gateway.get_settings().is_bootstrap;
+    is_bootstrap.then(|| update.omit_changes())
 }
 
 fn decode_read(changes: Changes, is_full: bool) -> TargetListRead {
@@ -321,19 +393,44 @@
     rows
 }
 
-/// Applies a list update of a peer, and queues it for other peers.
-pub(crate) fn apply_list_update(gateway: &Gateway, update: TargetListUpdate) {
+/// Applies a list update of a peer, and queues it for other peers. If changes before it
+/// are missing, they are fetched from the peer.
+pub(super) fn apply_list_update(
+    gateway: &Gateway,
+    update: TargetListUpdate,
+    from: SocketAddr,
+) -> UpdateOutcome {
     let now = gateway.clock.now();
-    let draw = rand::rng().random();
-    match gateway.change_targets(|list, changed| list.apply_update(now, &update, draw, changed)) {
-        UpdateOutcome::Stale => return,
-        UpdateOutcome::Applied => log_list_update(&update, "peer"),
-        UpdateOutcome::Unchanged | UpdateOutcome::Gap => {}
+    let turn = gateway.peers.get_turn(now, update.next_reader);
+    let outcome =
+        gateway.change_targets(|list, changed| list.apply_update(now, &update, turn, changed));
+    match outcome {
+        UpdateOutcome::Stale => return outcome,
+        UpdateOutcome::Corrupt => {
+            log::error!(
+                "list {} of {from} does not match its digest",
+                update.version
+            );
+            return outcome;
+        }
+        UpdateOutcome::Gap => {
+            gateway.peers.set_list_holder(from);
+            gateway.peers.record_version(update.revision);
+            return outcome;
+        }
+        UpdateOutcome::Applied => {
+            log_list_update(&update, "peer");
+            gateway.update_log.borrow_mut().push(&update);
+            gateway.notify_loaded();
+        }
+        UpdateOutcome::Unchanged => {}
     }
+    gateway.peers.set_next_reader(update.next_reader);
     gateway.list_reader.confirm();
     gateway.peers.record_version(update.revision);
     gateway.peers.queue_list_update(now, update);
     gateway.peers.notify_list_update();
+    outcome
 }
 
 /// Writes a log line for each target whose entry changed.
--- a/crates/daemon/src/gateway/list_reader.rs
+++ b/crates/daemon/src/gateway/list_reader.rs
@@ -9,7 +9,7 @@
 pub(crate) struct ListReader {
     /// Notified when the list was confirmed or a read of it failed.
     pub(crate) refreshed: Notify,
-    started: Cell<Option<Instant>>,
+    expected_at: Cell<Option<Instant>>,
     has_failed: Cell<bool>,
 }
 
@@ -17,14 +17,14 @@
     /// Time after which a read without an answer counts as failing.
     const SLOW_READ: Duration = Duration::from_millis(250);
 
-    /// Records that a read was sent.
-    pub(crate) fn start(&self, now: Instant) {
-        self.started.set(Some(now));
+    /// Records that a read was sent whose answer is due at `expected_at`.
+    pub(crate) fn start(&self, expected_at: Instant) {
+        self.expected_at.set(Some(expected_at));
     }
 
     /// Records the end of a read.
     pub(crate) fn finish(&self, is_success: bool) {
-        self.started.set(None);
+        self.expected_at.set(None);
         self.has_failed.set(!is_success);
         self.refreshed.notify_waiters();
     }
@@ -38,7 +38,7 @@
     /// in the usual time.
     pub(crate) fn is_failing(&self, now: Instant) -> bool {
         let is_slow = self
-            .started
+            .expected_at
             .get()
             .is_some_and(|at| now.saturating_duration_since(at) > Self::SLOW_READ);
         self.has_failed.get() || is_slow
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -33,6 +33,8 @@
     vms: Gauge<f64>,
     datagrams: Counter<u64>,
     datagram_bytes: Counter<u64>,
+    state_requests: Counter<u64>,
+    state_bytes: Counter<u64>,
     announcements: Counter<u64>,
     outdated_sends: Counter<u64>,
     list_due: Gauge<f64>,
@@ -91,6 +93,16 @@
                 "gentianridge.peer.sent",
                 "Bytes of datagrams to peers",
             ),
+            state_requests: counter(
+                &meter,
+                "gentianridge.peer.state.requests",
+                "Requests to peers for their state, by outcome",
+            ),
+            state_bytes: counter(
+                &meter,
+                "gentianridge.peer.state.sent",
+                "Bytes of state sent to peers",
+            ),
             announcements: counter(
                 &meter,
                 "gentianridge.target.announcements",
@@ -168,6 +180,16 @@
         self.datagram_bytes.add(size as u64, &[]);
     }
 
+    pub(crate) fn record_state_request(&self, is_success: bool) {
+        let outcome = if is_success { "ok" } else { "failed" };
+        self.state_requests
+            .add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    pub(crate) fn record_state_reply(&self, size: usize) {
+        self.state_bytes.add(size as u64, &[]);
+    }
+
     pub(crate) fn record_announcement(&self, kind: &'static str, source: &'static str) {
         let labels = [KeyValue::new("kind", kind), KeyValue::new("source", source)];
         self.announcements.add(1, &labels);
--- /dev/null
+++ b/crates/daemon/src/gateway/peers/follow.rs
@@ -0,0 +1,152 @@
+//! Fetches from peers what this VM lacks.
+
+use super::state_exchange::fetch_state;
+use crate::gateway::feeds::{apply_config, apply_list_update};
+use crate::gateway::state::Gateway;
+use gentianridge_core::UpdateOutcome;
+use gentianridge_wire::{StateReply, StateRequest};
+use rand::RngExt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Longest random pause before a request, so that one holder is not asked by all VMs
+/// at the same moment.
+const MAX_JITTER: Duration = Duration::from_millis(15);
+/// Time in which a peer with a newer configuration in force is expected, after some
+/// peer reported that the configuration exists.
+const HOLDER_WAIT: Duration = Duration::from_millis(400);
+/// Peers that are asked before the store is read.
+const MAX_PEERS: usize = 3;
+/// Shortest and longest pause after peers and store were of no help.
+const MIN_RETRY_PAUSE: Duration = Duration::from_millis(300);
+const MAX_RETRY_PAUSE: Duration = Duration::from_secs(2);
+
+/// Fetches missing changes of the list and newer configurations from peers, until the
+/// task is dropped. If they are of no help, the store is read.
+pub(crate) async fn follow_peers(gateway: Rc<Gateway>) {
+    let mut retry_pause = MIN_RETRY_PAUSE;
+    loop {
+        while !is_lacking(&gateway) {
+            retry_pause = MIN_RETRY_PAUSE;
+            gateway.peers.wait_lacking().await;
+        }
+        let jitter = MAX_JITTER.mul_f64(rand::rng().random());
+        tokio::time::sleep(jitter).await;
+        if !is_lacking(&gateway) {
+            continue;
+        }
+        if is_without_holder(&gateway) {
+            wait_for_holder(&gateway).await;
+        }
+        for addr in choose_peers(&gateway) {
+            if !is_lacking(&gateway) {
+                break;
+            }
+            fetch_from(&gateway, addr, false).await;
+        }
+        if is_lacking(&gateway) {
+            gateway.peers.request_store_read();
+            let announced = gateway.peers.wait_lacking();
+            let _ = tokio::time::timeout(retry_pause, announced).await;
+            retry_pause = (retry_pause * 2).min(MAX_RETRY_PAUSE);
+        }
+    }
+}
+
+/// Waits for a peer that has the newest configuration in force: each VM announces that
+/// at once when it puts one in force.
+async fn wait_for_holder(gateway: &Gateway) {
+    let end = tokio::time::Instant::now() + HOLDER_WAIT;
+    while is_lacking(gateway) && is_without_holder(gateway) {
+        let announced = tokio::time::timeout_at(end, gateway.peers.wait_lacking());
+        if announced.await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Returns true if this VM knows of a newer state than its own.
+pub(crate) fn is_lacking(gateway: &Gateway) -> bool {
+    gateway.list.borrow().has_gap() || is_behind(gateway)
+}
+
+/// Returns true if a peer has reported a newer configuration than the one in force.
+pub(crate) fn is_behind(gateway: &Gateway) -> bool {
+    gateway.peers.get_newest_version() > gateway.get_version()
+}
+
+/// Returns true if only a newer configuration is missing and no peer is known that has
+/// it in force.
+fn is_without_holder(gateway: &Gateway) -> bool {
+    !gateway.list.borrow().has_gap() && gateway.peers.get_config_holder().is_none()
+}
+
+/// Returns the peers that announced what this VM lacks, then others.
+fn choose_peers(gateway: &Gateway) -> Vec<SocketAddr> {
+    let now = gateway.clock.now();
+    let domain = gateway.get_settings().domain.clone();
+    let newest = gateway.peers.get_newest_version();
+    let holders = [
+        gateway.peers.get_list_holder(),
+        gateway.peers.get_config_holder(),
+    ];
+    let mut peers: Vec<SocketAddr> = holders.into_iter().flatten().collect();
+    let others = gateway
+        .peers
+        .gossip
+        .borrow_mut()
+        .choose_holders(now, &domain, newest, MAX_PEERS);
+    peers.extend(others);
+    let mut chosen = Vec::new();
+    for addr in peers {
+        if !chosen.contains(&addr) {
+            chosen.push(addr);
+        }
+    }
+    chosen.truncate(MAX_PEERS);
+    chosen
+}
+
+/// Asks one peer and applies its reply; returns true if it held anything of use.
+pub(super) async fn fetch_from(gateway: &Rc<Gateway>, addr: SocketAddr, needs_peers: bool) -> bool {
+    let request = {
+        let list = gateway.list.borrow();
+        StateRequest {
+            vm: gateway.get_settings().vm.clone(),
+            revision: gateway.get_version(),
+            list_version: list.get_version(),
+            needs_full_list: list.needs_full_read(),
+            needs_peers,
+        }
+    };
+    let reply = fetch_state(addr, &request).await;
+    gateway.metrics.record_state_request(reply.is_ok());
+    match reply {
+        Ok(reply) => apply_reply(gateway, addr, reply),
+        Err(error) => {
+            log::debug!("cannot get the state of {addr}: {error:#}");
+            false
+        }
+    }
+}
+
+fn apply_reply(gateway: &Rc<Gateway>, addr: SocketAddr, reply: StateReply) -> bool {
+    let now = gateway.clock.now();
+    for view in reply.peers {
+        gateway
+            .peers
+            .gossip
+            .borrow_mut()
+            .record_heartbeat(now, view);
+    }
+    let mut is_of_use = false;
+    if let Some(config) = reply.config {
+        is_of_use |= apply_config(gateway, &config.value, "peer");
+    }
+    if let Some(update) = reply.list {
+        let outcome = apply_list_update(gateway, update, addr);
+        is_of_use |= matches!(outcome, UpdateOutcome::Applied | UpdateOutcome::Unchanged);
+    }
+    is_of_use
+}
--- a/crates/daemon/src/gateway/peers/gossip.rs
+++ b/crates/daemon/src/gateway/peers/gossip.rs
@@ -4,7 +4,7 @@
 use crate::gateway::feeds::apply_list_update;
 use crate::gateway::state::Gateway;
 use crate::telemetry::STATE_LOG_TARGET;
-use gentianridge_core::{ByteBudget, StallDetector, VmName};
+use gentianridge_core::{ByteBudget, StallDetector, TargetListUpdate, UpdateContent, VmName};
 use gentianridge_wire::PeerDatagram;
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -79,9 +79,10 @@
                 self.send(now, addr, &without_list);
             }
         }
-        if let Some(addr) = round.unconfirmed {
-            datagram.is_hello = true;
-            self.send(now, addr, &encode_within_limit(&mut datagram));
+        datagram.is_hello = true;
+        let hello = encode_within_limit(&mut datagram);
+        for addr in round.unconfirmed {
+            self.send(now, addr, &hello);
         }
     }
 
@@ -123,6 +124,7 @@
         self.observe_run(now);
         // Replies go to the source address, so that address is recorded.
         datagram.me.addr = addr;
+        let revision = datagram.me.revision;
         let mut is_change = false;
         for view in std::iter::once(datagram.me).chain(datagram.peers) {
             is_change |= gateway
@@ -151,11 +153,14 @@
         // The age of an update that waited during a stall is unknown.
         let has_backlog = self.stall.borrow().has_backlog(now);
         if let Some(update) = datagram.list.filter(|_| !has_backlog) {
-            apply_list_update(gateway, update);
+            apply_list_update(gateway, update, addr);
         }
+        gateway.peers.record_config_holder(revision, addr);
         gateway.peers.record_version(datagram.newest_revision);
         if datagram.is_hello {
             let mut reply = make_datagram(gateway, now);
+            // A VM that has just started gets to know that there is a list.
+            reply.list = make_list_header(gateway, now);
             self.send(now, addr, &encode_within_limit(&mut reply));
         }
     }
@@ -177,8 +182,22 @@
     }
 }
 
+/// Returns the version and the age of the target list of this VM.
+fn make_list_header(gateway: &Gateway, now: Instant) -> Option<TargetListUpdate> {
+    let list = gateway.list.borrow();
+    Some(TargetListUpdate {
+        version: list.get_version()?,
+        age: list.get_age(now)?,
+        digest: list.get_digest(),
+        revision: gateway.get_version(),
+        next_reader: gateway.peers.get_next_reader(),
+        content: UpdateContent::Omitted,
+        ..TargetListUpdate::default()
+    })
+}
+
 /// Encodes a datagram; parts that do not fit are left out, the least important
-/// first. Peers that do not receive a list update read the list themselves.
+/// first. Peers fetch the changes of the list if those are left out.
 fn encode_within_limit(datagram: &mut PeerDatagram) -> Vec<u8> {
     let mut bytes = datagram.encode();
     if bytes.len() > PeerDatagram::MAX_BYTES {
@@ -187,7 +206,7 @@
         bytes = datagram.encode();
     }
     if bytes.len() > PeerDatagram::MAX_BYTES {
-        datagram.list = None;
+        datagram.list = datagram.list.as_ref().map(TargetListUpdate::omit_changes);
         bytes = datagram.encode();
     }
     bytes
--- a/crates/daemon/src/gateway/peers/mod.rs
+++ b/crates/daemon/src/gateway/peers/mod.rs
@@ -1,12 +1,21 @@
-//! Gossip between the VMs of the fleet by datagrams: which VMs are live, the
-//! version of the configuration, updates of the target list and crash records.
+//! Exchange between the VMs of the fleet.
+//!
+//! Datagrams carry what is small and may be lost: which VMs are live, which versions
+//! exist, small updates of the target list, crash records. Connections carry what has
+//! to be complete: the configuration, changes of the list that a VM lacks, the list.
 //!
 //! docs/decisions/0016-bounded-exchange.md gives the reasons and the costs.
 
+mod follow;
 mod gossip;
 mod register;
+mod start;
+mod state_exchange;
 mod table;
 
+pub(crate) use follow::{follow_peers, is_behind};
 pub(crate) use gossip::run_gossip;
-pub(crate) use register::{register, unregister};
+pub(crate) use register::{keep_registered, unregister};
+pub(crate) use start::load_state;
+pub(crate) use state_exchange::run_state_server;
 pub(crate) use table::Peers;
--- a/crates/daemon/src/gateway/peers/register.rs
+++ b/crates/daemon/src/gateway/peers/register.rs
@@ -3,7 +3,7 @@
 use super::gossip::{ROUND_INTERVAL, update_fleet_size};
 use crate::gateway::state::{Gateway, Phase};
 use gentianridge_adapter::{StoreError, StoreErrorKind, Table};
-use gentianridge_core::VmName;
+use gentianridge_core::{PeerView, VmName};
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -12,13 +12,10 @@
 
 /// Longest pause between two attempts to register.
 const MAX_PAUSE: Duration = Duration::from_secs(2);
-/// Pause before the second poll of the rows. VMs that registered at the same
-/// time, within a few calls to the store, are missing from each other's first
-/// poll.
-const FIRST_POLL_PAUSE: Duration = Duration::from_millis(500);
-/// Pause between later polls. A poll is one call, so that 50 VMs make less than
-/// one call a second.
-const POLL_PAUSE: Duration = Duration::from_secs(60);
+/// Pause between two polls of the rows by any VM of the fleet.
+const FLEET_POLL_PAUSE: Duration = Duration::from_secs(5);
+/// Missing rows of other VMs that one poll writes at most.
+const MAX_REPAIRS: usize = 4;
 
 /// Row of a VM in the store.
 #[derive(Debug, Serialize, Deserialize)]
@@ -33,18 +30,46 @@
 ///
 /// The rows are polled repeatedly: VMs that were partitioned for long have
 /// dropped each other from their local state, and a row may have been removed
-/// while its VM could not be reached.
-pub(crate) async fn register(gateway: Rc<Gateway>) {
-    let mut pause = FIRST_POLL_PAUSE;
-    let mut is_start = true;
+/// while its VM could not be reached. One poll serves the fleet, since it also
+/// writes missing rows of other VMs; each VM polls the less often the more there are.
+pub(crate) async fn keep_registered(gateway: Rc<Gateway>) {
+    // The size of the fleet is known by then.
+    tokio::time::sleep(FLEET_POLL_PAUSE).await;
     loop {
-        retry_until_ok(async || poll_rows(&gateway, is_start).await).await;
-        is_start = false;
-        tokio::time::sleep(pause.mul_f64(rand::rng().random_range(0.5..1.5))).await;
-        pause = POLL_PAUSE;
+        let now = gateway.clock.now();
+        let vms = gateway.peers.get_fleet_size(now).map_or(1, u32::from);
+        let pause = (FLEET_POLL_PAUSE * vms).mul_f64(rand::rng().random_range(0.5..1.5));
+        tokio::time::sleep(pause).await;
+        retry_until_ok(async || poll_rows(&gateway).await).await;
     }
 }
 
+/// Registers a VM that has just started.
+///
+/// The incarnation is the wall-clock time of the start. If the clock was set back
+/// before a restart, peers would discard the messages of this start as outdated, so
+/// that a row of an earlier start raises it.
+pub(super) async fn register_start(gateway: Rc<Gateway>) {
+    retry_until_ok(async || put_first_row(&gateway).await).await;
+}
+
+async fn put_first_row(gateway: &Gateway) -> Result<(), StoreError> {
+    let Some((me, value)) = make_row(&gateway.make_own_view()) else {
+        return Ok(());
+    };
+    let found = gateway.get_store().put_new(Table::Vms, &me, &value).await?;
+    let Some(found) = found.filter(|found| *found != value) else {
+        return Ok(());
+    };
+    match serde_json::from_slice::<VmRow>(&found) {
+        Ok(last) => gateway
+            .peers
+            .raise_incarnation(last.incarnation.saturating_add(1)),
+        Err(error) => log::warn!("row of this VM cannot be read: {error}"),
+    }
+    put_row(gateway).await
+}
+
 /// Retries a call to the store until it succeeds.
 async fn retry_until_ok(call: impl AsyncFn() -> Result<(), StoreError>) {
     let mut pause = ROUND_INTERVAL;
@@ -56,37 +81,40 @@
     }
 }
 
-async fn put_row(gateway: &Gateway) -> Result<(), StoreError> {
-    let (me, addr) = {
-        let settings = gateway.get_settings();
-        (settings.vm.clone(), settings.peers)
-    };
+/// Returns the name and the row of a VM.
+fn make_row(view: &PeerView) -> Option<(VmName, Vec<u8>)> {
     let row = VmRow {
-        addr,
-        incarnation: gateway.peers.get_incarnation(),
+        addr: view.addr,
+        incarnation: view.incarnation,
     };
     match serde_json::to_vec(&row) {
-        Ok(value) => gateway.get_store().put(Table::Vms, &me, &value).await,
+        Ok(value) => Some((view.vm.clone(), value)),
         Err(error) => {
-            log::error!("the row of this VM cannot be encoded: {error}");
-            Ok(())
+            log::error!("the row of VM {} cannot be encoded: {error}", view.vm);
+            None
         }
     }
 }
 
-/// Reads which VMs are registered, and registers this VM if it has just started
-/// or its row is missing.
-async fn poll_rows(gateway: &Gateway, is_start: bool) -> Result<(), StoreError> {
+async fn put_row(gateway: &Gateway) -> Result<(), StoreError> {
+    match make_row(&gateway.make_own_view()) {
+        Some((me, value)) => gateway.get_store().put(Table::Vms, &me, &value).await,
+        None => Ok(()),
+    }
+}
+
+/// Reads which VMs are registered, and returns their names in ascending order.
+pub(super) async fn find_registered(gateway: &Gateway) -> Result<Vec<VmName>, StoreError> {
     let listed = gateway.get_store().get_all(Table::Vms).await?;
     let now = gateway.clock.now();
     let me = gateway.get_settings().vm.clone();
-    let mut own_row = None;
+    let mut names = Vec::with_capacity(listed.rows.len());
     for row in listed.rows {
-        let Some(value) = row.value else {
+        names.push(row.key.clone());
+        let Some(value) = row.value.filter(|_| row.key != me) else {
             continue;
         };
         match serde_json::from_slice::<VmRow>(&value) {
-            Ok(vm_row) if row.key == me => own_row = Some(vm_row),
             Ok(vm_row) => {
                 let mut gossip = gateway.peers.gossip.borrow_mut();
                 gossip.add_registered(now, row.key, vm_row.addr);
@@ -96,19 +124,32 @@
     }
     update_fleet_size(gateway, now);
     gateway.peers.request_round();
-    match own_row {
-        // The incarnation is the wall-clock time of the start. If the clock was
-        // set back before a restart, peers would discard the messages of this
-        // start as outdated.
-        Some(last) if is_start => gateway.peers.raise_incarnation(last.incarnation + 1),
-        Some(_) => return Ok(()),
-        None if !is_start => log::info!("row of this VM missing from the store"),
-        None => {}
-    }
+    names.sort_unstable();
+    Ok(names)
+}
+
+/// Reads which VMs are registered, and writes the missing rows of live ones.
+async fn poll_rows(gateway: &Gateway) -> Result<(), StoreError> {
+    let registered = find_registered(gateway).await?;
     if gateway.get_phase() == Phase::Stopping {
         return Ok(());
     }
-    put_row(gateway).await
+    let mut live = gateway
+        .peers
+        .gossip
+        .borrow()
+        .get_live_views(gateway.clock.now());
+    live.push(gateway.make_own_view());
+    let is_missing = |view: &PeerView| registered.binary_search(&view.vm).is_err();
+    let missing = live.into_iter().filter(is_missing);
+    for view in missing.take(MAX_REPAIRS) {
+        log::info!("row of VM {} missing from the store", view.vm);
+        let Some((vm, row)) = make_row(&view) else {
+            continue;
+        };
+        gateway.get_store().put_new(Table::Vms, &vm, &row).await?;
+    }
+    Ok(())
 }
 
 /// Removes the row of this VM, which is stopping.
--- a/crates/daemon/src/gateway/peers/table.rs
+++ b/crates/daemon/src/gateway/peers/table.rs
@@ -1,9 +1,13 @@
 //! State of the peers, and the list update to send to them.
 
 use crate::gateway::state::{Gateway, Phase};
-use gentianridge_core::{GossipState, NoticeQueue, PeerView, TargetListUpdate, VmName};
+use gentianridge_core::{
+    DomainName, GossipState, NoticeQueue, PeerView, ReadTurn, TargetListUpdate, UpdateContent,
+    VmName,
+};
 use rand::RngExt;
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
@@ -27,8 +31,13 @@
 pub(crate) struct Peers {
     pub(super) gossip: RefCell<GossipState>,
     pub(super) round_requested: Notify,
-    pub(super) newer_version: Notify,
+    lacking: Notify,
     list_update: Notify,
+    store_read: Notify,
+    is_store_read_requested: Cell<bool>,
+    list_holder: Cell<Option<SocketAddr>>,
+    config_holder: Cell<Option<(u64, SocketAddr)>>,
+    next_reader: Cell<u32>,
     queued: RefCell<Option<QueuedUpdate>>,
     pub(super) leaving: RefCell<NoticeQueue>,
     pub(super) resting: RefCell<NoticeQueue>,
@@ -37,12 +46,19 @@
 }
 
 impl Peers {
-    pub(crate) fn new(me: VmName) -> Self {
+    pub(crate) fn new(me: VmName, domain: DomainName) -> Self {
+        let mut gossip = GossipState::new(me, rand::rng().random());
+        gossip.set_domain(domain);
         Self {
-            gossip: RefCell::new(GossipState::new(me, rand::rng().random())),
+            gossip: RefCell::new(gossip),
             round_requested: Notify::new(),
-            newer_version: Notify::new(),
+            lacking: Notify::new(),
             list_update: Notify::new(),
+            store_read: Notify::new(),
+            is_store_read_requested: Cell::new(false),
+            list_holder: Cell::new(None),
+            config_holder: Cell::new(None),
+            next_reader: Cell::new(0),
             queued: RefCell::new(None),
             leaving: RefCell::default(),
             resting: RefCell::default(),
@@ -57,10 +73,6 @@
             .set(self.incarnation.get().max(incarnation));
     }
 
-    pub(super) fn get_incarnation(&self) -> u64 {
-        self.incarnation.get()
-    }
-
     /// Queues the notice that a target is leaving, and requests a round.
     pub(crate) fn queue_leaving(&self, digest: u64) {
         self.leaving.borrow_mut().push(digest);
@@ -78,9 +90,83 @@
         self.round_requested.notify_one();
     }
 
-    /// Waits until a peer reports a newer configuration than the one in force.
-    pub(crate) async fn wait_newer_version(&self) {
-        self.newer_version.notified().await;
+    /// Waits until a peer has announced something that this VM may lack.
+    pub(super) async fn wait_lacking(&self) {
+        self.lacking.notified().await;
+    }
+
+    /// Wakes the task that fetches from peers.
+    pub(crate) fn notify_lacking(&self) {
+        self.lacking.notify_one();
+    }
+
+    /// Requests a read of the store, because no peer has what this VM lacks.
+    pub(super) fn request_store_read(&self) {
+        self.is_store_read_requested.set(true);
+        self.store_read.notify_one();
+    }
+
+    /// Returns true if a read of the store was requested since the last call.
+    pub(crate) fn take_store_read_request(&self) -> bool {
+        self.is_store_read_requested.take()
+    }
+
+    /// Waits until a read of the store is requested.
+    pub(crate) async fn wait_store_read(&self) {
+        self.store_read.notified().await;
+    }
+
+    /// Records the peer that announced changes of the list which this VM lacks.
+    pub(crate) fn set_list_holder(&self, addr: SocketAddr) {
+        self.list_holder.set(Some(addr));
+        self.notify_lacking();
+    }
+
+    pub(super) fn get_list_holder(&self) -> Option<SocketAddr> {
+        self.list_holder.get()
+    }
+
+    /// Records that a peer has a configuration in force.
+    pub(super) fn record_config_holder(&self, version: u64, addr: SocketAddr) {
+        let newest = self.config_holder.get().map_or(0, |(newest, _)| newest);
+        if version > newest {
+            self.config_holder.set(Some((version, addr)));
+            self.notify_lacking();
+        }
+    }
+
+    /// Returns the peer that announced the newest configuration, if it has it in
+    /// force.
+    pub(super) fn get_config_holder(&self) -> Option<SocketAddr> {
+        let (version, addr) = self.config_holder.get()?;
+        (version >= self.get_newest_version()).then_some(addr)
+    }
+
+    /// Returns the digest of this VM as a reader of the store.
+    pub(crate) fn get_own_reader_digest(&self) -> u32 {
+        self.gossip.borrow().get_own_reader_digest()
+    }
+
+    /// Chooses a live VM as the next reader of the store.
+    pub(crate) fn choose_reader(&self, now: Instant) -> u32 {
+        self.gossip.borrow_mut().choose_reader(now)
+    }
+
+    /// Records which VM reads the store next.
+    pub(crate) fn set_next_reader(&self, digest: u32) {
+        self.next_reader.set(digest);
+    }
+
+    pub(crate) fn get_next_reader(&self) -> u32 {
+        self.next_reader.get()
+    }
+
+    /// Returns this VM's turn to read the store if `next_reader` is the next one.
+    pub(crate) fn get_turn(&self, now: Instant, next_reader: u32) -> ReadTurn {
+        ReadTurn {
+            rank: self.gossip.borrow().get_read_rank(now, next_reader),
+            draw: rand::rng().random(),
+        }
     }
 
     /// Wakes the task that waits for a list update of a peer.
@@ -97,6 +183,11 @@
     /// VM or received from a peer.
     pub(crate) fn queue_list_update(&self, now: Instant, update: TargetListUpdate) {
         let read_at = now.checked_sub(update.age).unwrap_or(now);
+        // A complete list does not fit into a datagram.
+        let update = match update.content {
+            UpdateContent::Full => update.omit_changes(),
+            UpdateContent::Changes | UpdateContent::Omitted => update,
+        };
         let mut queued = self.queued.borrow_mut();
         let is_newer = queued.as_ref().is_none_or(|queued| {
             update.version > queued.update.version || read_at > queued.read_at + SAME_READ_TOLERANCE
@@ -126,7 +217,7 @@
     /// is the newest so far.
     pub(crate) fn record_version(&self, version: u64) {
         if self.gossip.borrow_mut().record_revision(version) {
-            self.newer_version.notify_one();
+            self.lacking.notify_one();
             self.request_round();
         }
     }
@@ -150,7 +241,7 @@
 
 impl Gateway {
     /// Returns this VM's view of itself; each call has a higher sequence number.
-    pub(super) fn make_own_view(&self) -> PeerView {
+    pub(crate) fn make_own_view(&self) -> PeerView {
         let settings = self.get_settings();
         let peers = &self.peers;
         peers.seq.set(peers.seq.get() + 1);
@@ -162,6 +253,7 @@
             operator_addr: None,
             is_leaving: self.get_phase() == Phase::Stopping,
             revision: self.get_version(),
+            domain: settings.domain.clone(),
         }
     }
 }
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -4,7 +4,7 @@
 use super::callers::{ShutdownStage, run_callers};
 use super::feeds::follow_store;
 use super::metrics::answer_metrics;
-use super::peers::{register, run_gossip, unregister};
+use super::peers::{follow_peers, keep_registered, run_gossip, run_state_server, unregister};
 use super::ready::answer_ready;
 use super::sockets::GatewaySockets;
 use super::state::Gateway;
@@ -88,6 +88,7 @@
     let callers = TcpListener::from_std(sockets.callers)?;
     let ready = TcpListener::from_std(sockets.ready)?;
     let socket = UdpSocket::from_std(sockets.peers)?;
+    let state = TcpListener::from_std(sockets.state)?;
     gateway.journal.record(EventKind::VmStarted);
     log::info!(
         target: STATE_LOG_TARGET,
@@ -112,7 +113,9 @@
         tokio::task::spawn_local(run_auxiliary(gateway.clone(), listener, answer_metrics));
     }
     tokio::task::spawn_local(run_gossip(gateway.clone(), socket));
-    tokio::task::spawn_local(register(gateway.clone()));
+    tokio::task::spawn_local(keep_registered(gateway.clone()));
+    tokio::task::spawn_local(follow_peers(gateway.clone()));
+    tokio::task::spawn_local(run_state_server(gateway.clone(), state));
     tokio::task::spawn_local(follow_store(gateway.clone()));
     tokio::task::spawn_local(sweep(gateway.clone()));
     stop.await;
--- a/crates/daemon/src/gateway/sockets.rs
+++ b/crates/daemon/src/gateway/sockets.rs
@@ -13,6 +13,8 @@
     pub(crate) callers: TcpListener,
     pub(crate) ready: TcpListener,
     pub(crate) peers: UdpSocket,
+    /// Listens for requests of peers, at the same address as `peers`.
+    pub(crate) state: TcpListener,
     pub(crate) metrics: Option<TcpListener>,
 }
 
@@ -24,19 +26,37 @@
     ///
     /// Fails if an address cannot be bound.
     pub fn bind(settings: &mut GatewaySettings) -> anyhow::Result<Self> {
-        let peers = UdpSocket::bind(settings.peers)
-            .with_context(|| format!("cannot bind {}", settings.peers))?;
-        peers.set_nonblocking(true)?;
-        settings.peers = peers.local_addr()?;
+        let (peers, state) = bind_peers(&mut settings.peers)?;
         Ok(Self {
             callers: listen(&mut settings.callers)?,
             ready: listen(&mut settings.ready)?,
             peers,
+            state,
             metrics: bind_metrics(&mut settings.metrics),
         })
     }
 }
 
+/// Attempts to find a port that is free for datagrams and for connections.
+const MAX_BIND_ATTEMPTS: usize = 20;
+
+/// Binds the address of the peers for datagrams and for connections.
+fn bind_peers(addr: &mut SocketAddr) -> anyhow::Result<(UdpSocket, TcpListener)> {
+    let wanted = *addr;
+    let mut attempts = 0;
+    loop {
+        attempts += 1;
+        let peers = UdpSocket::bind(wanted).with_context(|| format!("cannot bind {wanted}"))?;
+        peers.set_nonblocking(true)?;
+        *addr = peers.local_addr()?;
+        match listen(addr) {
+            Ok(state) => return Ok((peers, state)),
+            Err(error) if wanted.port() != 0 || attempts == MAX_BIND_ATTEMPTS => return Err(error),
+            Err(_) => {}
+        }
+    }
+}
+
 /// Binds the address of the metrics. A failure is logged only, since serving
 /// requests is more important than metrics.
 fn bind_metrics(addr: &mut Option<SocketAddr>) -> Option<TcpListener> {
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -7,9 +7,10 @@
 use super::peers::Peers;
 use super::services::ServiceEntry;
 use crate::telemetry::{Journal, LineCounts};
+use bytes::Bytes;
 use gentianridge_adapter::{HeaderNames, Store, get_header_names};
 use gentianridge_config::GatewaySettings;
-use gentianridge_core::{Clock, EventKind, Quarantine, RouteTable, TargetList};
+use gentianridge_core::{Clock, EventKind, Quarantine, RouteTable, TargetList, UpdateLog};
 use std::cell::{Cell, Ref, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -39,6 +40,9 @@
     pub(super) routes: RefCell<Option<RouteTable>>,
     pub(super) list: RefCell<TargetList>,
     pub(super) list_reader: ListReader,
+    pub(super) update_log: RefCell<UpdateLog>,
+    /// The configuration in force as the store holds it, for peers that lack it.
+    config_value: RefCell<Option<Bytes>>,
     pub(super) services: RefCell<Vec<ServiceEntry>>,
     pub(super) quarantine: RefCell<Quarantine>,
     phase: Cell<Phase>,
@@ -73,11 +77,13 @@
             clock,
             journal,
             connections: ConnectionPool::default(),
-            peers: Peers::new(settings.vm.clone()),
+            peers: Peers::new(settings.vm.clone(), settings.domain.clone()),
             metrics: GatewayMetrics::new(lines)?,
             routes: RefCell::new(None),
             list: RefCell::new(TargetList::new(get_list_bound(&settings))),
             list_reader: ListReader::default(),
+            update_log: RefCell::default(),
+            config_value: RefCell::new(None),
             services: RefCell::new(Vec::new()),
             quarantine: RefCell::new(Quarantine::new(CRASH_PERIOD)),
             phase: Cell::new(Phase::Running),
@@ -143,7 +149,22 @@
         }
     }
 
-    fn is_loaded(&self) -> bool {
+    /// Waits until a configuration or a list was applied.
+    pub(super) async fn wait_loaded_once(&self) {
+        self.loaded.notified().await;
+    }
+
+    /// Returns the configuration in force as the store holds it.
+    pub(super) fn get_config_value(&self) -> Option<Bytes> {
+        self.config_value.borrow().clone()
+    }
+
+    pub(super) fn set_config_value(&self, value: &[u8]) {
+        *self.config_value.borrow_mut() = Some(Bytes::copy_from_slice(value));
+    }
+
+    /// Returns true if this VM has a configuration and a list.
+    pub(super) fn is_loaded(&self) -> bool {
         self.routes.borrow().is_some() && self.list.borrow().get_version().is_some()
     }
 
@@ -161,6 +182,6 @@
 }
 
 /// Returns the maximum age of the list of targets.
-fn get_list_bound(settings: &GatewaySettings) -> Duration {
+pub(super) fn get_list_bound(settings: &GatewaySettings) -> Duration {
     settings.drain.min(settings.apply)
 }
--- a/crates/testkit/src/gateway/store.rs
+++ b/crates/testkit/src/gateway/store.rs
@@ -348,7 +348,13 @@
     for expected in list("expected_rev") {
         let version = state.get_version(&text(&expected, "table"), &text(&expected, "key"));
         if expected["ver"].as_u64() != Some(version) {
-            return (412, json!({"rows": [], "ver": state.ver, "now": "1ms"}));
+            let current = state.rows.iter().filter(|row| {
+                row.table == text(&expected, "table")
+                    && row.key == text(&expected, "key")
+                    && row.value.is_some()
+            });
+            let current: Vec<&StoredRow> = current.collect();
+            return (412, state.reply(&current));
         }
     }
     for put in &puts {
--- a/crates/testkit/src/gateway/target.rs
+++ b/crates/testkit/src/gateway/target.rs
@@ -4,7 +4,7 @@
 use parking_lot::Mutex;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -75,6 +75,7 @@
     connections: AtomicUsize,
     load_requests: AtomicUsize,
     crashed: Notify,
+    is_listener_closed: AtomicBool,
 }
 
 /// The run of one request.
@@ -128,6 +129,7 @@
             connections: AtomicUsize::new(0),
             load_requests: AtomicUsize::new(0),
             crashed: Notify::new(),
+            is_listener_closed: AtomicBool::new(false),
         });
         let task = tokio::spawn(accept(listener, shared.clone()));
         Ok(Self { addr, shared, task })
@@ -264,7 +266,11 @@
                 shared.connections.fetch_add(1, Ordering::Relaxed);
                 tokio::spawn(serve(stream, shared.clone()));
             }
-            () = shared.crashed.notified() => return,
+            () = shared.crashed.notified() => {
+                drop(listener);
+                shared.is_listener_closed.store(true, Ordering::Release);
+                return;
+            }
         }
     }
 }
@@ -329,7 +335,12 @@
     let text = match behavior {
         TargetBehavior::LostAnswer => return false,
         TargetBehavior::Crash => {
+            // The listener closes first: a target that takes a new connection counts as
+            // alive, and the request as one whose answer was lost.
             shared.crashed.notify_one();
+            while !shared.is_listener_closed.load(Ordering::Acquire) {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
             return false;
         }
         TargetBehavior::OtherId => reply(200, &signed.replace(id, "another"), &body),
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -14,8 +14,13 @@
 
 /// Wraps a connection in the frame codec.
 pub fn new_framed<T: AsyncRead + AsyncWrite>(io: T) -> Framed<T> {
+    new_framed_with(io, MAX_FRAME_BYTES)
+}
+
+/// Wraps a connection in the frame codec with a maximum size of a frame, in bytes.
+pub fn new_framed_with<T: AsyncRead + AsyncWrite>(io: T, max_bytes: usize) -> Framed<T> {
     let codec = LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_FRAME_BYTES)
+        .max_frame_length(max_bytes)
         .new_codec();
     Framed::new(io, codec)
 }
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -116,6 +116,7 @@
         operator_addr: view.operator_addr.map(encode_addr).unwrap_or_default(),
         is_leaving: view.is_leaving,
         revision: view.revision,
+        domain: view.domain.to_string(),
     }
 }
 
@@ -131,6 +132,7 @@
         operator_addr: decode_optional_addr(&message.operator_addr)?,
         is_leaving: message.is_leaving,
         revision: message.revision,
+        domain: message.domain.into(),
     })
 }
 
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -7,6 +7,7 @@
 use crate::{WireError, WireErrorKind};
 use gentianridge_core::{
     CrashRecord, HeartbeatSummary, Incarnation, PeerView, TargetEntry, TargetListUpdate,
+    UpdateContent,
 };
 use prost::Message;
 use smol_str::SmolStr;
@@ -45,7 +46,7 @@
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
-struct EncodedList {
+pub(crate) struct EncodedList {
     #[prost(uint64, tag = "1")]
     base: u64,
     #[prost(uint64, tag = "2")]
@@ -68,6 +69,11 @@
     /// Missing from messages of processes before version 0.2, which no list matches.
     #[prost(fixed64, tag = "10")]
     digest: u64,
+    /// 0 for changes, 1 for a complete list, 2 if the changes are omitted.
+    #[prost(uint32, tag = "11")]
+    content: u32,
+    #[prost(fixed32, tag = "12")]
+    next_reader: u32,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -172,7 +178,7 @@
     }
 }
 
-fn encode_list(list: &TargetListUpdate) -> EncodedList {
+pub(crate) fn encode_list(list: &TargetListUpdate) -> EncodedList {
     let mut names = Vec::new();
     let entries = list.entries.iter();
     let entries = entries.map(|entry| encode_entry(entry, &mut names));
@@ -186,6 +192,8 @@
         removed: list.removed.iter().map(SmolStr::to_string).collect(),
         unreadable: list.unreadable.iter().map(SmolStr::to_string).collect(),
         digest: list.digest,
+        content: encode_content(list.content),
+        next_reader: list.next_reader,
         names,
     }
 }
@@ -213,7 +221,7 @@
     index as u32
 }
 
-fn decode_list(list: EncodedList) -> Result<TargetListUpdate, WireError> {
+pub(crate) fn decode_list(list: EncodedList) -> Result<TargetListUpdate, WireError> {
     let names: Vec<SmolStr> = list.names.into_iter().map(SmolStr::from).collect();
     let entries = list.entries.into_iter();
     let entries = entries.map(|entry| decode_entry(entry, &names));
@@ -227,6 +235,8 @@
         removed: list.removed.into_iter().map(SmolStr::from).collect(),
         unreadable: list.unreadable.into_iter().map(SmolStr::from).collect(),
         digest: list.digest,
+        content: decode_content(list.content)?,
+        next_reader: list.next_reader,
     })
 }
 
@@ -249,6 +259,23 @@
     })
 }
 
+fn encode_content(content: UpdateContent) -> u32 {
+    match content {
+        UpdateContent::Changes => 0,
+        UpdateContent::Full => 1,
+        UpdateContent::Omitted => 2,
+    }
+}
+
+fn decode_content(number: u32) -> Result<UpdateContent, WireError> {
+    match number {
+        0 => Ok(UpdateContent::Changes),
+        1 => Ok(UpdateContent::Full),
+        2 => Ok(UpdateContent::Omitted),
+        _ => Err(malformed(format!("list content {number} is unknown"))),
+    }
+}
+
 fn saturate_ms(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,8 +11,12 @@
 mod datagram;
 mod error;
 mod message;
+mod state;
 
-pub use codec::{Framed, MAX_FRAME_BYTES, new_framed, read_message, write_message};
+pub use codec::{
+    Framed, MAX_FRAME_BYTES, new_framed, new_framed_with, read_message, write_message,
+};
 pub use convert::PeerMessage;
 pub use datagram::PeerDatagram;
 pub use error::{WireError, WireErrorKind};
+pub use state::{ConfigState, StateReply, StateRequest};
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -57,6 +57,8 @@
     pub(crate) is_leaving: bool,
     #[prost(uint64, tag = "7")]
     pub(crate) revision: u64,
+    #[prost(string, tag = "8")]
+    pub(crate) domain: String,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- /dev/null
+++ b/crates/wire/src/state.rs
@@ -0,0 +1,181 @@
+//! Requests for the state of a peer, on a connection.
+
+use crate::convert::{decode_peer, encode_peer, malformed};
+use crate::datagram::{EncodedList, decode_list, encode_list};
+use crate::message::PeerViewMessage;
+use crate::{WireError, WireErrorKind};
+use gentianridge_core::{PeerView, TargetListUpdate, VmName};
+use prost::Message;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// The only format that this process encodes and decodes.
+const FORMAT: u32 = 1;
+
+/// Request for what a VM lacks of the state of a peer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StateRequest {
+    /// Name of the VM that asks.
+    pub vm: VmName,
+    /// Revision of the configuration in force there, 0 if there is none.
+    pub revision: u64,
+    /// Version of its target list.
+    pub list_version: Option<u64>,
+    /// True if only a complete list helps.
+    pub needs_full_list: bool,
+    /// True if it knows no other VM.
+    pub needs_peers: bool,
+}
+
+/// A configuration as the store holds it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ConfigState {
+    /// Revision of the configuration.
+    pub revision: u64,
+    /// Row of the store.
+    pub value: Vec<u8>,
+}
+
+/// State of a peer, as far as the VM that asked lacks it.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct StateReply {
+    /// The configuration in force, if it is newer.
+    pub config: Option<ConfigState>,
+    /// The list, as the changes from the stated version or complete.
+    pub list: Option<TargetListUpdate>,
+    /// The VMs that the peer knows.
+    pub peers: Vec<PeerView>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct EncodedRequest {
+    #[prost(uint32, tag = "1")]
+    format: u32,
+    #[prost(string, tag = "2")]
+    vm: String,
+    #[prost(uint64, tag = "3")]
+    revision: u64,
+    #[prost(uint64, optional, tag = "4")]
+    list_version: Option<u64>,
+    #[prost(bool, tag = "5")]
+    needs_full_list: bool,
+    #[prost(bool, tag = "6")]
+    needs_peers: bool,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct EncodedConfig {
+    #[prost(uint64, tag = "1")]
+    revision: u64,
+    #[prost(bytes = "vec", tag = "2")]
+    value: Vec<u8>,
+    #[prost(fixed64, tag = "3")]
+    checksum: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct EncodedReply {
+    #[prost(uint32, tag = "1")]
+    format: u32,
+    #[prost(message, optional, tag = "2")]
+    config: Option<EncodedConfig>,
+    #[prost(message, optional, tag = "3")]
+    list: Option<EncodedList>,
+    #[prost(message, repeated, tag = "4")]
+    peers: Vec<PeerViewMessage>,
+}
+
+impl StateRequest {
+    /// Maximum size of a request in bytes.
+    pub const MAX_BYTES: usize = 1_024;
+
+    /// Encodes the request without the frame header.
+    pub fn encode(&self) -> Vec<u8> {
+        let encoded = EncodedRequest {
+            format: FORMAT,
+            vm: self.vm.to_string(),
+            revision: self.revision,
+            list_version: self.list_version,
+            needs_full_list: self.needs_full_list,
+            needs_peers: self.needs_peers,
+        };
+        encoded.encode_to_vec()
+    }
+
+    /// Decodes a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes are not a request of this format.
+    pub fn decode(bytes: &[u8]) -> Result<Self, WireError> {
+        let encoded =
+            EncodedRequest::decode(bytes).map_err(|error| malformed(error.to_string()))?;
+        check_format(encoded.format)?;
+        Ok(Self {
+            vm: encoded.vm.into(),
+            revision: encoded.revision,
+            list_version: encoded.list_version,
+            needs_full_list: encoded.needs_full_list,
+            needs_peers: encoded.needs_peers,
+        })
+    }
+}
+
+impl StateReply {
+    /// Maximum size of a reply in bytes: a configuration and a list of some
+    /// thousand entries each.
+    pub const MAX_BYTES: usize = 8 << 20;
+
+    /// Encodes the reply without the frame header.
+    pub fn encode(&self) -> Vec<u8> {
+        let config = self.config.as_ref().map(|config| EncodedConfig {
+            revision: config.revision,
+            checksum: xxh3_64(&config.value),
+            value: config.value.clone(),
+        });
+        let encoded = EncodedReply {
+            format: FORMAT,
+            config,
+            list: self.list.as_ref().map(encode_list),
+            peers: self.peers.iter().map(encode_peer).collect(),
+        };
+        encoded.encode_to_vec()
+    }
+
+    /// Decodes a reply.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes are not a reply of this format or if the configuration
+    /// does not match its checksum.
+    pub fn decode(bytes: &[u8]) -> Result<Self, WireError> {
+        let encoded = EncodedReply::decode(bytes).map_err(|error| malformed(error.to_string()))?;
+        check_format(encoded.format)?;
+        let peers = encoded.peers.into_iter().map(decode_peer);
+        Ok(Self {
+            config: encoded.config.map(decode_config).transpose()?,
+            list: encoded.list.map(decode_list).transpose()?,
+            peers: peers.collect::<Result<_, _>>()?,
+        })
+    }
+}
+
+fn decode_config(config: EncodedConfig) -> Result<ConfigState, WireError> {
+    if xxh3_64(&config.value) != config.checksum {
+        return Err(malformed(format!(
+            "configuration {} does not match its checksum",
+            config.revision
+        )));
+    }
+    Ok(ConfigState {
+        revision: config.revision,
+        value: config.value,
+    })
+}
+
+fn check_format(format: u32) -> Result<(), WireError> {
+    if format == FORMAT {
+        return Ok(());
+    }
+    let detail = format!("state format {format} is not supported");
+    Err(WireError::new(WireErrorKind::Version, detail))
+}
--- a/crates/wire/tests/messages.rs
+++ b/crates/wire/tests/messages.rs
@@ -17,6 +17,7 @@
         operator_addr: Some(SocketAddr::from(([0, 0, 0, 0, 0, 0, 0, 1], 8081))),
         is_leaving: true,
         revision: 12,
+        domain: "d1".into(),
     }
 }
 
--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -181,6 +181,7 @@
         operator_addr: Some(addr),
         is_leaving: false,
         revision: 400,
+        domain: "d1".into(),
     }
 }
 
