test(gateway): state of peers over the real daemon; tasks that fail start again

- A start without a store, calls of a start, a configuration on VMs that the store turns away, a change that fits no datagram, hostile requests, replies that match no checksum or digest or are older.
- Complete lists also hold an entry of an older incarnation, which is not used: a VM that kept none could not pass its list on (found by update_log::merged_changes).

--- a/crates/core/src/discovery/directory.rs
+++ b/crates/core/src/discovery/directory.rs
@@ -12,6 +12,8 @@
     /// decoded. The entry in use differs from it if it holds lasting state or if
     /// the one in the store belongs to an older incarnation.
     listed: Option<u64>,
+    /// Entry in the store of an older incarnation, which is not used.
+    older: Option<Box<TargetEntry>>,
     /// True if the entry was removed at a time when it may only have expired.
     is_expired: bool,
     /// True if another process answered at the address.
@@ -23,6 +25,9 @@
     ///
     /// `is_draining` is the only lasting state that is part of an entry's digest.
     fn get_listed_entry(&self) -> TargetEntry {
+        if let Some(older) = &self.older {
+            return (**older).clone();
+        }
         let mut entry = self.entry.clone();
         entry.is_draining = true;
         if self.listed != Some(entry.get_digest()) {
@@ -215,9 +220,6 @@
     }
 
     /// Returns the entries that the store lists, as they were last read.
-    ///
-    /// An entry whose incarnation is older than the one in use is left out of use
-    /// and not kept, so that a list with one cannot be passed on.
     pub fn get_listed_entries(&self) -> Vec<TargetEntry> {
         let listed = self.targets.iter().filter(|known| known.listed.is_some());
         listed.map(KnownTarget::get_listed_entry).collect()
@@ -281,6 +283,7 @@
                 changed.push(entry.service.clone());
                 let known = KnownTarget {
                     listed: Some(entry.get_digest()),
+                    older: None,
                     entry,
                     is_expired: false,
                     is_replaced: false,
@@ -299,6 +302,7 @@
             let known = &mut self.targets[index];
             known.is_expired = true;
             known.listed = None;
+            known.older = None;
             changed.push(known.entry.service.clone());
             return;
         }
@@ -310,6 +314,7 @@
     pub fn set_unreadable_entry(&mut self, id: &str) {
         if let Ok(index) = self.find(id) {
             self.targets[index].listed = None;
+            self.targets[index].older = None;
         }
     }
 
@@ -351,8 +356,10 @@
         known.listed = Some(entry.get_digest());
         let old = &known.entry;
         if entry.incarnation.born_ms < old.incarnation.born_ms {
+            known.older = Some(Box::new(entry));
             return;
         }
+        known.older = None;
         known.keep_lasting_state(&mut entry);
         let old = &known.entry;
         let is_same_process = entry.incarnation == old.incarnation && entry.addr == old.addr;
--- a/crates/core/src/discovery/list.rs
+++ b/crates/core/src/discovery/list.rs
@@ -230,15 +230,10 @@
         UpdateOutcome::Applied
     }
 
-    /// Returns the complete list for a peer.
-    ///
-    /// `None` as long as there is none, or if this VM does not keep an entry that
-    /// the store holds, see [`Directory::get_listed_entries`].
+    /// Returns the complete list for a peer, `None` as long as there is none.
     pub fn make_full_update(&self, now: Instant) -> Option<TargetListUpdate> {
         let entries = self.directory.get_listed_entries();
-        if sum_digests(&entries) != self.get_digest() {
-            return None;
-        }
+        debug_assert_eq!(sum_digests(&entries), self.get_digest());
         Some(TargetListUpdate {
             version: self.get_version()?,
             age: self.get_age(now)?,
--- a/crates/daemon/src/gateway/peers/gossip.rs
+++ b/crates/daemon/src/gateway/peers/gossip.rs
@@ -19,7 +19,7 @@
 pub(super) const ROUND_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Sends and receives datagrams until the task is dropped.
-pub(crate) async fn run_gossip(gateway: Rc<Gateway>, socket: UdpSocket) {
+pub(crate) async fn run_gossip(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     let started = gateway.clock.wall().duration_since(UNIX_EPOCH);
     let incarnation = started.map_or(1, |since| since.as_millis() as u64);
     gateway.peers.raise_incarnation(incarnation);
@@ -29,14 +29,16 @@
         budget: RefCell::new(ByteBudget::new()),
         stall: RefCell::default(),
     });
-    let receiver = tokio::task::spawn_local(runner.clone().receive());
-    runner.run_rounds().await;
-    receiver.abort();
+    // If either part fails, both are started again.
+    tokio::select! {
+        () = runner.clone().receive() => {}
+        () = runner.run_rounds() => {}
+    }
 }
 
 struct GossipRunner {
     gateway: Rc<Gateway>,
-    socket: UdpSocket,
+    socket: Rc<UdpSocket>,
     budget: RefCell<ByteBudget>,
     stall: RefCell<StallDetector>,
 }
--- a/crates/daemon/src/gateway/peers/state_exchange.rs
+++ b/crates/daemon/src/gateway/peers/state_exchange.rs
@@ -49,7 +49,7 @@
 }
 
 /// Answers the requests of peers until the task is dropped.
-pub(crate) async fn run_state_server(gateway: Rc<Gateway>, listener: TcpListener) {
+pub(crate) async fn run_state_server(gateway: Rc<Gateway>, listener: Rc<TcpListener>) {
     let limit = Arc::new(Semaphore::new(MAX_CONCURRENT));
     loop {
         let Ok(permit) = limit.clone().acquire_owned().await else {
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -9,6 +9,7 @@
 use super::sockets::GatewaySockets;
 use super::state::Gateway;
 use crate::clock::SystemClock;
+use crate::supervise::supervise;
 use crate::telemetry::{STATE_LOG_TARGET, start_logging};
 use anyhow::Context;
 use gentianridge_config::{GatewaySettings, parse_gateway_settings};
@@ -87,8 +88,8 @@
     let settings = gateway.get_settings().clone();
     let callers = TcpListener::from_std(sockets.callers)?;
     let ready = TcpListener::from_std(sockets.ready)?;
-    let socket = UdpSocket::from_std(sockets.peers)?;
-    let state = TcpListener::from_std(sockets.state)?;
+    let socket = Rc::new(UdpSocket::from_std(sockets.peers)?);
+    let state = Rc::new(TcpListener::from_std(sockets.state)?);
     gateway.journal.record(EventKind::VmStarted);
     log::info!(
         target: STATE_LOG_TARGET,
@@ -112,18 +113,31 @@
         let listener = TcpListener::from_std(listener)?;
         tokio::task::spawn_local(run_auxiliary(gateway.clone(), listener, answer_metrics));
     }
-    tokio::task::spawn_local(run_gossip(gateway.clone(), socket));
-    tokio::task::spawn_local(keep_registered(gateway.clone()));
-    tokio::task::spawn_local(follow_peers(gateway.clone()));
-    tokio::task::spawn_local(run_state_server(gateway.clone(), state));
-    tokio::task::spawn_local(follow_store(gateway.clone()));
-    tokio::task::spawn_local(sweep(gateway.clone()));
+    spawn_supervised(&gateway, "gossip", move |gateway| {
+        run_gossip(gateway, socket.clone())
+    });
+    spawn_supervised(&gateway, "state server", move |gateway| {
+        run_state_server(gateway, state.clone())
+    });
+    spawn_supervised(&gateway, "registration", keep_registered);
+    spawn_supervised(&gateway, "fetches from peers", follow_peers);
+    spawn_supervised(&gateway, "reads of the store", follow_store);
+    spawn_supervised(&gateway, "sweep", sweep);
     stop.await;
     shut_down(&gateway, &shutdown_tx, &connections).await;
     accept.abort();
     Ok(())
 }
 
+fn spawn_supervised<F: Future<Output = ()> + 'static>(
+    gateway: &Rc<Gateway>,
+    name: &'static str,
+    mut make: impl FnMut(Rc<Gateway>) -> F + 'static,
+) {
+    let gateway = gateway.clone();
+    tokio::task::spawn_local(supervise(name, move || make(gateway.clone())));
+}
+
 async fn sweep(gateway: Rc<Gateway>) {
     let mut period = tokio::time::interval(SWEEP_PERIOD);
     loop {
--- a/crates/daemon/src/gateway/services.rs
+++ b/crates/daemon/src/gateway/services.rs
@@ -3,6 +3,7 @@
 use super::samples::run_samples;
 use super::state::Gateway;
 use crate::service::ServiceHandle;
+use crate::supervise::supervise;
 use gentianridge_core::{
     ClassSpec, MethodSet, RouteMatch, RoutedService, Sampling, ServiceSpec, TargetSpec,
 };
@@ -92,8 +93,13 @@
             // Peers may be known before the service is created.
             handle.set_fleet(vms, 0);
         }
-        tokio::task::spawn_local(handle.clone().run_timer());
-        tokio::task::spawn_local(run_samples(self.clone(), handle.clone()));
+        let (timer, sampler, gateway) = (handle.clone(), handle.clone(), self.clone());
+        tokio::task::spawn_local(supervise("service timer", move || {
+            timer.clone().run_timer()
+        }));
+        tokio::task::spawn_local(supervise("load requests", move || {
+            run_samples(gateway.clone(), sampler.clone())
+        }));
         ServiceEntry {
             handle,
             declared: None,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,9 +12,11 @@
 mod run;
 mod service;
 mod store;
+mod supervise;
 mod telemetry;
 
 pub use clock::SystemClock;
 pub use gateway::{GatewaySockets, run_gateway, run_gateway_until};
 pub use run::{Daemon, Listeners, run_until_signal};
+pub use supervise::supervise;
 pub use telemetry::{BoundedAppender, LineCounts, start_logging};
--- a/crates/testkit/src/gateway/store.rs
+++ b/crates/testkit/src/gateway/store.rs
@@ -53,6 +53,8 @@
 pub struct StoreEndpoint {
     addr: SocketAddr,
     fault: Arc<Mutex<StoreFault>>,
+    /// Request lines of the calls at this address.
+    calls: Arc<Mutex<Vec<String>>>,
     task: JoinHandle<()>,
 }
 
@@ -67,8 +69,19 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let addr = listener.local_addr()?;
         let fault = Arc::new(Mutex::new(StoreFault::None));
-        let task = tokio::spawn(accept(listener, shared.clone(), fault.clone()));
-        Ok(Self { addr, fault, task })
+        let calls = Arc::new(Mutex::new(Vec::new()));
+        let task = tokio::spawn(accept(
+            listener,
+            shared.clone(),
+            fault.clone(),
+            calls.clone(),
+        ));
+        Ok(Self {
+            addr,
+            fault,
+            calls,
+            task,
+        })
     }
 
     /// Returns the address.
@@ -80,6 +93,12 @@
     pub fn set_fault(&self, fault: StoreFault) {
         *self.fault.lock() = fault;
     }
+
+    /// Returns the number of calls at this address whose request line contains the text.
+    pub fn count_calls(&self, text: &str) -> usize {
+        let calls = self.calls.lock();
+        calls.iter().filter(|call| call.contains(text)).count()
+    }
 }
 
 /// A stand-in for the store on a loopback address.
@@ -250,15 +269,26 @@
     }
 }
 
-async fn accept(listener: TcpListener, shared: Arc<Shared>, fault: Arc<Mutex<StoreFault>>) {
+async fn accept(
+    listener: TcpListener,
+    shared: Arc<Shared>,
+    fault: Arc<Mutex<StoreFault>>,
+    calls: Arc<Mutex<Vec<String>>>,
+) {
     while let Ok((stream, _)) = listener.accept().await {
-        tokio::spawn(serve(stream, shared.clone(), fault.clone()));
+        tokio::spawn(serve(stream, shared.clone(), fault.clone(), calls.clone()));
     }
 }
 
-async fn serve(stream: TcpStream, shared: Arc<Shared>, fault: Arc<Mutex<StoreFault>>) {
+async fn serve(
+    stream: TcpStream,
+    shared: Arc<Shared>,
+    fault: Arc<Mutex<StoreFault>>,
+    calls: Arc<Mutex<Vec<String>>>,
+) {
     let mut messages = MessageStream::new(stream);
     while let Ok(Some(request)) = messages.read().await {
+        calls.lock().push(request.start_line.clone());
         shared.state.lock().calls.push(request.start_line.clone());
         let reply = answer(&shared, &request).await;
         // Read after the call, so that a fault that began while the call waited
--- a/crates/testkit/src/gateway/vm.rs
+++ b/crates/testkit/src/gateway/vm.rs
@@ -120,7 +120,7 @@
 
 /// Returns settings with free ports that are chosen at the start and a high limit of
 /// repeats.
-fn make_settings(name: &str, store: SocketAddr) -> GatewaySettings {
+pub fn make_settings(name: &str, store: SocketAddr) -> GatewaySettings {
     let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
     let mut settings = GatewaySettings::new(name, any_port, any_port, any_port, store);
     settings.domain = "d1".into();
--- a/crates/wire/tests/messages.rs
+++ b/crates/wire/tests/messages.rs
@@ -114,3 +114,83 @@
         let _ = PeerMessage::decode(&bytes);
     }
 }
+
+/// Arbitrary and mutated bytes neither panic nor decode to something that encodes to other
+/// bytes.
+mod state {
+    use super::make_peer;
+    use gentianridge_core::{TargetListUpdate, UpdateContent};
+    use gentianridge_wire::{ConfigState, StateReply, StateRequest};
+    use proptest::prelude::*;
+
+    fn any_request() -> impl Strategy<Value = StateRequest> {
+        (
+            "[a-z0-9-]{0,20}",
+            any::<u64>(),
+            any::<Option<u64>>(),
+            any::<(bool, bool)>(),
+        )
+            .prop_map(
+                |(vm, revision, list_version, (needs_full_list, needs_peers))| StateRequest {
+                    vm: vm.into(),
+                    revision,
+                    list_version,
+                    needs_full_list,
+                    needs_peers,
+                },
+            )
+    }
+
+    fn any_reply() -> impl Strategy<Value = StateReply> {
+        (
+            prop::option::of(any::<(u64, Vec<u8>)>()),
+            prop::option::of(any::<(u64, u64)>()),
+            0usize..3,
+        )
+            .prop_map(|(config, list, peers)| StateReply {
+                config: config.map(|(revision, value)| ConfigState { revision, value }),
+                list: list.map(|(version, digest)| TargetListUpdate {
+                    version,
+                    digest,
+                    content: UpdateContent::Full,
+                    ..TargetListUpdate::default()
+                }),
+                peers: (0..peers)
+                    .map(|index| make_peer(&format!("vm-{index}")))
+                    .collect(),
+            })
+    }
+
+    proptest! {
+        #[test]
+        fn request_round_trip(request in any_request()) {
+            let bytes = request.encode();
+            prop_assert!(bytes.len() <= StateRequest::MAX_BYTES);
+            prop_assert_eq!(StateRequest::decode(&bytes).unwrap(), request);
+        }
+
+        #[test]
+        fn reply_round_trip(reply in any_reply()) {
+            prop_assert_eq!(StateReply::decode(&reply.encode()).unwrap(), reply);
+        }
+
+        #[test]
+        fn mutated_reply(reply in any_reply(), at in any::<prop::sample::Index>(), mask in 1u8..) {
+            let mut bytes = reply.encode();
+            if !bytes.is_empty() {
+                let at = at.index(bytes.len());
+                bytes[at] ^= mask;
+            }
+            if let Ok(decoded) = StateReply::decode(&bytes) {
+                let again = StateReply::decode(&decoded.encode()).unwrap();
+                prop_assert_eq!(again, decoded);
+            }
+        }
+
+        #[test]
+        fn arbitrary_bytes(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+            let _ = StateRequest::decode(&bytes);
+            let _ = StateReply::decode(&bytes);
+        }
+    }
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod leaving;
 mod limits;
 mod metrics;
+mod peer_state;
 mod peers;
 mod store_faults;
 mod test_env;
