feat(discovery): one order of all VMs for the reads of the store

Cause: after the loss of all VMs the fleet made 300 calls a second for ten seconds. Each VM took itself for the next reader, as its updates named it; the yields of a second version met in circles. A reader in place of another also waited at the store until the timers of all had ended.

Change: the order is a hash of the names under the revision in force; registered VMs count; a read in place of another is answered at once; urgent rounds of gossip carry no descriptions of others and have a part of the byte budget of their own (updates were skipped when heartbeats had used it up); after the loss of all VMs the seeds have a head start of 30 ms only; while the store is away a fleet makes as many attempts as eight VMs.

--- a/crates/core/src/discovery/list.rs
+++ b/crates/core/src/discovery/list.rs
@@ -69,6 +69,12 @@
         self.refresh_timer.get_version()
     }
 
+    /// Sets this VM's turn to read the list, which changes when it gets to know other
+    /// VMs.
+    pub fn set_turn(&mut self, turn: ReadTurn) {
+        self.refresh_timer.set_turn(turn);
+    }
+
     /// Returns when this VM has to read the list, or `None` if a read is due at once.
     pub fn get_due(&self) -> Option<Instant> {
         self.refresh_timer.get_due()
--- a/crates/core/src/discovery/refresh.rs
+++ b/crates/core/src/discovery/refresh.rs
@@ -71,6 +71,13 @@
         self.due
     }
 
+    /// Sets this VM's turn, which changes when it gets to know other VMs.
+    pub fn set_turn(&mut self, turn: ReadTurn) {
+        if let Some(read_at) = self.read_at.filter(|_| self.due.is_some()) {
+            self.restart(read_at, turn);
+        }
+    }
+
     /// Returns the time since the read that the list reflects.
     pub fn get_age(&self, now: Instant) -> Option<Duration> {
         let read_at = self.read_at?;
--- a/crates/core/src/discovery/turn.rs
+++ b/crates/core/src/discovery/turn.rs
@@ -2,27 +2,27 @@
 
 /// Position of a VM in the order in which the VMs read the store.
 ///
-/// Each update names the VM that reads next, which is usually the one that read
-/// last. The other VMs follow in the order of a hash that all compute alike, so
-/// that few VMs read at the same time if the reader is lost. The order is no
-/// election: two VMs that disagree on it read both, without harm.
+/// The order is that of a hash of the names, which all VMs compute alike. It changes
+/// with each configuration, so that the work goes round. The first VM reads for all,
+/// and the next ones follow in turn if it is lost, so that few VMs read at the same
+/// time. The order is no election: two VMs that disagree on it read both, without harm.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ReadTurn {
-    /// Number of live VMs before this one.
+    /// Number of VMs before this one.
     pub rank: usize,
     /// Random number in [0, 1) that spreads the VMs behind the first ones.
     pub draw: f64,
 }
 
 impl ReadTurn {
-    /// Fraction of the bound after which the next reader reads again, and for
-    /// which it waits for a change at the store.
+    /// Fraction of the bound after which the first VM reads again, and for which it
+    /// waits for a change at the store.
     pub const CYCLE: f64 = 0.2;
     /// Ranks that have a turn of their own; a fleet in which all of them fail to
     /// read at the same time is rare.
     const SINGLE_TURNS: usize = 2;
     /// Fraction of the bound that the update of the reader may take to reach every VM,
-    /// the hand-over to another reader included.
+    /// the way to the store included.
     const MARGIN: f64 = 0.06;
     /// Fraction of the bound between two turns, which exceeds the time that an
     /// update needs to reach every VM.
--- a/crates/core/src/discovery/update.rs
+++ b/crates/core/src/discovery/update.rs
@@ -56,8 +56,6 @@
     pub unreadable: Vec<SmolStr>,
     /// What the entries are.
     pub content: UpdateContent,
-    /// Digest of the VM that reads the list next, see [`ReadTurn`](super::ReadTurn).
-    pub next_reader: u32,
     /// Digest of the complete list at `version`. A receiver whose list would have
     /// another digest after the update lacks a change.
     pub digest: u64,
--- a/crates/core/src/membership/gossip.rs
+++ b/crates/core/src/membership/gossip.rs
@@ -7,7 +7,7 @@
 use rand_pcg::Pcg32;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// A VM that is registered in the store and has not sent a message yet.
 #[derive(Debug)]
@@ -52,8 +52,8 @@
     /// Peers described in one message, so that receivers discover new VMs.
     pub const PEER_VIEWS: usize = 1;
     /// Heartbeat summaries in one message. Thirteen messages per second then
-    /// cover each of 300 VMs once per second.
-    pub const SUMMARIES: usize = 24;
+    /// cover each of 300 VMs every 1.5 s.
+    pub const SUMMARIES: usize = 16;
     /// Number of known peers up to which one round reaches every VM, counting the
     /// peers that messages describe. The silence limit is
     /// [`Membership::SILENCE`] for each such number of peers, rounded up.
@@ -244,17 +244,6 @@
             .count()
     }
 
-    /// Returns the number of VMs that read the store before this one if the whole
-    /// fleet starts and no VM has a list.
-    pub fn get_start_rank(&self) -> usize {
-        let own_digest = self.get_own_reader_digest();
-        let known = self.membership.get_names();
-        let known = known.chain(self.unconfirmed.iter().map(|peer| &peer.vm));
-        known
-            .filter(|vm| get_reader_digest(vm) < own_digest)
-            .count()
-    }
-
     /// Returns the addresses of up to `count` VMs to ask for their state: live ones
     /// in the own failure domain with the revision in force first, then others, then
     /// registered ones that have not sent a message yet.
@@ -289,34 +278,19 @@
         live.map(|(view, _)| view.clone()).collect()
     }
 
-    /// Returns the number of live VMs that read the store before this one if
-    /// `next_reader` reads next, see [`ReadTurn`](crate::ReadTurn).
-    pub fn get_read_rank(&self, now: Instant, next_reader: u32) -> usize {
-        let me = self.membership.get_me();
-        if get_reader_digest(me) == next_reader {
-            return 0;
-        }
-        let place = |vm: &VmName| xxh3_64_with_seed(vm.as_bytes(), u64::from(next_reader));
-        let own_place = place(me);
+    /// Returns the number of VMs that read the store before this one while `revision`
+    /// is in force, see [`ReadTurn`](crate::ReadTurn).
+    ///
+    /// Registered VMs that have not sent a message yet are part of the order:
+    /// otherwise a VM that knows few others would take itself for one of the first.
+    pub fn get_read_rank(&self, now: Instant, revision: u64) -> usize {
+        let place = |vm: &VmName| xxh3_64_with_seed(vm.as_bytes(), revision);
+        let own_place = place(self.membership.get_me());
         let live = self.membership.get_peers(now);
-        let before = live.filter(|(view, state)| {
-            *state == PeerState::Live
-                && get_reader_digest(&view.vm) != next_reader
-                && place(&view.vm) < own_place
-        });
-        before.count() + 1
-    }
-
-    /// Chooses a live VM, this one included, as the next reader of the store.
-    pub fn choose_reader(&mut self, now: Instant) -> u32 {
-        let live = self.membership.get_live(now);
-        let chosen = live.iter().sample(&mut self.rng, 1);
-        chosen.first().map_or(0, |vm| get_reader_digest(vm))
-    }
-
-    /// Returns the digest by which updates name this VM as the next reader.
-    pub fn get_own_reader_digest(&self) -> u32 {
-        get_reader_digest(self.membership.get_me())
+        let live = live.filter(|(_, state)| *state == PeerState::Live);
+        let live = live.map(|(view, _)| &view.vm);
+        let known = live.chain(self.unconfirmed.iter().map(|peer| &peer.vm));
+        known.filter(|vm| place(vm) < own_place).count()
     }
 
     /// Returns true if this VM has to clean up after a VM that is gone.
@@ -350,8 +324,3 @@
         self.unconfirmed.binary_search_by(|peer| peer.vm.cmp(vm))
     }
 }
-
-/// Returns the digest by which updates of the target list name a VM.
-fn get_reader_digest(vm: &VmName) -> u32 {
-    xxh3_64(vm.as_bytes()) as u32
-}
--- a/crates/core/src/membership/view.rs
+++ b/crates/core/src/membership/view.rs
@@ -173,11 +173,6 @@
         expired.map(|peer| peer.view.vm.clone()).collect()
     }
 
-    /// Returns the names of the peers.
-    pub fn get_names(&self) -> impl Iterator<Item = &VmName> {
-        self.peers.iter().map(|peer| &peer.view.vm)
-    }
-
     /// Returns each peer with its state.
     pub fn get_peers(&self, now: Instant) -> impl Iterator<Item = (&PeerView, PeerState)> {
         self.peers
--- a/crates/daemon/src/gateway/feeds.rs
+++ b/crates/daemon/src/gateway/feeds.rs
@@ -1,6 +1,6 @@
 //! Reads of the platform's store: the configuration and the list of targets.
 
-use super::peers::{is_behind, load_state};
+use super::peers::{ask_seeds, is_behind, load_state};
 use super::state::{Gateway, get_list_bound};
 use crate::telemetry::STATE_LOG_TARGET;
 use gentianridge_adapter::{
@@ -18,6 +18,9 @@
 /// the VMs when the store returns.
 const MIN_PAUSE: Duration = Duration::from_millis(100);
 const MAX_PAUSE: Duration = Duration::from_millis(1_000);
+/// VMs up to which each repeats failed reads with the pauses above; a larger fleet makes
+/// as many attempts together.
+const VMS_PER_ATTEMPT: f64 = 8.0;
 /// Longest time in which peers are asked for the state after a start.
 const MAX_START_WAIT: Duration = Duration::from_millis(1_500);
 
@@ -35,9 +38,10 @@
         self.next = MIN_PAUSE;
     }
 
-    async fn pause(&mut self) {
+    /// Waits for the next pause, `factor` times as long.
+    async fn pause(&mut self, factor: f64) {
         let jitter = rand::rng().random_range(0.5..1.5);
-        tokio::time::sleep(self.next.mul_f64(jitter)).await;
+        tokio::time::sleep(self.next.mul_f64(factor * jitter)).await;
         self.next = (self.next * 2).min(MAX_PAUSE);
     }
 }
@@ -97,7 +101,6 @@
         is_down: false,
         is_config_readable: true,
         config_after: None,
-        reads: 0,
         backoff: Backoff::new(),
     };
     // Registration goes on if it takes longer, and the state may come from peers.
@@ -120,14 +123,30 @@
             follower.backoff.reset();
             continue;
         }
+        if !gateway.is_loaded() {
+            // A store that turns this VM away may serve the seeds.
+            tokio::task::spawn_local(ask_seeds(gateway.clone()));
+        }
         tokio::select! {
-            () = follower.backoff.pause() => {}
+            () = follower.backoff.pause(get_pause_factor(&gateway)) => {}
             // A list update of a peer shows that the store answers.
             () = gateway.peers.wait_list_update() => follower.backoff.reset(),
         }
     }
 }
 
+/// Returns the factor by which this VM prolongs the pauses after failed reads.
+///
+/// While the store is away, each VM tries the less often the more there are: one that
+/// succeeds sends its update to all. A VM without state has no time to lose.
+fn get_pause_factor(gateway: &Gateway) -> f64 {
+    if !gateway.is_loaded() {
+        return 1.0;
+    }
+    let live = gateway.peers.count_live(gateway.clock.now()) + 1;
+    (live as f64 / VMS_PER_ATTEMPT).max(1.0)
+}
+
 /// Waits until this VM must read the store, and drops expired targets meanwhile.
 async fn wait_for_reason(gateway: &Gateway) -> ReadReason {
     loop {
@@ -165,25 +184,19 @@
     is_config_readable: bool,
     /// Version of the store at the last read of the configuration.
     config_after: Option<u64>,
-    /// Reads of this VM for the fleet in a row.
-    reads: u32,
     backoff: Backoff,
 }
 
 impl Follower {
-    /// Reads after which another VM is chosen, so that the work goes round.
-    const READS_IN_A_ROW: u32 = 16;
-
     /// Reads the changes of the configuration and of the targets, and waits for one if
     /// there is none; returns false if either cannot be read.
     async fn read_all(&mut self) -> bool {
         let gateway = self.gateway.clone();
         let wait = self.get_wait();
         gateway.list_reader.start(gateway.clock.now() + wait);
-        let next_reader = self.choose_next_reader();
         let is_config_readable = self.is_config_readable;
         let read_targets = async {
-            let read = read_targets(&gateway, wait, next_reader).await;
+            let read = read_targets(&gateway, wait).await;
             // An update restarts the timers of all VMs, which must not end the reads of
             // the configuration if this VM cannot read it.
             if let Ok(Some(update)) = &read
@@ -203,37 +216,28 @@
         self.record_list_result(config && targets)
     }
 
-    /// Returns how long the store may wait for a change. The first reads of this VM and
-    /// those after a failure are answered at once.
+    /// Returns how long the store may wait for a change. The first reads of this VM, those
+    /// after a failure, and those in place of another VM are answered at once: the timers
+    /// of all VMs are about to end then.
     fn get_wait(&self) -> Duration {
-        let is_following = self.config_after.is_some() && !self.is_down;
-        if !is_following || self.gateway.list.borrow().needs_full_read() {
-            return Duration::ZERO;
-        }
-        let bound = get_list_bound(&self.gateway.get_settings());
-        bound.mul_f64(ReadTurn::CYCLE)
-    }
-
-    /// Returns the digest of the VM that reads next: this one, and another after some
-    /// reads.
-    fn choose_next_reader(&mut self) -> u32 {
         let gateway = &self.gateway;
-        let now = gateway.clock.now();
-        let own_digest = gateway.peers.get_own_reader_digest();
-        let was_own_turn = gateway.peers.get_next_reader() == own_digest;
-        self.reads = if was_own_turn { self.reads + 1 } else { 0 };
-        if self.reads < Self::READS_IN_A_ROW {
-            return own_digest;
+        let bound = get_list_bound(&gateway.get_settings());
+        let cycle = bound.mul_f64(ReadTurn::CYCLE);
+        let list = gateway.list.borrow();
+        let age = list.get_age(gateway.clock.now());
+        let is_on_time = age.is_some_and(|age| age < cycle * 2);
+        let is_following = self.config_after.is_some() && !self.is_down;
+        if is_following && is_on_time && !list.needs_full_read() {
+            cycle
+        } else {
+            Duration::ZERO
         }
-        self.reads = 0;
-        gateway.peers.choose_reader(now)
     }
 
     /// Reads changes of the targets that neither this VM nor its peers have.
     async fn read_missed_changes(&mut self) -> bool {
         self.gateway.list_reader.start(self.gateway.clock.now());
-        let next_reader = self.gateway.peers.get_next_reader();
-        let targets = read_targets(&self.gateway, Duration::ZERO, next_reader).await;
+        let targets = read_targets(&self.gateway, Duration::ZERO).await;
         self.record_list_result(targets.is_ok())
     }
 
@@ -303,7 +307,6 @@
 async fn read_targets(
     gateway: &Gateway,
     wait: Duration,
-    next_reader: u32,
 ) -> Result<Option<TargetListUpdate>, StoreError> {
     let sent_at = gateway.clock.now();
     let after = {
@@ -328,7 +331,7 @@
     let changes = result.inspect_err(|error| log::debug!("cannot read the targets: {error}"))?;
     let sent_at = if is_full { full_sent_at } else { sent_at };
     let read = decode_read(changes, is_full);
-    Ok(apply_target_changes(gateway, sent_at, read, next_reader))
+    Ok(apply_target_changes(gateway, sent_at, read))
 }
 
 /// Applies a read of this VM; returns the update to send to the peers.
@@ -336,17 +339,12 @@
     gateway: &Gateway,
     sent_at: Instant,
     read: TargetListRead,
-    next_reader: u32,
 ) -> Option<TargetListUpdate> {
     let now = gateway.clock.now();
-    gateway.peers.set_next_reader(next_reader);
-    let turn = gateway.peers.get_turn(now, next_reader);
+    let turn = gateway.peers.get_turn(now, gateway.get_version());
     let applied = gateway
         .change_targets(|list, changed| list.apply_read(now, sent_at, read, turn, changed))?;
-    let update = TargetListUpdate {
-        next_reader,
-        ..applied.update
-    };
+    let update = applied.update;
     log_list_update(&update, "store");
     gateway.update_log.borrow_mut().push(&update);
     gateway.notify_loaded();
@@ -401,7 +399,7 @@
     from: SocketAddr,
 ) -> UpdateOutcome {
     let now = gateway.clock.now();
-    let turn = gateway.peers.get_turn(now, update.next_reader);
+    let turn = gateway.peers.get_turn(now, gateway.get_version());
     let outcome =
         gateway.change_targets(|list, changed| list.apply_update(now, &update, turn, changed));
     match outcome {
@@ -425,7 +423,6 @@
         }
         UpdateOutcome::Unchanged => {}
     }
-    gateway.peers.set_next_reader(update.next_reader);
     gateway.list_reader.confirm();
     gateway.peers.record_version(update.revision);
     gateway.peers.queue_list_update(now, update);
--- a/crates/daemon/src/gateway/peers/gossip.rs
+++ b/crates/daemon/src/gateway/peers/gossip.rs
@@ -36,6 +36,15 @@
     }
 }
 
+/// Why a round is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RoundKind {
+    /// The interval has passed: heartbeats, which may wait if bytes are short.
+    Routine,
+    /// Something has changed that the peers need at once.
+    Urgent,
+}
+
 struct GossipRunner {
     gateway: Rc<Gateway>,
     socket: Rc<UdpSocket>,
@@ -45,18 +54,22 @@
 
 impl GossipRunner {
     async fn run_rounds(&self) {
+        let mut next_routine = self.gateway.clock.now() + ROUND_INTERVAL;
         loop {
-            let round_requested = self.gateway.peers.round_requested.notified();
-            if tokio::time::timeout(ROUND_INTERVAL, round_requested)
-                .await
-                .is_ok()
-            {
+            let requested = self.gateway.peers.round_requested.notified();
+            let requested = tokio::time::timeout_at(next_routine.into(), requested).await;
+            if requested.is_ok() {
                 tokio::time::sleep(BATCH_DELAY).await;
             }
             let now = self.gateway.clock.now();
             self.observe_run(now);
+            if now < next_routine {
+                self.send_round(now, RoundKind::Urgent);
+                continue;
+            }
+            next_routine = now + ROUND_INTERVAL;
             update_members(&self.gateway, now);
-            self.send_round(now);
+            self.send_round(now, RoundKind::Routine);
         }
     }
 
@@ -66,40 +79,43 @@
         }
     }
 
-    fn send_round(&self, now: Instant) {
+    fn send_round(&self, now: Instant, kind: RoundKind) {
         let round = self.gateway.peers.gossip.borrow_mut().next_peers(now);
-        let mut datagram = make_datagram(&self.gateway, now);
+        let mut datagram = make_datagram(&self.gateway, now, kind);
         datagram.leaving = self.gateway.peers.leaving.borrow_mut().next_round();
         datagram.resting = self.gateway.peers.resting.borrow_mut().next_round();
-        let without_list = encode_within_limit(&mut datagram);
         datagram.list = self.gateway.peers.next_list_update(now);
-        let with_list = encode_within_limit(&mut datagram);
+        let has_news = datagram.list.is_some() || !datagram.leaving.is_empty();
+        let kind = if has_news { RoundKind::Urgent } else { kind };
+        let bytes = encode_within_limit(&mut datagram);
         for addr in round.peers {
-            // If the budget does not hold the datagram with the list update, the
-            // rest is sent without it.
-            if !self.send(now, addr, &with_list) {
-                self.send(now, addr, &without_list);
-            }
+            self.send(now, addr, &bytes, kind);
         }
         datagram.is_hello = true;
         let hello = encode_within_limit(&mut datagram);
         for addr in round.unconfirmed {
-            self.send(now, addr, &hello);
+            self.send(now, addr, &hello, kind);
         }
     }
 
-    /// Sends a datagram; returns false if it exceeds the byte budget. Datagrams
-    /// are not acknowledged, since the next rounds repeat their content.
-    fn send(&self, now: Instant, addr: SocketAddr, bytes: &[u8]) -> bool {
-        if !self.budget.borrow_mut().try_consume(now, bytes.len()) {
+    /// Sends a datagram if the byte budget covers it. Datagrams are not acknowledged,
+    /// since the next rounds repeat their content.
+    fn send(&self, now: Instant, addr: SocketAddr, bytes: &[u8], kind: RoundKind) {
+        let is_affordable = {
+            let mut budget = self.budget.borrow_mut();
+            match kind {
+                RoundKind::Routine => budget.try_consume_routine(now, bytes.len()),
+                RoundKind::Urgent => budget.try_consume(now, bytes.len()),
+            }
+        };
+        if !is_affordable {
             self.gateway.metrics.record_datagram("skipped", 0);
-            return false;
+            return;
         }
         match self.socket.try_send_to(bytes, addr) {
             Ok(size) => self.gateway.metrics.record_datagram("sent", size),
             Err(error) => log::debug!("cannot send to peer {addr}: {error}"),
         }
-        true
     }
 
     async fn receive(self: Rc<Self>) {
@@ -160,17 +176,27 @@
         gateway.peers.record_config_holder(revision, addr);
         gateway.peers.record_version(datagram.newest_revision);
         if datagram.is_hello {
-            let mut reply = make_datagram(gateway, now);
+            let mut reply = make_datagram(gateway, now, RoundKind::Routine);
             // A VM that has just started gets to know that there is a list.
             reply.list = make_list_header(gateway, now);
-            self.send(now, addr, &encode_within_limit(&mut reply));
+            self.send(
+                now,
+                addr,
+                &encode_within_limit(&mut reply),
+                RoundKind::Urgent,
+            );
         }
     }
 }
 
-/// Builds a datagram about this VM and its peers, without a list update.
-fn make_datagram(gateway: &Gateway, now: Instant) -> PeerDatagram {
+/// Builds a datagram about this VM, without a list update. Routine ones describe other
+/// VMs too.
+fn make_datagram(gateway: &Gateway, now: Instant, kind: RoundKind) -> PeerDatagram {
     let mut gossip = gateway.peers.gossip.borrow_mut();
+    let (peers, summaries) = match kind {
+        RoundKind::Routine => (gossip.choose_peer_views(now), gossip.choose_summaries(now)),
+        RoundKind::Urgent => (Vec::new(), Vec::new()),
+    };
     PeerDatagram {
         me: gateway.make_own_view(),
         is_hello: false,
@@ -179,8 +205,8 @@
         list: None,
         leaving: Vec::new(),
         resting: Vec::new(),
-        peers: gossip.choose_peer_views(now),
-        summaries: gossip.choose_summaries(now),
+        peers,
+        summaries,
     }
 }
 
@@ -192,7 +218,6 @@
         age: list.get_age(now)?,
         digest: list.get_digest(),
         revision: gateway.get_version(),
-        next_reader: gateway.peers.get_next_reader(),
         content: UpdateContent::Omitted,
         ..TargetListUpdate::default()
     })
--- a/crates/daemon/src/gateway/peers/register.rs
+++ b/crates/daemon/src/gateway/peers/register.rs
@@ -123,6 +123,8 @@
         }
     }
     update_fleet_size(gateway, now);
+    let turn = gateway.peers.get_turn(now, gateway.get_version());
+    gateway.list.borrow_mut().set_turn(turn);
     gateway.peers.request_round();
     names.sort_unstable();
     Ok(names)
--- a/crates/daemon/src/gateway/peers/start.rs
+++ b/crates/daemon/src/gateway/peers/start.rs
@@ -10,61 +10,71 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::oneshot;
 
 /// Time in which all VMs of a fleet that starts have registered.
 const FLEET_START: Duration = Duration::from_millis(350);
 /// Spread of the first reads of the rows in a fleet that starts.
 const START_JITTER: Duration = Duration::from_millis(150);
-/// Registered VMs that are asked for their state.
-const MAX_ASKED: usize = 3;
+/// Time in which a seed that has the state answers.
+const SEED_HEAD_START: Duration = Duration::from_millis(30);
+/// Longest random pause before registered VMs are looked for.
+const JOIN_PAUSE: Duration = Duration::from_millis(150);
 /// Time between the turns in which VMs of a starting fleet read the store.
 const TURN: Duration = Duration::from_millis(150);
 /// VMs that have a turn of their own.
 const SINGLE_TURNS: usize = 2;
 
-/// Gets the state from peers, first from the seeds of the settings, then from
-/// registered VMs. Without a peer that has it, the call returns when this VM has to
-/// read the store.
+/// Gets the state from peers, or returns when this VM has to read the store.
 ///
-/// Registration takes one call to the store, two if a row of an earlier start exists,
-/// and looking for registered VMs one more.
+/// A VM that starts alone gets the state from a seed of the settings. After the loss of
+/// all VMs no seed has it, so that the seeds have only a short head start. If the whole
+/// fleet starts for the first time, few VMs read the store.
+///
+/// Registration takes one call to the store, two if a row of an earlier start exists.
 pub(crate) async fn load_state(gateway: &Rc<Gateway>) {
-    let registration = tokio::task::spawn_local(register_start(gateway.clone()));
-    let (is_bootstrap, seeds) = {
-        let settings = gateway.get_settings();
-        (settings.is_bootstrap, settings.seeds.clone())
-    };
-    if !is_bootstrap && ask(gateway, seeds, "seed").await {
-        return;
-    }
-    if is_bootstrap {
+    tokio::task::spawn_local(register_start(gateway.clone()));
+    if gateway.get_settings().is_bootstrap {
         let jitter = START_JITTER.mul_f64(rand::rng().random());
         tokio::time::sleep(FLEET_START + jitter).await;
+        look_for_vms(gateway).await;
+        wait_for_turn(gateway).await;
+        return;
     }
-    // If the store does not answer, neither the rows nor a read of this VM are of use.
-    if let Err(error) = registration.await {
-        log::error!("registration ended without a result: {error}");
+    let (helped_tx, helped) = oneshot::channel();
+    // The seeds go on being asked while the store is read.
+    tokio::task::spawn_local(join_fleet(gateway.clone(), helped_tx));
+    let _ = tokio::time::timeout(SEED_HEAD_START, helped).await;
+}
+
+/// Asks the seeds of the settings for their state; returns true if one of them has helped.
+pub(crate) async fn ask_seeds(gateway: Rc<Gateway>) -> bool {
+    let seeds = gateway.get_settings().seeds.clone();
+    ask(&gateway, seeds).await
+}
+
+/// Asks the seeds for the state and the fleet, and looks for registered VMs if none of them
+/// has helped.
+async fn join_fleet(gateway: Rc<Gateway>, helped: oneshot::Sender<()>) {
+    if ask_seeds(gateway.clone()).await {
+        // The receiver may have gone on to read the store.
+        let _ = helped.send(());
+        return;
     }
+    drop(helped);
+    let jitter = JOIN_PAUSE.mul_f64(rand::rng().random());
+    tokio::time::sleep(jitter).await;
+    look_for_vms(&gateway).await;
+}
+
+async fn look_for_vms(gateway: &Gateway) {
     if let Err(error) = find_registered(gateway).await {
         log::info!(target: STATE_LOG_TARGET, "cannot look for registered VMs: {error}");
-        return;
-    }
-    let now = gateway.clock.now();
-    let domain = gateway.get_settings().domain.clone();
-    let registered = gateway
-        .peers
-        .gossip
-        .borrow_mut()
-        .choose_holders(now, &domain, 1, MAX_ASKED);
-    if is_bootstrap {
-        wait_for_turn(gateway).await;
-    } else {
-        ask(gateway, registered, "registered VM").await;
     }
 }
 
 /// Asks several peers at the same time; returns true once one of them has helped.
-async fn ask(gateway: &Rc<Gateway>, addrs: Vec<SocketAddr>, source: &'static str) -> bool {
+async fn ask(gateway: &Rc<Gateway>, addrs: Vec<SocketAddr>) -> bool {
     let me = gateway.get_settings().peers;
     let mut replies: FuturesUnordered<_> = addrs
         .into_iter()
@@ -76,7 +86,6 @@
             log::info!(
                 target: STATE_LOG_TARGET,
                 peer = addr.to_string().as_str(),
-                source = source,
                 version = gateway.get_version();
                 "state received from a peer"
             );
@@ -90,7 +99,7 @@
 /// Waits until this VM has the state from a peer or is to read the store, when the
 /// whole fleet starts and nobody has the state.
 async fn wait_for_turn(gateway: &Gateway) {
-    let rank = gateway.peers.gossip.borrow().get_start_rank();
+    let rank = gateway.peers.get_turn(gateway.clock.now(), 0).rank;
     let wait = match rank {
         0 => return,
         rank if rank <= SINGLE_TURNS => TURN * rank as u32,
--- a/crates/daemon/src/gateway/peers/state_exchange.rs
+++ b/crates/daemon/src/gateway/peers/state_exchange.rs
@@ -135,7 +135,6 @@
     };
     Some(TargetListUpdate {
         revision: gateway.get_version(),
-        next_reader: gateway.peers.get_next_reader(),
         ..update
     })
 }
--- a/crates/daemon/src/gateway/peers/table.rs
+++ b/crates/daemon/src/gateway/peers/table.rs
@@ -14,9 +14,10 @@
 /// Number of rounds in which a list update is sent. With a fanout of four, one
 /// VM in three thousand does not receive it, and reads the list itself.
 const UPDATE_ROUNDS: u8 = 2;
-/// Difference up to which two times are those of the same read, see
-/// `RefreshTimer::check_update`.
-const SAME_READ_TOLERANCE: Duration = Duration::from_millis(50);
+/// Time by which a read has to be newer for an update without a newer version to be
+/// relayed. If several VMs read at the same time, relays of each would use up the byte
+/// budget.
+const RELAY_TOLERANCE: Duration = Duration::from_millis(150);
 
 /// A list update to send in the next rounds.
 #[derive(Debug)]
@@ -37,7 +38,6 @@
     is_store_read_requested: Cell<bool>,
     list_holder: Cell<Option<SocketAddr>>,
     config_holder: Cell<Option<(u64, SocketAddr)>>,
-    next_reader: Cell<u32>,
     queued: RefCell<Option<QueuedUpdate>>,
     pub(super) leaving: RefCell<NoticeQueue>,
     pub(super) resting: RefCell<NoticeQueue>,
@@ -58,7 +58,6 @@
             is_store_read_requested: Cell::new(false),
             list_holder: Cell::new(None),
             config_holder: Cell::new(None),
-            next_reader: Cell::new(0),
             queued: RefCell::new(None),
             leaving: RefCell::default(),
             resting: RefCell::default(),
@@ -142,29 +141,10 @@
         (version >= self.get_newest_version()).then_some(addr)
     }
 
-    /// Returns the digest of this VM as a reader of the store.
-    pub(crate) fn get_own_reader_digest(&self) -> u32 {
-        self.gossip.borrow().get_own_reader_digest()
-    }
-
-    /// Chooses a live VM as the next reader of the store.
-    pub(crate) fn choose_reader(&self, now: Instant) -> u32 {
-        self.gossip.borrow_mut().choose_reader(now)
-    }
-
-    /// Records which VM reads the store next.
-    pub(crate) fn set_next_reader(&self, digest: u32) {
-        self.next_reader.set(digest);
-    }
-
-    pub(crate) fn get_next_reader(&self) -> u32 {
-        self.next_reader.get()
-    }
-
-    /// Returns this VM's turn to read the store if `next_reader` is the next one.
-    pub(crate) fn get_turn(&self, now: Instant, next_reader: u32) -> ReadTurn {
+    /// Returns this VM's turn to read the store while `revision` is in force.
+    pub(crate) fn get_turn(&self, now: Instant, revision: u64) -> ReadTurn {
         ReadTurn {
-            rank: self.gossip.borrow().get_read_rank(now, next_reader),
+            rank: self.gossip.borrow().get_read_rank(now, revision),
             draw: rand::rng().random(),
         }
     }
@@ -190,7 +170,7 @@
         };
         let mut queued = self.queued.borrow_mut();
         let is_newer = queued.as_ref().is_none_or(|queued| {
-            update.version > queued.update.version || read_at > queued.read_at + SAME_READ_TOLERANCE
+            update.version > queued.update.version || read_at > queued.read_at + RELAY_TOLERANCE
         });
         if is_newer {
             *queued = Some(QueuedUpdate {
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -72,8 +72,6 @@
     /// 0 for changes, 1 for a complete list, 2 if the changes are omitted.
     #[prost(uint32, tag = "11")]
     content: u32,
-    #[prost(fixed32, tag = "12")]
-    next_reader: u32,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -193,7 +191,6 @@
         unreadable: list.unreadable.iter().map(SmolStr::to_string).collect(),
         digest: list.digest,
         content: encode_content(list.content),
-        next_reader: list.next_reader,
         names,
     }
 }
@@ -236,7 +233,6 @@
         unreadable: list.unreadable.into_iter().map(SmolStr::from).collect(),
         digest: list.digest,
         content: decode_content(list.content)?,
-        next_reader: list.next_reader,
     })
 }
 
