fix(gateway): the reader goes on after it has waited at the store

Cause: a call that waits as long as the cycle ends when the next one is due. That counted as a read that had not brought the list forward, so that the reader paused for the backoff and another VM took over, every 1.5 s instead of 0.6 s.

Change: a read counts as of use if the list is as recent as its call.

--- a/crates/daemon/src/gateway/feeds.rs
+++ b/crates/daemon/src/gateway/feeds.rs
@@ -110,16 +110,15 @@
     }
     loop {
         let reason = wait_for_reason(&follower.gateway).await;
+        let gateway = follower.gateway.clone();
+        let started_at = gateway.clock.now();
         let is_success = match reason {
             ReadReason::Due => follower.read_all().await,
             ReadReason::MissedChanges => follower.read_missed_changes().await,
             ReadReason::NewerConfig => follower.read_config(None, Duration::ZERO).await,
         };
         follower.record_store_state(is_success);
-        let gateway = follower.gateway.clone();
-        let now = gateway.clock.now();
-        let due = gateway.get_list_due().filter(|due| *due > now);
-        if is_success && due.is_some() {
+        if is_success && is_refreshed(&gateway, started_at) {
             follower.backoff.reset();
             continue;
         }
@@ -135,6 +134,14 @@
     }
 }
 
+/// Returns true if the list shows the state of the store at `since` or later. A store whose
+/// reads lag does not bring it forward, and must not be called without pause.
+fn is_refreshed(gateway: &Gateway, since: Instant) -> bool {
+    let now = gateway.clock.now();
+    let age = gateway.list.borrow().get_age(now);
+    age.is_some_and(|age| age <= now.saturating_duration_since(since))
+}
+
 /// Returns the factor by which this VM prolongs the pauses after failed reads.
 ///
 /// While the store is away, each VM tries the less often the more there are: one that
