--- a/crates/daemon/src/gateway/peers/gossip.rs
+++ b/crates/daemon/src/gateway/peers/gossip.rs
@@ -4,7 +4,7 @@
 use crate::gateway::feeds::apply_list_update;
 use crate::gateway::state::Gateway;
 use crate::telemetry::STATE_LOG_TARGET;
-use gentianridge_core::{ByteBudget, StallDetector, VmName};
+use gentianridge_core::{ByteBudget, StallDetector, TargetListUpdate, UpdateContent, VmName};
 use gentianridge_wire::PeerDatagram;
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -19,7 +19,7 @@
 pub(super) const ROUND_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Sends and receives datagrams until the task is dropped.
-pub(crate) async fn run_gossip(gateway: Rc<Gateway>, socket: UdpSocket) {
+pub(crate) async fn run_gossip(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     let started = gateway.clock.wall().duration_since(UNIX_EPOCH);
     let incarnation = started.map_or(1, |since| since.as_millis() as u64);
     gateway.peers.raise_incarnation(incarnation);
@@ -29,32 +29,47 @@
         budget: RefCell::new(ByteBudget::new()),
         stall: RefCell::default(),
     });
-    let receiver = tokio::task::spawn_local(runner.clone().receive());
-    runner.run_rounds().await;
-    receiver.abort();
+    // If either part fails, both are started again.
+    tokio::select! {
+        () = runner.clone().receive() => {}
+        () = runner.run_rounds() => {}
+    }
+}
+
+/// Why a round is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RoundKind {
+    /// The interval has passed: heartbeats, which may wait if bytes are short.
+    Routine,
+    /// Something has changed that the peers need at once.
+    Urgent,
 }
 
 struct GossipRunner {
     gateway: Rc<Gateway>,
-    socket: UdpSocket,
+    socket: Rc<UdpSocket>,
     budget: RefCell<ByteBudget>,
     stall: RefCell<StallDetector>,
 }
 
 impl GossipRunner {
     async fn run_rounds(&self) {
+        let mut next_routine = self.gateway.clock.now() + ROUND_INTERVAL;
         loop {
-            let round_requested = self.gateway.peers.round_requested.notified();
-            if tokio::time::timeout(ROUND_INTERVAL, round_requested)
-                .await
-                .is_ok()
-            {
+            let requested = self.gateway.peers.round_requested.notified();
+            let requested = tokio::time::timeout_at(next_routine.into(), requested).await;
+            if requested.is_ok() {
                 tokio::time::sleep(BATCH_DELAY).await;
             }
             let now = self.gateway.clock.now();
             self.observe_run(now);
+            if now < next_routine {
+                self.send_round(now, RoundKind::Urgent);
+                continue;
+            }
+            next_routine = now + ROUND_INTERVAL;
             update_members(&self.gateway, now);
-            self.send_round(now);
+            self.send_round(now, RoundKind::Routine);
         }
     }
 
@@ -64,39 +79,43 @@
         }
     }
 
-    fn send_round(&self, now: Instant) {
+    fn send_round(&self, now: Instant, kind: RoundKind) {
         let round = self.gateway.peers.gossip.borrow_mut().next_peers(now);
-        let mut datagram = make_datagram(&self.gateway, now);
+        let mut datagram = make_datagram(&self.gateway, now, kind);
         datagram.leaving = self.gateway.peers.leaving.borrow_mut().next_round();
         datagram.resting = self.gateway.peers.resting.borrow_mut().next_round();
-        let without_list = encode_within_limit(&mut datagram);
         datagram.list = self.gateway.peers.next_list_update(now);
-        let with_list = encode_within_limit(&mut datagram);
+        let has_news = datagram.list.is_some() || !datagram.leaving.is_empty();
+        let kind = if has_news { RoundKind::Urgent } else { kind };
+        let bytes = encode_within_limit(&mut datagram);
         for addr in round.peers {
-            // If the budget does not hold the datagram with the list update, the
-            // rest is sent without it.
-            if !self.send(now, addr, &with_list) {
-                self.send(now, addr, &without_list);
-            }
+            self.send(now, addr, &bytes, kind);
         }
-        if let Some(addr) = round.unconfirmed {
-            datagram.is_hello = true;
-            self.send(now, addr, &encode_within_limit(&mut datagram));
+        datagram.is_hello = true;
+        let hello = encode_within_limit(&mut datagram);
+        for addr in round.unconfirmed {
+            self.send(now, addr, &hello, kind);
         }
     }
 
-    /// Sends a datagram; returns false if it exceeds the byte budget. Datagrams
-    /// are not acknowledged, since the next rounds repeat their content.
-    fn send(&self, now: Instant, addr: SocketAddr, bytes: &[u8]) -> bool {
-        if !self.budget.borrow_mut().try_consume(now, bytes.len()) {
+    /// Sends a datagram if the byte budget covers it. Datagrams are not acknowledged,
+    /// since the next rounds repeat their content.
+    fn send(&self, now: Instant, addr: SocketAddr, bytes: &[u8], kind: RoundKind) {
+        let is_affordable = {
+            let mut budget = self.budget.borrow_mut();
+            match kind {
+                RoundKind::Routine => budget.try_consume_routine(now, bytes.len()),
+                RoundKind::Urgent => budget.try_consume(now, bytes.len()),
+            }
+        };
+        if !is_affordable {
             self.gateway.metrics.record_datagram("skipped", 0);
-            return false;
+            return;
         }
         match self.socket.try_send_to(bytes, addr) {
             Ok(size) => self.gateway.metrics.record_datagram("sent", size),
             Err(error) => log::debug!("cannot send to peer {addr}: {error}"),
         }
-        true
     }
 
     async fn receive(self: Rc<Self>) {
@@ -123,6 +142,7 @@
         self.observe_run(now);
         // Replies go to the source address, so that address is recorded.
         datagram.me.addr = addr;
+        let revision = datagram.me.revision;
         let mut is_change = false;
         for view in std::iter::once(datagram.me).chain(datagram.peers) {
             is_change |= gateway
@@ -151,19 +171,32 @@
         // The age of an update that waited during a stall is unknown.
         let has_backlog = self.stall.borrow().has_backlog(now);
         if let Some(update) = datagram.list.filter(|_| !has_backlog) {
-            apply_list_update(gateway, update);
+            apply_list_update(gateway, update, addr);
         }
+        gateway.peers.record_config_holder(revision, addr);
         gateway.peers.record_version(datagram.newest_revision);
         if datagram.is_hello {
-            let mut reply = make_datagram(gateway, now);
-            self.send(now, addr, &encode_within_limit(&mut reply));
+            let mut reply = make_datagram(gateway, now, RoundKind::Routine);
+            // A VM that has just started gets to know that there is a list.
+            reply.list = make_list_header(gateway, now);
+            self.send(
+                now,
+                addr,
+                &encode_within_limit(&mut reply),
+                RoundKind::Urgent,
+            );
         }
     }
 }
 
-/// Builds a datagram about this VM and its peers, without a list update.
-fn make_datagram(gateway: &Gateway, now: Instant) -> PeerDatagram {
+/// Builds a datagram about this VM, without a list update. Routine ones describe other
+/// VMs too.
+fn make_datagram(gateway: &Gateway, now: Instant, kind: RoundKind) -> PeerDatagram {
     let mut gossip = gateway.peers.gossip.borrow_mut();
+    let (peers, summaries) = match kind {
+        RoundKind::Routine => (gossip.choose_peer_views(now), gossip.choose_summaries(now)),
+        RoundKind::Urgent => (Vec::new(), Vec::new()),
+    };
     PeerDatagram {
         me: gateway.make_own_view(),
         is_hello: false,
@@ -172,13 +205,26 @@
         list: None,
         leaving: Vec::new(),
         resting: Vec::new(),
-        peers: gossip.choose_peer_views(now),
-        summaries: gossip.choose_summaries(now),
+        peers,
+        summaries,
     }
 }
 
+/// Returns the version and the age of the target list of this VM.
+fn make_list_header(gateway: &Gateway, now: Instant) -> Option<TargetListUpdate> {
+    let list = gateway.list.borrow();
+    Some(TargetListUpdate {
+        version: list.get_version()?,
+        age: list.get_age(now)?,
+        digest: list.get_digest(),
+        revision: gateway.get_version(),
+        content: UpdateContent::Omitted,
+        ..TargetListUpdate::default()
+    })
+}
+
 /// Encodes a datagram; parts that do not fit are left out, the least important
-/// first. Peers that do not receive a list update read the list themselves.
+/// first. Peers fetch the changes of the list if those are left out.
 fn encode_within_limit(datagram: &mut PeerDatagram) -> Vec<u8> {
     let mut bytes = datagram.encode();
     if bytes.len() > PeerDatagram::MAX_BYTES {
@@ -187,7 +233,7 @@
         bytes = datagram.encode();
     }
     if bytes.len() > PeerDatagram::MAX_BYTES {
-        datagram.list = None;
+        datagram.list = datagram.list.as_ref().map(TargetListUpdate::omit_changes);
         bytes = datagram.encode();
     }
     bytes
