fix(gateway): the first poll of the rows within ten seconds of a start

peers::rewritten_row failed once: the first pause of five seconds came on top of one of up to 7.5 s. One second is enough to know the size of the fleet.

--- a/crates/daemon/src/gateway/peers/register.rs
+++ b/crates/daemon/src/gateway/peers/register.rs
@@ -14,6 +14,8 @@
 const MAX_PAUSE: Duration = Duration::from_secs(2);
 /// Pause between two polls of the rows by any VM of the fleet.
 const FLEET_POLL_PAUSE: Duration = Duration::from_secs(5);
+/// Time after a start in which a VM gets to know the size of the fleet.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
 /// Missing rows of other VMs that one poll writes at most.
 const MAX_REPAIRS: usize = 4;
 
@@ -33,8 +35,7 @@
 /// while its VM could not be reached. One poll serves the fleet, since it also
 /// writes missing rows of other VMs; each VM polls the less often the more there are.
 pub(crate) async fn keep_registered(gateway: Rc<Gateway>) {
-    // The size of the fleet is known by then.
-    tokio::time::sleep(FLEET_POLL_PAUSE).await;
+    tokio::time::sleep(SETTLE_TIME).await;
     loop {
         let now = gateway.clock.now();
         let vms = gateway.peers.get_fleet_size(now).map_or(1, u32::from);
