--- a/crates/daemon/src/gateway/feeds.rs
+++ b/crates/daemon/src/gateway/feeds.rs
@@ -437,8 +437,24 @@
     outcome
 }
 
-/// Writes a log line for each target whose entry changed.
+/// Changes up to which each has a log line of its own. A line for each target of a complete
+/// list would use up the limit of lines and push out the ones that matter.
+const MAX_CHANGE_LINES: usize = 40;
+
+/// Writes a log line for each target whose entry changed, or one for all if there are many.
 fn log_list_update(update: &TargetListUpdate, source: &str) {
+    if update.entries.len() + update.removed.len() > MAX_CHANGE_LINES {
+        log::info!(
+            target: STATE_LOG_TARGET,
+            listed = update.entries.len(),
+            no_longer_listed = update.removed.len(),
+            source = source,
+            store_version = update.version,
+            age_ms = update.age.as_millis() as u64;
+            "many targets changed"
+        );
+        return;
+    }
     for entry in &update.entries {
         log::info!(
             target: STATE_LOG_TARGET,
