--- a/tests/gateway/discovery.rs
+++ b/tests/gateway/discovery.rs
@@ -99,6 +99,90 @@
     collect_bodies(&env, "a").await;
 }
 
+/// Returns the value of an entry with one field replaced.
+fn replace_field(name: &str, value: &str) -> String {
+    let fields = [
+        ("service", "\"cart\""),
+        ("addr", "\"127.0.0.1:1\""),
+        ("zone", "\"d1\""),
+        ("version", "\"v1\""),
+        ("slots", "3"),
+        ("state", "\"ready\""),
+        ("cold_left", "\"0ms\""),
+        ("seq", "1"),
+        ("born", "1"),
+    ];
+    let fields = fields.map(|(key, default)| {
+        let value = if key == name { value } else { default };
+        format!("\"{key}\":{value}")
+    });
+    format!("{{{}}}", fields.join(","))
+}
+
+/// Entries of another writer with values that no type holds, nested without end, or under the
+/// name of a running target: the daemon goes on, follows the list, and keeps the target.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn odd_entries() {
+    let env = TestEnv::start(2).await;
+    let nested = format!("{}{}", "[".repeat(30_000), "]".repeat(30_000));
+    let mut odd = vec![
+        nested.clone(),
+        "{\"a\":".repeat(10_000),
+        replace_field("slots", &nested),
+        replace_field("unknown", "1"),
+    ];
+    let numbers = [
+        "-1",
+        "0",
+        "1e400",
+        "99999999999999999999999",
+        "1.5",
+        "null",
+        "\"3\"",
+    ];
+    for number in numbers {
+        odd.push(replace_field("slots", number));
+        odd.push(replace_field("born", number));
+    }
+    for port in ["0", "65536", "-1", ""] {
+        odd.push(replace_field("addr", &format!("\"127.0.0.1:{port}\"")));
+    }
+    for time in [
+        "\"1e999s\"",
+        "\"-5s\"",
+        "\"nan\"",
+        "\"99999999999999999999s\"",
+        "7",
+    ] {
+        odd.push(replace_field("cold_left", time));
+    }
+    odd.push(replace_field(
+        "service",
+        &format!("\"{}\"", "s".repeat(200)),
+    ));
+    for (index, value) in odd.iter().enumerate() {
+        env.store
+            .put("servers", &format!("odd-{index:03}"), value.as_bytes());
+    }
+    env.store.put("servers", "not-utf-8", &[0xff, 0xfe, 0x00]);
+    env.store.put("servers", "t1", nested.as_bytes());
+    env.targets[0].set_work_percent(500);
+    tokio::time::sleep(DRAIN_BOUND).await;
+    for id in ["a", "b"] {
+        let reply = env.request("GET", "/look/x", id).await;
+        assert_eq!((reply.status, reply.body.as_str()), (200, "done by t1"));
+    }
+    // A full read does not take the target for gone either.
+    env.store.compact();
+    tokio::time::sleep(DRAIN_BOUND).await;
+    assert_eq!(env.request("GET", "/look/x", "c").await.body, "done by t1");
+    register(&env.store, &env.targets[1], true, 1);
+    wait_until(DRAIN_BOUND, || async {
+        env.request("GET", "/look/x", "again").await.body == "done by t0"
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn compacted_history() {
     let env = TestEnv::start(1).await;
