test(core): withdrawn attempts are not sends

Cause: its random outcomes contain a withdrawal, after which a call is placed anew and nothing was sent; the check counted dispatches.

--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -35,6 +35,8 @@
     pub delivered: Vec<CallKey>,
     pub refused: Vec<(CallKey, ResultCode)>,
     pub cancelled: Vec<AttemptKey>,
+    /// Attempts that were withdrawn before anything was sent.
+    pub withdrawn: Vec<AttemptKey>,
     pub events: Vec<EventKind>,
     /// Targets to which a load request was sent.
     pub sampled: Vec<TargetKey>,
@@ -133,6 +135,7 @@
             delivered: Vec::new(),
             refused: Vec::new(),
             cancelled: Vec::new(),
+            withdrawn: Vec::new(),
             events: Vec::new(),
             sampled: Vec::new(),
             outputs: Vec::new(),
@@ -247,6 +250,9 @@
     }
 
     pub fn fail(&mut self, sent: Sent, outcome: Outcome) {
+        if outcome == Outcome::Withdrawn {
+            self.withdrawn.push(sent.attempt);
+        }
         self.service
             .failed(self.now, sent.attempt, outcome, &mut self.outputs);
         self.collect_outputs();
