refactor: one term for pauses that targets request, plainer comments

Cause: a reading of the whole change. The code had two words for one thing (rest and pause), and some comments spoke of a VM as of a person.

Change: `PausedTargets`, `paused_until`, `TargetsPaused` and the like in place of the words around "rest"; the label `kind` of gentianridge_target_announcements_total is `paused`, and the line "target requested a pause". Comments reworded. pauses::no_retry_or_hedge_during_pause now checks that a late call gets no hedge; before, it accepted a refusal as well. Behaviour, wire tags and settings are the same.

--- a/crates/config/src/fleet/sections.rs
+++ b/crates/config/src/fleet/sections.rs
@@ -103,7 +103,7 @@
         note: read_note(&mut reader),
         incarnation: 0,
         warm_up: None,
-        rest_until: None,
+        paused_until: None,
     };
     if target.slots == Some(0) {
         reader.report_conflict("slots", "0", "at least 1, or drain = yes to stop new work");
--- a/crates/core/benches/decision.rs
+++ b/crates/core/benches/decision.rs
@@ -39,7 +39,7 @@
                 note: None,
                 incarnation: 0,
                 warm_up: None,
-                rest_until: None,
+                paused_until: None,
             })
             .collect(),
         retry_percent: 10,
--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -87,8 +87,8 @@
     TargetsRefused = 2005, 503, NotRun, "the targets refused the request unrun";
     /// The request crashed several targets and is temporarily not sent to others.
     CrashesTargets = 2006, 503, NotRun, "this request crashed targets and is not run again for now";
-    /// All targets of the service asked for a pause that is too long for the call.
-    TargetsRest = 2007, 503, NotRun, "all targets of the service asked for a pause";
+    /// All targets of the service requested a pause that is too long for the call.
+    TargetsPaused = 2007, 503, NotRun, "all targets of the service requested a pause";
     /// The attempt failed after dispatch and no retry was possible.
     AttemptFailed = 3001, 502, Unknown, "the attempt failed after it was dispatched";
     /// The target did not answer before the deadline.
--- a/crates/core/src/discovery/directory.rs
+++ b/crates/core/src/discovery/directory.rs
@@ -1,6 +1,6 @@
 //! The targets in the local state of this VM.
 
-use super::{Incarnation, LeavingTargets, RestingTargets, TargetEntry, TargetListUpdate};
+use super::{Incarnation, LeavingTargets, PausedTargets, TargetEntry, TargetListUpdate};
 use crate::TargetSpec;
 use smol_str::SmolStr;
 use std::time::{Duration, Instant};
@@ -65,7 +65,7 @@
 pub struct Directory {
     targets: Vec<KnownTarget>,
     leaving: LeavingTargets,
-    resting: RestingTargets,
+    paused: PausedTargets,
     is_unreadable: bool,
     settles_at: Option<Instant>,
 }
@@ -99,7 +99,7 @@
             .map(|known| {
                 let mut spec = known.entry.make_spec(connections);
                 spec.drain |= self.leaving.contains(&known.entry.incarnation);
-                spec.rest_until = self.resting.get_end(&known.entry.incarnation);
+                spec.paused_until = self.paused.get_end(&known.entry.incarnation);
                 spec
             })
             .collect()
@@ -180,16 +180,16 @@
         is_new
     }
 
-    /// Records that an incarnation asked this VM to send it nothing for a while;
+    /// Records that an incarnation requested a pause;
     /// returns false if that does not prolong a known pause.
-    pub fn record_rest(
+    pub fn record_pause_request(
         &mut self,
         now: Instant,
         incarnation: &Incarnation,
         pause: Duration,
         changed: &mut Vec<SmolStr>,
     ) -> bool {
-        let is_longer = self.resting.record(now, incarnation.get_digest(), pause);
+        let is_longer = self.paused.record(now, incarnation.get_digest(), pause);
         if is_longer && let Ok(index) = self.find(&incarnation.id) {
             changed.push(self.targets[index].entry.service.clone());
         }
@@ -208,9 +208,9 @@
         (entry.incarnation == *incarnation).then(|| entry.service.clone())
     }
 
-    /// Returns the end of the pause that an incarnation asked this VM for.
-    pub fn get_rest_end(&self, incarnation: &Incarnation) -> Option<Instant> {
-        self.resting.get_end(incarnation)
+    /// Returns the end of the pause that an incarnation requested.
+    pub fn get_pause_end(&self, incarnation: &Incarnation) -> Option<Instant> {
+        self.paused.get_end(incarnation)
     }
 
     /// Returns the incarnation with a digest, if it is known.
--- a/crates/core/src/discovery/entry.rs
+++ b/crates/core/src/discovery/entry.rs
@@ -77,7 +77,7 @@
             note: None,
             incarnation: self.incarnation.born_ms,
             warm_up: Some(self.cold_left),
-            rest_until: None,
+            paused_until: None,
         }
     }
 }
--- a/crates/core/src/discovery/list.rs
+++ b/crates/core/src/discovery/list.rs
@@ -24,8 +24,8 @@
     Allowed,
     /// The target has left or is leaving.
     Withdrawn,
-    /// The target asked this VM to send it nothing for now.
-    Resting,
+    /// The target has requested a pause that has not ended.
+    Paused,
     /// The list is so old that the target may have left since.
     Outdated,
 }
@@ -69,8 +69,7 @@
         self.refresh_timer.get_version()
     }
 
-    /// Sets this VM's turn to read the list, which changes when it gets to know other
-    /// VMs.
+    /// Sets this VM's turn to read the list, which changes when it discovers other VMs.
     pub fn set_turn(&mut self, turn: ReadTurn) {
         self.refresh_timer.set_turn(turn);
     }
@@ -300,8 +299,8 @@
     pub fn check_send(&self, now: Instant, incarnation: &Incarnation) -> SendCheck {
         if !self.directory.is_active(incarnation) {
             SendCheck::Withdrawn
-        } else if self.is_resting(now, incarnation) {
-            SendCheck::Resting
+        } else if self.is_paused(now, incarnation) {
+            SendCheck::Paused
         } else if self.refresh_timer.is_outdated(now) {
             SendCheck::Outdated
         } else {
@@ -320,16 +319,17 @@
         self.directory.record_leaving(now, digest, changed)
     }
 
-    /// Records that an incarnation asked this VM to send it nothing for a while;
+    /// Records that an incarnation requested a pause;
     /// returns false if that does not prolong a known pause.
-    pub fn record_rest(
+    pub fn record_pause_request(
         &mut self,
         now: Instant,
         incarnation: &Incarnation,
         pause: Duration,
         changed: &mut Vec<SmolStr>,
     ) -> bool {
-        self.directory.record_rest(now, incarnation, pause, changed)
+        self.directory
+            .record_pause_request(now, incarnation, pause, changed)
     }
 
     /// Returns true if the incarnation announced that it is leaving.
@@ -342,9 +342,9 @@
         self.directory.get_service(incarnation)
     }
 
-    /// Returns true if the incarnation asked this VM to send it nothing for now.
-    pub fn is_resting(&self, now: Instant, incarnation: &Incarnation) -> bool {
-        let end = self.directory.get_rest_end(incarnation);
+    /// Returns true if the incarnation has requested a pause that has not ended.
+    pub fn is_paused(&self, now: Instant, incarnation: &Incarnation) -> bool {
+        let end = self.directory.get_pause_end(incarnation);
         end.is_some_and(|until| until > now)
     }
 
--- a/crates/core/src/discovery/resting.rs
+++ b/crates/core/src/discovery/paused.rs
@@ -1,20 +1,20 @@
-//! Targets that asked this VM for a pause.
+//! Targets that requested a pause from this VM.
 
 use super::Incarnation;
 use std::time::{Duration, Instant};
 
-/// Digests of the incarnations that asked this VM to send them nothing for a
-/// while, with the end of that time.
+/// Digests of the incarnations that requested a pause from this VM, with its
+/// end.
 ///
 /// A pause outlasts a change of the target list, so that a target that is
-/// dropped and listed again still rests.
+/// dropped and listed again stays paused.
 #[derive(Debug, Default)]
-pub struct RestingTargets {
+pub struct PausedTargets {
     pauses: Vec<(u64, Instant)>,
 }
 
-impl RestingTargets {
-    /// Longest pause. A longer one that a target asks for is shortened, so that
+impl PausedTargets {
+    /// Longest pause. A longer request is shortened, so that
     /// an absurd figure does not take the target out of use for good.
     pub const MAX_PAUSE: Duration = Duration::from_secs(600);
 
@@ -37,7 +37,7 @@
         }
     }
 
-    /// Returns the end of the pause of an incarnation, if it asked for one.
+    /// Returns the end of the pause of an incarnation, if it requested one.
     pub fn get_end(&self, incarnation: &Incarnation) -> Option<Instant> {
         if self.pauses.is_empty() {
             return None;
--- a/crates/core/src/discovery/refresh.rs
+++ b/crates/core/src/discovery/refresh.rs
@@ -71,7 +71,7 @@
         self.due
     }
 
-    /// Sets this VM's turn, which changes when it gets to know other VMs.
+    /// Sets this VM's turn, which changes when it discovers other VMs.
     pub fn set_turn(&mut self, turn: ReadTurn) {
         if let Some(read_at) = self.read_at.filter(|_| self.due.is_some()) {
             self.restart(read_at, turn);
--- a/crates/core/src/discovery/turn.rs
+++ b/crates/core/src/discovery/turn.rs
@@ -2,7 +2,7 @@
 
 /// Position of a VM in the order in which the VMs read the store.
 ///
-/// The order is that of a hash of the names, which all VMs compute alike. It changes
+/// The order is that of a hash of the names, which all VMs compute in the same way. It changes
 /// with each configuration, so that the work goes round. The first VM reads for all,
 /// and the next ones follow in turn if it is lost, so that few VMs read at the same
 /// time. The order is no election: two VMs that disagree on it read both, without harm.
--- a/crates/core/src/discovery/update.rs
+++ b/crates/core/src/discovery/update.rs
@@ -62,8 +62,7 @@
 }
 
 impl TargetListUpdate {
-    /// Returns the update without its changes, which still tells peers that the
-    /// version exists and how old it is.
+    /// Returns the update without its changes, which still announces the version and its age.
     pub fn omit_changes(&self) -> Self {
         Self {
             entries: Vec::new(),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,7 +22,7 @@
 pub use clock::{Clock, HybridClock, HybridTime};
 pub use code::{ResultCode, RunState};
 pub use discovery::{
-    AppliedRead, Directory, Incarnation, LeavingTargets, ReadTurn, RefreshTimer, RestingTargets,
+    AppliedRead, Directory, Incarnation, LeavingTargets, PausedTargets, ReadTurn, RefreshTimer,
     SendCheck, TargetEntry, TargetList, TargetListRead, TargetListUpdate, UpdateContent, UpdateLog,
     UpdateOutcome,
 };
--- a/crates/core/src/membership/gossip.rs
+++ b/crates/core/src/membership/gossip.rs
@@ -178,7 +178,7 @@
                 .map(|(view, _)| view.addr)
                 .sample(&mut self.rng, left),
         );
-        // A domain that holds the entire fleet leaves a place free.
+        // In a fleet with one failure domain, the place for another domain goes to a near peer.
         let left = Self::FANOUT - chosen.len();
         let rest = self.membership.get_peers(now).map(|(view, _)| view.addr);
         let rest = rest.filter(|addr| !chosen.contains(addr));
@@ -282,7 +282,7 @@
     /// is in force, see [`ReadTurn`](crate::ReadTurn).
     ///
     /// Registered VMs that have not sent a message yet are part of the order:
-    /// otherwise a VM that knows few others would take itself for one of the first.
+    /// otherwise a VM that has few peers would compute a rank that is too low.
     pub fn get_read_rank(&self, now: Instant, revision: u64) -> usize {
         let place = |vm: &VmName| xxh3_64_with_seed(vm.as_bytes(), revision);
         let own_place = place(self.membership.get_me());
--- a/crates/core/src/membership/stall.rs
+++ b/crates/core/src/membership/stall.rs
@@ -6,7 +6,7 @@
 /// got no processor.
 ///
 /// Datagrams that arrived meanwhile wait in the socket, and the ages of facts in
-/// them do not include that time. After a stall, such ages are not to be trusted
+/// them do not include that time. After a stall, such ages are too low
 /// until the socket is empty.
 #[derive(Debug, Default)]
 pub struct StallDetector {
--- a/crates/core/src/service/calls.rs
+++ b/crates/core/src/service/calls.rs
@@ -50,9 +50,9 @@
             return Some(ResultCode::QueueFull);
         }
         let expected = class.get_expected_time();
-        let rest_left = self.get_rest_left(now);
-        if !rest_left.is_zero() && now + rest_left + expected > useful_until {
-            return Some(ResultCode::TargetsRest);
+        let pause_left = self.get_pause_left(now);
+        if !pause_left.is_zero() && now + pause_left + expected > useful_until {
+            return Some(ResultCode::TargetsPaused);
         }
         let finish = now + self.estimate_wait(class) + expected;
         (finish > useful_until).then_some(ResultCode::DeadlineUnreachable)
@@ -147,27 +147,27 @@
     }
 
     pub(super) fn expire(&mut self, now: Instant, out: &mut Vec<Output>) {
-        let rest_left = self.get_rest_left(now);
+        let pause_left = self.get_pause_left(now);
         for index in 0..self.classes.len() {
-            let margin = rest_left + self.classes[index].get_expected_time();
+            let margin = pause_left + self.classes[index].get_expected_time();
             while let Some(front) = self.classes[index].front() {
                 if front.due > now + margin {
                     break;
                 }
                 self.classes[index].pop_front();
-                self.refuse_expired(front.call, rest_left, out);
+                self.refuse_expired(front.call, pause_left, out);
             }
         }
     }
 
-    fn refuse_expired(&mut self, key: CallKey, rest_left: Duration, out: &mut Vec<Output>) {
+    fn refuse_expired(&mut self, key: CallKey, pause_left: Duration, out: &mut Vec<Output>) {
         let may_have_run = self.calls.get(key).is_some_and(|call| call.may_have_run);
         let code = if may_have_run {
             ResultCode::AttemptFailed
-        } else if rest_left.is_zero() {
+        } else if pause_left.is_zero() {
             ResultCode::DeadlinePassed
         } else {
-            ResultCode::TargetsRest
+            ResultCode::TargetsPaused
         };
         self.refuse(key, code, out);
     }
--- a/crates/core/src/service/input.rs
+++ b/crates/core/src/service/input.rs
@@ -19,9 +19,9 @@
 pub enum Outcome {
     /// The target answered that it did not accept the request.
     Shed,
-    /// The target answered that it did not accept the request and asked for a pause.
+    /// The target answered that it did not accept the request and requested a pause.
     Paused,
-    /// The target asked for a pause and did not state whether it ran the request.
+    /// The target requested a pause and did not state whether it ran the request.
     PausedUnknown,
     /// The target refused the request unrun after its own retries.
     Declined,
@@ -36,7 +36,7 @@
     /// The deadline of the call passed.
     TimedOut,
     /// The attempt was withdrawn before anything was sent, because the target left
-    /// or rests.
+    /// or is paused.
     Withdrawn,
 }
 
--- a/crates/core/src/service/rest.rs
+++ b/crates/core/src/service/pauses.rs
@@ -1,4 +1,4 @@
-//! Targets that asked for a pause, and attempts that are withdrawn before the send.
+//! Targets that requested a pause, and attempts that are withdrawn before the send.
 
 use super::{AttemptKey, AttemptKind, Output, Service, TargetKey};
 use std::time::{Duration, Instant};
@@ -7,11 +7,11 @@
     /// Withdrawals of one call after which it is refused.
     const MAX_WITHDRAWALS: u8 = 8;
 
-    /// Returns the time until the first target returns if all rest, otherwise zero.
-    pub fn get_rest_left(&self, now: Instant) -> Duration {
+    /// Returns the time until the first target returns if all are paused, otherwise zero.
+    pub fn get_pause_left(&self, now: Instant) -> Duration {
         let mut first: Option<Instant> = None;
         for target in self.targets.iter().filter(|target| target.is_usable()) {
-            let Some(until) = target.spec.rest_until.filter(|until| *until > now) else {
+            let Some(until) = target.spec.paused_until.filter(|until| *until > now) else {
                 return Duration::ZERO;
             };
             first = Some(first.map_or(until, |first| first.min(until)));
@@ -19,7 +19,7 @@
         first.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
-    /// Records that a target asked a peer for a pause.
+    /// Records that a target requested a pause from a peer.
     ///
     /// The pause binds only that peer. For this VM it is a sign of load: the target
     /// counts as full until its next report.
@@ -29,7 +29,7 @@
         }
     }
 
-    /// Queues the call of an attempt whose target left or rests before the request
+    /// Queues the call of an attempt whose target left or is paused before the request
     /// was sent; returns false if the call has to be refused.
     ///
     /// Nothing was sent, so the attempt does not count as an arrival at the target.
--- a/crates/core/src/service/pick.rs
+++ b/crates/core/src/service/pick.rs
@@ -182,7 +182,7 @@
         let (mut usable, mut active) = (0_u32, 0_u32);
         let (mut slowness, mut slots) = (0.0, 0.0);
         let in_use = self.targets.iter();
-        for target in in_use.filter(|t| t.is_usable() && !t.is_resting(now)) {
+        for target in in_use.filter(|t| t.is_usable() && !t.is_paused(now)) {
             usable += 1;
             other_vms.add_target(target);
             if target.health.is_active() {
@@ -245,7 +245,7 @@
         self.targets
             .iter()
             .position(|t| {
-                t.is_usable() && !t.is_resting(now) && t.own == 0 && t.health.is_trial_due(now)
+                t.is_usable() && !t.is_paused(now) && t.own == 0 && t.health.is_trial_due(now)
             })
             .map(|index| TargetKey(index as u16))
     }
@@ -308,7 +308,7 @@
         allowed: AllowedCapacity,
     ) -> Option<(Capacity, f32)> {
         let is_ejected = !target.health.is_active() && !self.is_ejection_ignored;
-        if is_ejected || target.is_resting(self.now) {
+        if is_ejected || target.is_paused(self.now) {
             return None;
         }
         let slots = target.get_slots(self.now);
--- a/crates/core/src/service/target.rs
+++ b/crates/core/src/service/target.rs
@@ -96,9 +96,9 @@
         !self.is_removed && !self.is_leaving && !self.spec.drain && self.spec.weight > 0
     }
 
-    /// Returns true if the target asked this VM to send it nothing for now.
-    pub(crate) fn is_resting(&self, now: Instant) -> bool {
-        self.spec.rest_until.is_some_and(|until| now < until)
+    /// Returns true if the target has requested a pause that has not ended.
+    pub(crate) fn is_paused(&self, now: Instant) -> bool {
+        self.spec.paused_until.is_some_and(|until| now < until)
     }
 
     /// Slots of the target that the fleet may use now.
--- a/crates/core/src/service/view.rs
+++ b/crates/core/src/service/view.rs
@@ -36,11 +36,11 @@
     /// Returns the time until capacity for another request is expected: the wait
     /// of a request that joins the queue now, at least one median answer time.
     ///
-    /// If all targets rest, it is the time until the first one returns.
+    /// If all targets are paused, it is the time until the first one returns.
     pub fn estimate_capacity_wait(&self, now: Instant, class: ClassKey) -> Duration {
-        let rest_left = self.get_rest_left(now);
-        if !rest_left.is_zero() {
-            return rest_left;
+        let pause_left = self.get_pause_left(now);
+        if !pause_left.is_zero() {
+            return pause_left;
         }
         let class = &self.classes[class.get_index()];
         self.estimate_wait(class)
--- a/crates/core/src/spec/target.rs
+++ b/crates/core/src/spec/target.rs
@@ -41,8 +41,8 @@
     pub incarnation: u64,
     /// Warm-up time in which the target is slower than usual, if it reports one.
     pub warm_up: Option<Duration>,
-    /// Time until which the target asked this VM to send it nothing.
-    pub rest_until: Option<Instant>,
+    /// Time until which this VM sends the target nothing, at its request.
+    pub paused_until: Option<Instant>,
 }
 
 impl TargetSpec {
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -80,7 +80,7 @@
                 note: None,
                 incarnation: 0,
                 warm_up: None,
-                rest_until: None,
+                paused_until: None,
             })
             .collect(),
         retry_percent: 10,
--- a/crates/core/tests/leave_fleet.rs
+++ b/crates/core/tests/leave_fleet.rs
@@ -35,7 +35,7 @@
     AgeFromAnswer,
     /// Requests are sent by lists of any age.
     NoAgeLimit,
-    /// The ages of updates are trusted that waited while the process was paused.
+    /// Updates that waited while the process was paused are applied with their stated ages.
     NoStallDetection,
 }
 
@@ -394,7 +394,7 @@
         let is_sent = match list.check_send(at, &incarnation) {
             SendCheck::Allowed => true,
             SendCheck::Outdated => self.mutant == Mutant::NoAgeLimit,
-            SendCheck::Withdrawn | SendCheck::Resting => false,
+            SendCheck::Withdrawn | SendCheck::Paused => false,
         };
         let mut leaves = self.store.leaves.iter();
         let leave = leaves.find(|(left, _)| *left == incarnation);
--- a/crates/core/tests/list_updates.rs
+++ b/crates/core/tests/list_updates.rs
@@ -1,7 +1,7 @@
 //! Updates of the target list between VMs, announcements of leaves and pauses.
 
 use gentianridge_core::{
-    Incarnation, LeavingTargets, NoticeQueue, ReadTurn, RestingTargets, SendCheck, TargetEntry,
+    Incarnation, LeavingTargets, NoticeQueue, PausedTargets, ReadTurn, SendCheck, TargetEntry,
     TargetList, TargetListRead, UpdateOutcome,
 };
 use std::time::{Duration, Instant};
@@ -261,15 +261,15 @@
     let now = Instant::now();
     let target = make_incarnation("a");
     let digest = target.get_digest();
-    let mut resting = RestingTargets::default();
-    assert_eq!(resting.get_end(&target), None);
-    assert!(resting.record(now, digest, Duration::from_secs(5)));
-    assert!(!resting.record(now, digest, Duration::from_secs(2)));
-    assert_eq!(resting.get_end(&target), Some(now + Duration::from_secs(5)));
-    assert!(resting.record(now, digest, Duration::MAX));
+    let mut paused = PausedTargets::default();
+    assert_eq!(paused.get_end(&target), None);
+    assert!(paused.record(now, digest, Duration::from_secs(5)));
+    assert!(!paused.record(now, digest, Duration::from_secs(2)));
+    assert_eq!(paused.get_end(&target), Some(now + Duration::from_secs(5)));
+    assert!(paused.record(now, digest, Duration::MAX));
     assert_eq!(
-        resting.get_end(&target),
-        Some(now + RestingTargets::MAX_PAUSE)
+        paused.get_end(&target),
+        Some(now + PausedTargets::MAX_PAUSE)
     );
 }
 
@@ -278,19 +278,19 @@
 fn pause_outlasts_list() {
     let mut vm = Vm::new(Instant::now());
     vm.read_all(3, &["a"]);
-    let resting = make_incarnation("a");
+    let paused = make_incarnation("a");
     let pause = Duration::from_secs(1);
     assert!(
         vm.list
-            .record_rest(vm.now, &resting, pause, &mut Vec::new())
+            .record_pause_request(vm.now, &paused, pause, &mut Vec::new())
     );
     vm.read_all(4, &[]);
     vm.read_all(5, &["a"]);
-    assert_eq!(vm.list.check_send(vm.now, &resting), SendCheck::Resting);
+    assert_eq!(vm.list.check_send(vm.now, &paused), SendCheck::Paused);
     let targets = vm.list.get_targets("cart", 10);
-    assert_eq!(targets[0].rest_until, Some(vm.now + pause));
+    assert_eq!(targets[0].paused_until, Some(vm.now + pause));
     let later = vm.now + pause;
-    assert_eq!(vm.list.check_send(later, &resting), SendCheck::Allowed);
+    assert_eq!(vm.list.check_send(later, &paused), SendCheck::Allowed);
 }
 
 /// Each notice is sent in a few rounds, a limited number in each, the newest first.
--- a/crates/core/tests/rest.rs
+++ b/crates/core/tests/pauses.rs
@@ -1,4 +1,4 @@
-//! Targets that asked for a pause, and attempts that are withdrawn before the send.
+//! Targets that requested a pause, and attempts that are withdrawn before the send.
 
 mod common;
 
@@ -11,7 +11,7 @@
 /// Sets the pauses of the first targets of a declaration, in milliseconds.
 fn set_pauses(harness: &Harness, spec: &mut ServiceSpec, pauses: &[u64]) {
     for (target, pause) in spec.targets.iter_mut().zip(pauses) {
-        target.rest_until = Some(harness.now + Duration::from_millis(*pause));
+        target.paused_until = Some(harness.now + Duration::from_millis(*pause));
     }
 }
 
@@ -20,7 +20,7 @@
     harness.apply(spec);
 }
 
-/// Neither a first attempt nor a retry goes to a target at rest, and it gets work again
+/// Neither a first attempt nor a retry goes to a paused target, and it gets work again
 /// when its pause ends.
 #[test]
 fn no_work_during_pause() {
@@ -49,20 +49,14 @@
     let failed = harness.send(SHORT);
     assert_eq!(failed.target, TargetKey::from_index(2));
     harness.fail(failed, Outcome::Shed);
-    harness.advance(200);
-    let late = harness.arrive(SHORT);
+    // The next call is late on the only target that is left, and gets no hedge.
+    let late = harness.send(SHORT);
     harness.advance(500);
-    assert!(harness.is_sent(late) || harness.get_code(late).is_some());
-    let resting = harness.sent.iter().filter(|sent| sent.call != failed.call);
-    assert!(
-        harness
-            .sent
-            .iter()
-            .skip(40)
-            .all(|sent| sent.target == TargetKey::from_index(2)),
-        "{:?}",
-        resting.collect::<Vec<_>>()
-    );
+    assert_eq!(late.target, TargetKey::from_index(2));
+    let hedges = harness.sent.iter().filter(|sent| sent.call == late.call);
+    assert_eq!(hedges.count(), 1);
+    let mut later = harness.sent[40..].iter();
+    assert!(later.all(|sent| sent.target == TargetKey::from_index(2)));
 }
 
 #[test]
@@ -113,14 +107,14 @@
     );
 }
 
-/// If every target rests longer than a call can wait, it is refused at once, and the
+/// If every target is paused for longer than a call can wait, it is refused at once, and the
 /// refusal states when the first target returns.
 #[test]
-fn refused_if_all_rest() {
+fn refused_if_all_paused() {
     let mut harness = Harness::new(2, 3);
     apply_pauses(&mut harness, make_spec(2, 3), &[5_000, 3_000]);
     let call = harness.arrive(SHORT);
-    assert_eq!(harness.get_code(call), Some(ResultCode::TargetsRest));
+    assert_eq!(harness.get_code(call), Some(ResultCode::TargetsPaused));
     let wait = harness.service.estimate_capacity_wait(harness.now, SHORT);
     assert_eq!(wait, Duration::from_secs(3));
 }
@@ -147,7 +141,7 @@
     let call = harness.arrive(SHORT);
     assert_eq!(harness.get_code(call), None);
     apply_pauses(&mut harness, make_spec(1, 1), &[10_000]);
-    assert_eq!(harness.get_code(call), Some(ResultCode::TargetsRest));
+    assert_eq!(harness.get_code(call), Some(ResultCode::TargetsPaused));
 }
 
 /// A target that asks for pauses is no failing target: it is not ejected, and its limit
--- a/crates/daemon/src/gateway/announcements.rs
+++ b/crates/daemon/src/gateway/announcements.rs
@@ -4,15 +4,15 @@
 use crate::caller::headers::get_text;
 use crate::telemetry::STATE_LOG_TARGET;
 use gentianridge_adapter::is_leaving;
-use gentianridge_core::{EventKind, Incarnation, RestingTargets};
+use gentianridge_core::{EventKind, Incarnation, PausedTargets};
 use http::{HeaderMap, StatusCode, header};
 use std::time::{Duration, SystemTime};
 
 /// Statements in the head of an answer that do not depend on the request.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(crate) struct Announcements {
-    /// True if the target asked this VM to send it nothing for a while.
-    pub(crate) asks_for_pause: bool,
+    /// True if the target requested a pause.
+    pub(crate) requests_pause: bool,
 }
 
 impl Gateway {
@@ -37,7 +37,7 @@
             self.record_pause(incarnation, pause);
         }
         Announcements {
-            asks_for_pause: pause.is_some(),
+            requests_pause: pause.is_some(),
         }
     }
 
@@ -73,24 +73,25 @@
 
     fn record_pause(&self, incarnation: &Incarnation, pause: Duration) {
         let now = self.clock.now();
-        let is_longer =
-            self.change_targets(|list, changed| list.record_rest(now, incarnation, pause, changed));
+        let is_longer = self.change_targets(|list, changed| {
+            list.record_pause_request(now, incarnation, pause, changed)
+        });
         if !is_longer {
             return;
         }
-        self.peers.queue_resting(incarnation.get_digest());
-        self.metrics.record_announcement("resting", "answer");
+        self.peers.queue_paused(incarnation.get_digest());
+        self.metrics.record_announcement("paused", "answer");
         log::info!(
             target: STATE_LOG_TARGET,
             target = incarnation.id.as_str(),
             born_ms = incarnation.born_ms,
             pause_ms = pause.as_millis() as u64,
-            is_shortened = pause > RestingTargets::MAX_PAUSE;
-            "target asked for a pause"
+            is_shortened = pause > PausedTargets::MAX_PAUSE;
+            "target requested a pause"
         );
     }
 
-    /// Counts a target that asked a peer for a pause as full.
+    /// Counts a target that requested a pause from a peer as full.
     pub(crate) fn record_peer_pause(&self, digest: u64) {
         let list = self.list.borrow();
         let Some(incarnation) = list.find_incarnation(digest) else {
@@ -103,7 +104,7 @@
     }
 }
 
-/// Returns the pause that a refusal asks for, if it asks for one.
+/// Returns the pause that a refusal requests, if any.
 fn get_pause(status: StatusCode, headers: &HeaderMap, wall: SystemTime) -> Option<Duration> {
     if status != StatusCode::SERVICE_UNAVAILABLE {
         return None;
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -262,7 +262,7 @@
             ));
         }
         if headers.contains_key(&names.not_run) {
-            let outcome = if announcements.asks_for_pause {
+            let outcome = if announcements.requests_pause {
                 Outcome::Paused
             } else {
                 Outcome::Shed
@@ -287,7 +287,7 @@
             ));
         }
         if is_not_run_status(status) {
-            let outcome = if announcements.asks_for_pause {
+            let outcome = if announcements.requests_pause {
                 Outcome::PausedUnknown
             } else {
                 Outcome::Broken
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -20,7 +20,7 @@
 const RETRY_AFTER_DIVISOR: u32 = 3;
 /// Multiple of the time until the first target returns over which the retries of
 /// callers are spread, so that they do not all arrive at that moment.
-const REST_SPREAD: f64 = 1.25;
+const PAUSE_SPREAD: f64 = 1.25;
 
 /// Answers one request.
 ///
@@ -135,9 +135,9 @@
 /// they do not take the capacity of requests that can still be in time.
 fn get_retry_after(cx: &CallContext, code: ResultCode) -> Duration {
     let now = cx.gateway.clock.now();
-    if code == ResultCode::TargetsRest {
-        let rest_left = cx.service.read(|machine, now| machine.get_rest_left(now));
-        return rest_left.mul_f64(rand::rng().random_range(1.0..REST_SPREAD));
+    if code == ResultCode::TargetsPaused {
+        let pause_left = cx.service.read(|machine, now| machine.get_pause_left(now));
+        return pause_left.mul_f64(rand::rng().random_range(1.0..PAUSE_SPREAD));
     }
     let longest = cx.deadline.saturating_duration_since(now) / RETRY_AFTER_DIVISOR;
     let wait = cx
--- a/crates/daemon/src/gateway/feeds.rs
+++ b/crates/daemon/src/gateway/feeds.rs
@@ -103,7 +103,7 @@
         config_after: None,
         backoff: Backoff::new(),
     };
-    // Registration goes on if it takes longer, and the state may come from peers.
+    // Registration continues if it takes longer, and the state may come from peers.
     let started = tokio::time::timeout(MAX_START_WAIT, load_state(&follower.gateway));
     if started.await.is_err() {
         log::info!(target: STATE_LOG_TARGET, "no state from peers; reading the store");
--- a/crates/daemon/src/gateway/peers/follow.rs
+++ b/crates/daemon/src/gateway/peers/follow.rs
@@ -18,12 +18,12 @@
 const HOLDER_WAIT: Duration = Duration::from_millis(400);
 /// Peers that are asked before the store is read.
 const MAX_PEERS: usize = 3;
-/// Shortest and longest pause after peers and store were of no help.
+/// Shortest and longest pause after neither peers nor the store had the state.
 const MIN_RETRY_PAUSE: Duration = Duration::from_millis(300);
 const MAX_RETRY_PAUSE: Duration = Duration::from_secs(2);
 
 /// Fetches missing changes of the list and newer configurations from peers, until the
-/// task is dropped. If they are of no help, the store is read.
+/// task is dropped. If no peer has them, the store is read.
 pub(crate) async fn follow_peers(gateway: Rc<Gateway>) {
     let mut retry_pause = MIN_RETRY_PAUSE;
     loop {
@@ -108,7 +108,7 @@
     chosen
 }
 
-/// Asks one peer and applies its reply; returns true if it held anything of use.
+/// Asks one peer and applies its reply; returns true if the reply brought this VM forward.
 pub(super) async fn fetch_from(gateway: &Rc<Gateway>, addr: SocketAddr, needs_peers: bool) -> bool {
     let request = {
         let list = gateway.list.borrow();
@@ -140,13 +140,13 @@
             .borrow_mut()
             .record_heartbeat(now, view);
     }
-    let mut is_of_use = false;
+    let mut is_progress = false;
     if let Some(config) = reply.config {
-        is_of_use |= apply_config(gateway, &config.value, "peer");
+        is_progress |= apply_config(gateway, &config.value, "peer");
     }
     if let Some(update) = reply.list {
         let outcome = apply_list_update(gateway, update, addr);
-        is_of_use |= matches!(outcome, UpdateOutcome::Applied | UpdateOutcome::Unchanged);
+        is_progress |= matches!(outcome, UpdateOutcome::Applied | UpdateOutcome::Unchanged);
     }
-    is_of_use
+    is_progress
 }
--- a/crates/daemon/src/gateway/peers/gossip.rs
+++ b/crates/daemon/src/gateway/peers/gossip.rs
@@ -83,7 +83,7 @@
         let round = self.gateway.peers.gossip.borrow_mut().next_peers(now);
         let mut datagram = make_datagram(&self.gateway, now, kind);
         datagram.leaving = self.gateway.peers.leaving.borrow_mut().next_round();
-        datagram.resting = self.gateway.peers.resting.borrow_mut().next_round();
+        datagram.paused = self.gateway.peers.paused.borrow_mut().next_round();
         datagram.list = self.gateway.peers.next_list_update(now);
         let has_news = datagram.list.is_some() || !datagram.leaving.is_empty();
         let kind = if has_news { RoundKind::Urgent } else { kind };
@@ -165,7 +165,7 @@
         for digest in datagram.leaving {
             gateway.record_leaving(digest, "peer");
         }
-        for digest in datagram.resting {
+        for digest in datagram.paused {
             gateway.record_peer_pause(digest);
         }
         // The age of an update that waited during a stall is unknown.
@@ -177,7 +177,7 @@
         gateway.peers.record_version(datagram.newest_revision);
         if datagram.is_hello {
             let mut reply = make_datagram(gateway, now, RoundKind::Routine);
-            // A VM that has just started gets to know that there is a list.
+            // A VM that has just started learns from the reply that a list exists.
             reply.list = make_list_header(gateway, now);
             self.send(
                 now,
@@ -204,7 +204,7 @@
         crashes: gateway.get_crash_records(),
         list: None,
         leaving: Vec::new(),
-        resting: Vec::new(),
+        paused: Vec::new(),
         peers,
         summaries,
     }
--- a/crates/daemon/src/gateway/peers/register.rs
+++ b/crates/daemon/src/gateway/peers/register.rs
@@ -14,7 +14,7 @@
 const MAX_PAUSE: Duration = Duration::from_secs(2);
 /// Pause between two polls of the rows by any VM of the fleet.
 const FLEET_POLL_PAUSE: Duration = Duration::from_secs(5);
-/// Time after a start in which a VM gets to know the size of the fleet.
+/// Time after a start in which a VM discovers the size of the fleet.
 const SETTLE_TIME: Duration = Duration::from_secs(1);
 /// Missing rows of other VMs that one poll writes at most.
 const MAX_REPAIRS: usize = 4;
--- a/crates/daemon/src/gateway/peers/start.rs
+++ b/crates/daemon/src/gateway/peers/start.rs
@@ -40,22 +40,22 @@
         wait_for_turn(gateway).await;
         return;
     }
-    // The seeds go on being asked while the store is read.
+    // The requests to the seeds continue while the store is read.
     let asked = tokio::task::spawn_local(ask_seeds(gateway.clone()));
-    let helped = tokio::time::timeout(SEED_HEAD_START, asked).await;
-    if !matches!(helped, Ok(Ok(true))) {
+    let reply = tokio::time::timeout(SEED_HEAD_START, asked).await;
+    if !matches!(reply, Ok(Ok(true))) {
         tokio::task::spawn_local(join_fleet(gateway.clone()));
     }
 }
 
-/// Asks the seeds of the settings for their state; returns true if one of them has helped.
+/// Asks the seeds of the settings for their state; returns true if one of them had it.
 pub(crate) async fn ask_seeds(gateway: Rc<Gateway>) -> bool {
     let seeds = gateway.get_settings().seeds.clone();
     ask(&gateway, seeds).await
 }
 
 /// Looks for registered VMs. Shares of common budgets depend on the size of the fleet, so
-/// that a VM that does not know it serves little.
+/// that a VM that has not discovered it uses only a small share.
 async fn join_fleet(gateway: Rc<Gateway>) {
     let jitter = JOIN_PAUSE.mul_f64(rand::rng().random());
     tokio::time::sleep(jitter).await;
@@ -68,7 +68,7 @@
     }
 }
 
-/// Asks several peers at the same time; returns true once one of them has helped.
+/// Asks several peers at the same time; returns true once one of them has sent its state.
 async fn ask(gateway: &Rc<Gateway>, addrs: Vec<SocketAddr>) -> bool {
     let me = gateway.get_settings().peers;
     let mut replies: FuturesUnordered<_> = addrs
@@ -76,8 +76,8 @@
         .filter(|addr| *addr != me)
         .map(|addr| async move { (addr, fetch_from(gateway, addr, true).await) })
         .collect();
-    while let Some((addr, is_of_use)) = replies.next().await {
-        if is_of_use && gateway.is_loaded() {
+    while let Some((addr, is_progress)) = replies.next().await {
+        if is_progress && gateway.is_loaded() {
             log::info!(
                 target: STATE_LOG_TARGET,
                 peer = addr.to_string().as_str(),
--- a/crates/daemon/src/gateway/peers/table.rs
+++ b/crates/daemon/src/gateway/peers/table.rs
@@ -40,7 +40,7 @@
     config_holder: Cell<Option<(u64, SocketAddr)>>,
     queued: RefCell<Option<QueuedUpdate>>,
     pub(super) leaving: RefCell<NoticeQueue>,
-    pub(super) resting: RefCell<NoticeQueue>,
+    pub(super) paused: RefCell<NoticeQueue>,
     seq: Cell<u64>,
     incarnation: Cell<u64>,
 }
@@ -60,7 +60,7 @@
             config_holder: Cell::new(None),
             queued: RefCell::new(None),
             leaving: RefCell::default(),
-            resting: RefCell::default(),
+            paused: RefCell::default(),
             seq: Cell::new(0),
             incarnation: Cell::new(0),
         }
@@ -78,9 +78,9 @@
         self.request_round();
     }
 
-    /// Queues the notice that a target asked this VM for a pause.
-    pub(crate) fn queue_resting(&self, digest: u64) {
-        self.resting.borrow_mut().push(digest);
+    /// Queues the notice that a target requested a pause from this VM.
+    pub(crate) fn queue_paused(&self, digest: u64) {
+        self.paused.borrow_mut().push(digest);
         self.request_round();
     }
 
--- a/crates/daemon/src/gateway/samples.rs
+++ b/crates/daemon/src/gateway/samples.rs
@@ -66,7 +66,7 @@
         .list
         .borrow()
         .check_send(gateway.clock.now(), &incarnation);
-    if matches!(check, SendCheck::Withdrawn | SendCheck::Resting) {
+    if matches!(check, SendCheck::Withdrawn | SendCheck::Paused) {
         return Ok(());
     }
     let mut request = Request::new(Full::<Bytes>::default());
--- a/crates/daemon/src/gateway/send_check.rs
+++ b/crates/daemon/src/gateway/send_check.rs
@@ -33,7 +33,7 @@
             match check {
                 SendCheck::Allowed => return Ok(()),
                 SendCheck::Withdrawn => return Err("the target is leaving"),
-                SendCheck::Resting => return Err("the target asked for a pause"),
+                SendCheck::Paused => return Err("the target requested a pause"),
                 SendCheck::Outdated => {}
             }
             let is_answering = !self.list_reader.is_failing(now);
--- a/crates/daemon/src/service/handle.rs
+++ b/crates/daemon/src/service/handle.rs
@@ -154,7 +154,7 @@
         });
     }
 
-    /// Records that a target asked a peer for a pause.
+    /// Records that a target requested a pause from a peer.
     pub(crate) fn record_peer_pause(&self, target: &str) {
         self.with(|machine, now, _| {
             if let Some(key) = machine.find_target(target) {
--- a/crates/daemon/src/supervise.rs
+++ b/crates/daemon/src/supervise.rs
@@ -8,7 +8,7 @@
 /// Runs a task on the local task set, and starts it again whenever it ends.
 ///
 /// An unexpected error ends one task, not the process, and a process without its
-/// gossip or without its reads of the store would go on by old state. `make` is called
+/// gossip or without its reads of the store would continue with outdated state. `make` is called
 /// for each start.
 pub async fn supervise<F: Future<Output = ()> + 'static>(
     name: &'static str,
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -37,8 +37,8 @@
     pub list: Option<TargetListUpdate>,
     /// Digests of incarnations that announced that they are leaving, newest first.
     pub leaving: Vec<u64>,
-    /// Digests of incarnations that asked the sender to pause, newest first.
-    pub resting: Vec<u64>,
+    /// Digests of incarnations that requested a pause from the sender, newest first.
+    pub paused: Vec<u64>,
     /// Views of other VMs.
     pub peers: Vec<PeerView>,
     /// Summaries of recent heartbeats of further VMs.
@@ -117,7 +117,7 @@
     #[prost(fixed64, repeated, tag = "10")]
     leaving: Vec<u64>,
     #[prost(fixed64, repeated, tag = "11")]
-    resting: Vec<u64>,
+    paused: Vec<u64>,
 }
 
 impl PeerDatagram {
@@ -137,7 +137,7 @@
             summary_peers: self.summaries.iter().map(|summary| summary.peer).collect(),
             summary_seqs: self.summaries.iter().map(|summary| summary.seq).collect(),
             leaving: self.leaving.clone(),
-            resting: self.resting.clone(),
+            paused: self.paused.clone(),
         };
         encoded.encode_to_vec()
     }
@@ -167,7 +167,7 @@
             crashes: crashes.collect::<Result<_, _>>()?,
             list: encoded.list.map(decode_list).transpose()?,
             leaving: encoded.leaving,
-            resting: encoded.resting,
+            paused: encoded.paused,
             peers: peers.collect::<Result<_, _>>()?,
             summaries: summaries
                 .map(|(&peer, &seq)| HeartbeatSummary { peer, seq })
--- a/crates/wire/tests/datagrams.rs
+++ b/crates/wire/tests/datagrams.rs
@@ -52,7 +52,7 @@
                     newest_revision,
                     list,
                     leaving: notices.0,
-                    resting: notices.1,
+                    paused: notices.1,
                     peers,
                     summaries: summaries
                         .into_iter()
@@ -154,7 +154,7 @@
         crashes: Vec::new(),
         list: Some(TargetListUpdate::default()),
         leaving: Vec::new(),
-        resting: Vec::new(),
+        paused: Vec::new(),
         peers: (1..=GossipState::PEER_VIEWS as u16).map(view).collect(),
         summaries: (0..GossipState::SUMMARIES as u32)
             .map(|peer| HeartbeatSummary { peer, seq: 100_000 })
--- a/examples/measure/model.rs
+++ b/examples/measure/model.rs
@@ -224,7 +224,7 @@
             note: None,
             incarnation: 0,
             warm_up: None,
-            rest_until: None,
+            paused_until: None,
         }
     }
 }
--- a/tests/gateway/announcements.rs
+++ b/tests/gateway/announcements.rs
@@ -188,10 +188,10 @@
     assert_eq!(count_arrivals(&env.targets[0]), before);
 }
 
-/// If every target rests for longer than a request can wait, it is refused at once, with the
+/// If every target is paused for longer than a request can wait, it is refused at once, with the
 /// time at which the first one returns.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn all_targets_rest() {
+async fn all_targets_paused() {
     let env = TestEnv::start(2).await;
     for (target, pause) in env.targets.iter().zip([9, 1]) {
         target.set_behavior(TargetBehavior::NotRun);
--- a/tests/gateway/discovery.rs
+++ b/tests/gateway/discovery.rs
@@ -120,7 +120,7 @@
 }
 
 /// Entries of another writer with values that no type holds, nested without end, or under the
-/// name of a running target: the daemon goes on, follows the list, and keeps the target.
+/// name of a running target: the daemon keeps running, follows the list, and keeps the target.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn odd_entries() {
     let env = TestEnv::start(2).await;
@@ -172,7 +172,7 @@
         let reply = env.request("GET", "/look/x", id).await;
         assert_eq!((reply.status, reply.body.as_str()), (200, "done by t1"));
     }
-    // A full read does not take the target for gone either.
+    // A full read does not remove the target either.
     env.store.compact();
     tokio::time::sleep(DRAIN_BOUND).await;
     assert_eq!(env.request("GET", "/look/x", "c").await.body, "done by t1");
--- a/tests/gateway/peer_state.rs
+++ b/tests/gateway/peer_state.rs
@@ -229,7 +229,7 @@
         crashes: Vec::new(),
         list,
         leaving: Vec::new(),
-        resting: Vec::new(),
+        paused: Vec::new(),
         peers: Vec::new(),
         summaries: Vec::new(),
     }
--- a/tests/gateway/peers.rs
+++ b/tests/gateway/peers.rs
@@ -186,7 +186,7 @@
         crashes: Vec::new(),
         list: None,
         leaving: Vec::new(),
-        resting: Vec::new(),
+        paused: Vec::new(),
         peers: Vec::new(),
         summaries: Vec::new(),
     };
