--- a/crates/config/src/gateway/parse.rs
+++ b/crates/config/src/gateway/parse.rs
@@ -71,7 +71,7 @@
 }
 
 /// Reads how to find other VMs. `seed_port` replaces the ports of the seeds, if a
-/// platform knows the VMs by another port than the one for messages of peers.
+/// platform lists the VMs with another port than the one for messages of peers.
 fn read_fleet(reader: &mut SectionReader<'_>, settings: &mut GatewaySettings) {
     let expected = "IP addresses with ports, separated by commas";
     let seeds = reader.optional_non_empty("seeds", expected, parse_addrs);
--- a/crates/core/src/membership/gossip.rs
+++ b/crates/core/src/membership/gossip.rs
@@ -244,7 +244,7 @@
             .count()
     }
 
-    /// Returns the addresses of up to `count` VMs to ask for their state: live ones
+    /// Returns the addresses of up to `count` VMs for a request of their state: live ones
     /// in the own failure domain with the revision in force first, then others, then
     /// registered ones that have not sent a message yet.
     pub fn choose_holders(
--- a/crates/core/tests/list_updates.rs
+++ b/crates/core/tests/list_updates.rs
@@ -273,7 +273,7 @@
     );
 }
 
-/// A pause outlasts a change of the list and binds only the incarnation that asked.
+/// A pause outlasts a change of the list and applies only to the incarnation that requested it.
 #[test]
 fn pause_outlasts_list() {
     let mut vm = Vm::new(Instant::now());
--- a/crates/core/tests/pauses.rs
+++ b/crates/core/tests/pauses.rs
@@ -133,7 +133,7 @@
     );
 }
 
-/// Calls that wait when the last target asks for a long pause are refused at once.
+/// Calls that wait when the last target requests a long pause are refused at once.
 #[test]
 fn waiting_calls_refused() {
     let mut harness = Harness::new(1, 1);
@@ -144,7 +144,7 @@
     assert_eq!(harness.get_code(call), Some(ResultCode::TargetsPaused));
 }
 
-/// A target that asks for pauses is no failing target: it is not ejected, and its limit
+/// A target that requests pauses is no failing target: it is not ejected, and its limit
 /// stays.
 #[test]
 fn pause_is_no_failure() {
--- a/crates/daemon/src/gateway/feeds.rs
+++ b/crates/daemon/src/gateway/feeds.rs
@@ -1,6 +1,6 @@
 //! Reads of the platform's store: the configuration and the list of targets.
 
-use super::peers::{ask_seeds, is_behind, load_state};
+use super::peers::{fetch_from_seeds, is_behind, load_state};
 use super::state::{Gateway, get_list_bound};
 use crate::telemetry::STATE_LOG_TARGET;
 use gentianridge_adapter::{
@@ -21,7 +21,7 @@
 /// VMs up to which each repeats failed reads with the pauses above; a larger fleet makes
 /// as many attempts together.
 const VMS_PER_ATTEMPT: f64 = 8.0;
-/// Longest time in which peers are asked for the state after a start.
+/// Longest time for requests of the state from peers after a start.
 const MAX_START_WAIT: Duration = Duration::from_millis(1_500);
 
 /// Exponential backoff with jitter between failed calls.
@@ -124,7 +124,7 @@
         }
         if !gateway.is_loaded() {
             // A store that turns this VM away may serve the seeds.
-            tokio::task::spawn_local(ask_seeds(gateway.clone()));
+            tokio::task::spawn_local(fetch_from_seeds(gateway.clone()));
         }
         tokio::select! {
             () = follower.backoff.pause(get_pause_factor(&gateway)) => {}
--- a/crates/daemon/src/gateway/list_reader.rs
+++ b/crates/daemon/src/gateway/list_reader.rs
@@ -1,4 +1,4 @@
-//! State of this VM's reads of the target list, for those who wait for them.
+//! State of this VM's reads of the target list.
 
 use std::cell::Cell;
 use std::time::{Duration, Instant};
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -106,7 +106,7 @@
             announcements: counter(
                 &meter,
                 "gentianridge.target.announcements",
-                "Targets that announced their leave or asked for a pause, by source",
+                "Targets that announced their leave or requested a pause, by source",
             ),
             outdated_sends: counter(
                 &meter,
--- a/crates/daemon/src/gateway/peers/follow.rs
+++ b/crates/daemon/src/gateway/peers/follow.rs
@@ -16,7 +16,7 @@
 /// Time in which a peer with a newer configuration in force is expected, after some
 /// peer reported that the configuration exists.
 const HOLDER_WAIT: Duration = Duration::from_millis(400);
-/// Peers that are asked before the store is read.
+/// Number of requests to peers before the store is read.
 const MAX_PEERS: usize = 3;
 /// Shortest and longest pause after neither peers nor the store had the state.
 const MIN_RETRY_PAUSE: Duration = Duration::from_millis(300);
@@ -66,7 +66,7 @@
     }
 }
 
-/// Returns true if this VM knows of a newer state than its own.
+/// Returns true if a newer state than that of this VM was announced.
 pub(crate) fn is_lacking(gateway: &Gateway) -> bool {
     gateway.list.borrow().has_gap() || is_behind(gateway)
 }
@@ -108,7 +108,7 @@
     chosen
 }
 
-/// Asks one peer and applies its reply; returns true if the reply brought this VM forward.
+/// Requests the state of one peer and applies the reply; returns true if it was newer.
 pub(super) async fn fetch_from(gateway: &Rc<Gateway>, addr: SocketAddr, needs_peers: bool) -> bool {
     let request = {
         let list = gateway.list.borrow();
--- a/crates/daemon/src/gateway/peers/gossip.rs
+++ b/crates/daemon/src/gateway/peers/gossip.rs
@@ -177,7 +177,7 @@
         gateway.peers.record_version(datagram.newest_revision);
         if datagram.is_hello {
             let mut reply = make_datagram(gateway, now, RoundKind::Routine);
-            // A VM that has just started learns from the reply that a list exists.
+            // The reply shows to a VM that has just started that a list exists.
             reply.list = make_list_header(gateway, now);
             self.send(
                 now,
--- a/crates/daemon/src/gateway/peers/mod.rs
+++ b/crates/daemon/src/gateway/peers/mod.rs
@@ -16,6 +16,6 @@
 pub(crate) use follow::{follow_peers, is_behind};
 pub(crate) use gossip::run_gossip;
 pub(crate) use register::{keep_registered, unregister};
-pub(crate) use start::{ask_seeds, load_state};
+pub(crate) use start::{fetch_from_seeds, load_state};
 pub(crate) use state_exchange::run_state_server;
 pub(crate) use table::Peers;
--- a/crates/daemon/src/gateway/peers/start.rs
+++ b/crates/daemon/src/gateway/peers/start.rs
@@ -36,40 +36,41 @@
     if gateway.get_settings().is_bootstrap {
         let jitter = START_JITTER.mul_f64(rand::rng().random());
         tokio::time::sleep(FLEET_START + jitter).await;
-        look_for_vms(gateway).await;
+        discover_vms(gateway).await;
         wait_for_turn(gateway).await;
         return;
     }
     // The requests to the seeds continue while the store is read.
-    let asked = tokio::task::spawn_local(ask_seeds(gateway.clone()));
+    let asked = tokio::task::spawn_local(fetch_from_seeds(gateway.clone()));
     let reply = tokio::time::timeout(SEED_HEAD_START, asked).await;
     if !matches!(reply, Ok(Ok(true))) {
         tokio::task::spawn_local(join_fleet(gateway.clone()));
     }
 }
 
-/// Asks the seeds of the settings for their state; returns true if one of them had it.
-pub(crate) async fn ask_seeds(gateway: Rc<Gateway>) -> bool {
+/// Requests the state from the seeds of the settings; returns true if one of them had it.
+pub(crate) async fn fetch_from_seeds(gateway: Rc<Gateway>) -> bool {
     let seeds = gateway.get_settings().seeds.clone();
-    ask(&gateway, seeds).await
+    fetch_from_any(&gateway, seeds).await
 }
 
-/// Looks for registered VMs. Shares of common budgets depend on the size of the fleet, so
+/// Discovers the registered VMs. Shares of common budgets depend on the size of the fleet, so
 /// that a VM that has not discovered it uses only a small share.
 async fn join_fleet(gateway: Rc<Gateway>) {
     let jitter = JOIN_PAUSE.mul_f64(rand::rng().random());
     tokio::time::sleep(jitter).await;
-    look_for_vms(&gateway).await;
+    discover_vms(&gateway).await;
 }
 
-async fn look_for_vms(gateway: &Gateway) {
+async fn discover_vms(gateway: &Gateway) {
     if let Err(error) = find_registered(gateway).await {
-        log::info!(target: STATE_LOG_TARGET, "cannot look for registered VMs: {error}");
+        log::info!(target: STATE_LOG_TARGET, "cannot discover registered VMs: {error}");
     }
 }
 
-/// Asks several peers at the same time; returns true once one of them has sent its state.
-async fn ask(gateway: &Rc<Gateway>, addrs: Vec<SocketAddr>) -> bool {
+/// Requests the state of several peers at the same time; returns true once one has replied
+/// with a state.
+async fn fetch_from_any(gateway: &Rc<Gateway>, addrs: Vec<SocketAddr>) -> bool {
     let me = gateway.get_settings().peers;
     let mut replies: FuturesUnordered<_> = addrs
         .into_iter()
--- a/crates/daemon/src/gateway/peers/state_exchange.rs
+++ b/crates/daemon/src/gateway/peers/state_exchange.rs
@@ -25,7 +25,7 @@
 /// Pause after a failed accept, for example when no file descriptor is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Asks a peer for what this VM lacks.
+/// Requests from a peer the state that this VM lacks.
 ///
 /// # Errors
 ///
--- a/crates/wire/src/state.rs
+++ b/crates/wire/src/state.rs
@@ -14,7 +14,7 @@
 /// Request for what a VM lacks of the state of a peer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StateRequest {
-    /// Name of the VM that asks.
+    /// Name of the requesting VM.
     pub vm: VmName,
     /// Revision of the configuration in force there, 0 if there is none.
     pub revision: u64,
@@ -22,7 +22,7 @@
     pub list_version: Option<u64>,
     /// True if only a complete list helps.
     pub needs_full_list: bool,
-    /// True if it knows no other VM.
+    /// True if the requesting VM has no other VM in its membership.
     pub needs_peers: bool,
 }
 
@@ -35,14 +35,14 @@
     pub value: Vec<u8>,
 }
 
-/// State of a peer, as far as the VM that asked lacks it.
+/// State of a peer, as far as the requesting VM lacks it.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct StateReply {
     /// The configuration in force, if it is newer.
     pub config: Option<ConfigState>,
     /// The list, as the changes from the stated version or complete.
     pub list: Option<TargetListUpdate>,
-    /// The VMs that the peer knows.
+    /// The VMs in the membership of the peer.
     pub peers: Vec<PeerView>,
 }
 
