--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -7,6 +7,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Failure domain and number of the entry VMs in it.
@@ -31,23 +32,39 @@
     pub name: String,
     pub front: SocketAddr,
     ready: SocketAddr,
-    child: Child,
+    child: Arc<Mutex<Child>>,
 }
 
 impl Daemon {
     /// Returns true if the process has ended.
-    pub fn has_ended(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(Some(_)))
+    pub fn has_ended(&self) -> bool {
+        matches!(self.child.lock().unwrap().try_wait(), Ok(Some(_)))
     }
 }
 
 impl Drop for Daemon {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        end_process(&self.child);
     }
 }
 
+/// Processes that were started.
+static STARTED: Mutex<Vec<Arc<Mutex<Child>>>> = Mutex::new(Vec::new());
+
+/// Ends all processes that were started, for a case that does not end by itself.
+pub fn end_all_processes() {
+    for child in STARTED.lock().unwrap().iter() {
+        end_process(child);
+    }
+}
+
+fn end_process(child: &Mutex<Child>) {
+    let mut child = child.lock().unwrap();
+    // It may have ended before.
+    let _ = child.kill();
+    let _ = child.wait();
+}
+
 pub struct Fleet {
     pub store: Store,
     pub daemons: Vec<Daemon>,
@@ -153,6 +170,8 @@
                 .stderr(errors)
                 .spawn()?;
             record.line(&format!("start    {name} as process {}", child.id()));
+            let child = Arc::new(Mutex::new(child));
+            STARTED.lock().unwrap().push(child.clone());
             self.daemons.push(Daemon {
                 name,
                 front: format!("{ip}:{}", ports.front).parse().expect("an address"),
@@ -187,8 +206,8 @@
     }
 
     /// Copies what the daemons wrote to their standard error to the record.
-    pub fn record_errors(&mut self, record: &Record) {
-        for daemon in &mut self.daemons {
+    pub fn record_errors(&self, record: &Record) {
+        for daemon in &self.daemons {
             let path = self.folder.join(format!("{}.err", daemon.name));
             let text = std::fs::read_to_string(path).unwrap_or_default();
             for line in text.lines().filter(|line| !line.is_empty()) {
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -80,6 +80,7 @@
         }
         Err(_) => {
             eprintln!("the case did not end in time");
+            fleet::end_all_processes();
             2
         }
     };
