fix(gateway): requests that arrive late in a planned stop are answered or refused

Cause: nothing related a request to the time that the process had left. The listener accepted until the exit, and requests got their full deadline of seconds in the last tenth of a second. Ruled out: the random order of the select in callers.rs decides which requests are hit, not that they are; a kept connection is hit as well.

Change: a stop has a schedule in the core. Services refuse a call (1005, 503, Retry-After) that cannot be completed before the exit, while it waits too; targets get a deadline before the exit and end their work themselves; a call that runs at the end is answered 504; bodies that are half read are refused; new connections are no longer closed unread, and the queue of the listener is accepted before it is closed. Neither retries nor hedges start in the last moments. This works since every request that is read now passes one of: served in time, refused, 504.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 mod routes;
 mod service;
 mod spec;
+mod stop_schedule;
 
 pub use clock::{Clock, HybridClock, HybridTime};
 pub use code::{ResultCode, RunState};
@@ -52,3 +53,4 @@
     ClassKind, ClassSpec, DomainName, FleetSpec, MethodSet, Note, RepeatLimit, RouteMatch,
     Sampling, ServiceSpec, TargetSpec, VmName,
 };
+pub use stop_schedule::StopSchedule;
--- a/crates/core/src/service/answer_times.rs
+++ b/crates/core/src/service/answer_times.rs
@@ -24,6 +24,7 @@
     since_refresh: u32,
     median: Duration,
     p95: Duration,
+    p99: Duration,
     hold_time_secs: f32,
 }
 
@@ -38,6 +39,7 @@
             since_refresh: 0,
             median: initial,
             p95: initial * 5,
+            p99: initial * 8,
             hold_time_secs: initial.as_secs_f32(),
         }
     }
@@ -68,6 +70,11 @@
         self.p95
     }
 
+    /// 99th percentile of the answer times.
+    pub(crate) fn get_p99(&self) -> Duration {
+        self.p99
+    }
+
     /// Mean time for which a request occupies its slot.
     pub(crate) fn get_hold_time(&self) -> Duration {
         Duration::from_secs_f32(self.hold_time_secs.max(0.000_1))
@@ -89,6 +96,7 @@
         self.since_refresh = 0;
         self.median = self.quantile(50);
         self.p95 = self.quantile(95);
+        self.p99 = self.quantile(99);
     }
 
     fn quantile(&self, percent: u32) -> Duration {
--- a/crates/core/src/service/attempts.rs
+++ b/crates/core/src/service/attempts.rs
@@ -255,7 +255,8 @@
         }
         let kind = self.classes[call.class.get_index()].spec.kind;
         let is_safe = !call.may_have_run || kind.is_idempotent();
-        if !is_safe || !call.is_replayable || !call.has_attempts_left() || now >= call.deadline {
+        let is_possible = is_safe && call.is_replayable && call.has_attempts_left();
+        if !is_possible || now >= call.starts_until {
             return false;
         }
         if !self.is_repeat_allowed(now) || !self.retries.try_consume() {
@@ -278,7 +279,10 @@
         let call = &mut self.calls[key];
         let margin = self.classes[call.class.get_index()].get_expected_time();
         if call.useful_until <= now + margin {
-            call.useful_until = call.deadline;
+            call.useful_until = match call.is_cut_short() {
+                true => call.deadline.min(call.starts_until + margin),
+                false => call.deadline,
+            };
         }
         self.enqueue(key);
     }
--- a/crates/core/src/service/calls.rs
+++ b/crates/core/src/service/calls.rs
@@ -3,7 +3,7 @@
 use super::class::{Class, QueueEntry};
 use super::records::{Call, CallState};
 use super::target::Target;
-use super::{Arrival, CallKey, ClassKey, Output, Service};
+use super::{Arrival, CallKey, Output, Service};
 use crate::{ClassKind, ResultCode};
 use std::time::{Duration, Instant};
 
@@ -25,9 +25,13 @@
             Some(objective) => arrival.deadline.min(now + objective),
             None => arrival.deadline,
         };
-        let call = Call::new(arrival, useful_until, spec);
+        let mut call = Call::new(arrival, useful_until, spec);
+        if let Some(limit) = self.get_stop_limit(now, class, arrival.deadline) {
+            call.limit_to_stop(limit);
+        }
+        let refusal = self.check_admission(now, &call);
         let key = self.calls.insert(call);
-        if let Some(code) = self.check_admission(now, arrival.class, useful_until) {
+        if let Some(code) = refusal {
             self.refuse(key, code, out);
             return key;
         }
@@ -36,26 +40,27 @@
         key
     }
 
-    pub(super) fn check_admission(
-        &self,
-        now: Instant,
-        class: ClassKey,
-        useful_until: Instant,
-    ) -> Option<ResultCode> {
+    pub(super) fn check_admission(&self, now: Instant, call: &Call) -> Option<ResultCode> {
         if !self.targets.iter().any(Target::is_usable) {
             return Some(ResultCode::NoTarget);
         }
-        let class = &self.classes[class.get_index()];
+        let class = &self.classes[call.class.get_index()];
         if class.is_full() {
             return Some(ResultCode::QueueFull);
         }
         let expected = class.get_expected_time();
         let pause_left = self.get_pause_left(now);
-        if !pause_left.is_zero() && now + pause_left + expected > useful_until {
+        if !pause_left.is_zero() && now + pause_left + expected > call.useful_until {
             return Some(ResultCode::TargetsPaused);
         }
         let finish = now + self.estimate_wait(class) + expected;
-        (finish > useful_until).then_some(ResultCode::DeadlineUnreachable)
+        if finish <= call.useful_until {
+            return None;
+        }
+        Some(match call.is_cut_short() {
+            true => ResultCode::Stopping,
+            false => ResultCode::DeadlineUnreachable,
+        })
     }
 
     /// Estimates the waiting time of a new call of the class from the calls
@@ -84,16 +89,10 @@
 
     /// Removes a call whose caller has gone and cancels its attempts.
     pub fn cancel(&mut self, now: Instant, key: CallKey, out: &mut Vec<Output>) {
+        self.remove_from_queue(key);
         let Some(call) = self.calls.remove(key) else {
             return;
         };
-        let entry = QueueEntry {
-            due: call.useful_until,
-            call: key,
-        };
-        if call.state == CallState::Waiting {
-            self.classes[call.class.get_index()].remove(entry);
-        }
         for attempt in call.running.into_iter().flatten() {
             self.abort(now, attempt, out);
         }
@@ -146,6 +145,19 @@
         self.classes[call.class.get_index()].insert(entry);
     }
 
+    /// Removes a waiting call from the queue of its class; returns false if it does not
+    /// wait.
+    pub(super) fn remove_from_queue(&mut self, key: CallKey) -> bool {
+        let Some(call) = self.calls.get(key) else {
+            return false;
+        };
+        let entry = QueueEntry {
+            due: call.useful_until,
+            call: key,
+        };
+        call.state == CallState::Waiting && self.classes[call.class.get_index()].remove(entry)
+    }
+
     pub(super) fn expire(&mut self, now: Instant, out: &mut Vec<Output>) {
         let pause_left = self.get_pause_left(now);
         for index in 0..self.classes.len() {
@@ -161,9 +173,13 @@
     }
 
     fn refuse_expired(&mut self, key: CallKey, pause_left: Duration, out: &mut Vec<Output>) {
-        let may_have_run = self.calls.get(key).is_some_and(|call| call.may_have_run);
-        let code = if may_have_run {
+        let Some(call) = self.calls.get(key) else {
+            return;
+        };
+        let code = if call.may_have_run {
             ResultCode::AttemptFailed
+        } else if call.is_cut_short() {
+            ResultCode::Stopping
         } else if pause_left.is_zero() {
             ResultCode::DeadlinePassed
         } else {
--- a/crates/core/src/service/dispatch.rs
+++ b/crates/core/src/service/dispatch.rs
@@ -161,7 +161,10 @@
             return;
         }
         let is_hedge_allowed = self.classes[index].spec.kind == ClassKind::Interactive
-            && self.calls.get(key).is_some_and(is_hedgeable)
+            && self
+                .calls
+                .get(key)
+                .is_some_and(|call| is_hedgeable(call, now))
             && (kind == AttemptKind::Trial || self.hedges.has_token())
             && self.is_repeat_allowed(now);
         if !is_hedge_allowed {
@@ -224,6 +227,9 @@
     }
 }
 
-fn is_hedgeable(call: &Call) -> bool {
-    call.is_replayable && call.count_running() == 1 && call.has_attempts_left()
+fn is_hedgeable(call: &Call, now: Instant) -> bool {
+    call.is_replayable
+        && call.count_running() == 1
+        && call.has_attempts_left()
+        && now < call.starts_until
 }
--- a/crates/core/src/service/machine.rs
+++ b/crates/core/src/service/machine.rs
@@ -71,6 +71,8 @@
     pub(super) own_short: u32,
     pub(super) short_demand: ShortDemand,
     pub(super) last_short_arrival: Option<Instant>,
+    /// Time by which every call ends, if the VM stops.
+    pub(super) stops_at: Option<Instant>,
 }
 
 /// Construction and changes of the declaration.
@@ -100,6 +102,7 @@
             own_short: 0,
             short_demand: ShortDemand::new(),
             last_short_arrival: None,
+            stops_at: None,
             spec,
         };
         service.assign_long_slots();
--- a/crates/core/src/service/mod.rs
+++ b/crates/core/src/service/mod.rs
@@ -25,6 +25,7 @@
 mod reports;
 mod sampling;
 mod status;
+mod stop;
 mod subset;
 mod target;
 mod view;
--- a/crates/core/src/service/records.rs
+++ b/crates/core/src/service/records.rs
@@ -1,5 +1,6 @@
 //! Calls and attempts of a service.
 
+use super::stop::StopLimit;
 use super::{Arrival, AttemptKey, AttemptKind, CallKey, ClassKey, TargetKey};
 use crate::ClassSpec;
 use std::time::Instant;
@@ -36,6 +37,9 @@
     pub(crate) is_replayable: bool,
     pub(crate) state: CallState,
     pub(crate) may_have_run: bool,
+    /// Time after which no attempt is started: the deadline, or an earlier time if the
+    /// stop of the VM ends the call.
+    pub(crate) starts_until: Instant,
     pub(crate) running: [Option<AttemptKey>; 2],
     pub(crate) sampling: SampleState,
     /// Attempts that were withdrawn before the send.
@@ -53,6 +57,7 @@
             is_replayable: arrival.is_replayable,
             state: CallState::Waiting,
             may_have_run: false,
+            starts_until: arrival.deadline,
             running: [None; 2],
             sampling: SampleState::default(),
             withdrawals: 0,
@@ -60,6 +65,18 @@
         }
     }
 
+    /// Moves the deadline and the time in the queue to those of a planned stop.
+    pub(super) fn limit_to_stop(&mut self, limit: StopLimit) {
+        self.deadline = limit.end;
+        self.starts_until = limit.starts_until;
+        self.useful_until = self.useful_until.min(limit.useful_until);
+    }
+
+    /// Returns true if the stop of the VM ends the call before its own deadline.
+    pub(crate) fn is_cut_short(&self) -> bool {
+        self.starts_until < self.deadline
+    }
+
     pub(crate) fn has_tried(&self, target: TargetKey) -> bool {
         self.tried.contains(&Some(target))
     }
--- /dev/null
+++ b/crates/core/src/service/stop.rs
@@ -0,0 +1,79 @@
+//! Admission of calls while the VM stops.
+
+use super::class::Class;
+use super::{CallKey, Output, Service};
+use crate::ClassKind;
+use std::time::{Duration, Instant};
+
+/// Planned stop of the VM.
+impl Service {
+    /// Starts a planned stop: every call ends by `end`.
+    ///
+    /// A call that cannot be completed by then is refused as soon as this is known,
+    /// so that its caller can use another VM. docs/decisions/0020-planned-stop.md
+    /// has the cases.
+    pub fn stop(&mut self, now: Instant, end: Instant, out: &mut Vec<Output>) {
+        self.stops_at = Some(end);
+        let keys: Vec<CallKey> = self.calls.keys().collect();
+        for key in keys {
+            self.limit_call_to_stop(now, key);
+        }
+        self.dispatch_waiting(now, out);
+    }
+
+    /// Limits a call to the end of the stop, and moves it in the queue if it waits.
+    fn limit_call_to_stop(&mut self, now: Instant, key: CallKey) {
+        let is_waiting = self.remove_from_queue(key);
+        let call = &self.calls[key];
+        let class = &self.classes[call.class.get_index()];
+        if let Some(limit) = self.get_stop_limit(now, class, call.deadline) {
+            let call = &mut self.calls[key];
+            call.limit_to_stop(limit);
+        }
+        if is_waiting {
+            self.enqueue(key);
+        }
+    }
+
+    /// Returns the limits of a call that the stop cuts short, `None` for one whose own
+    /// deadline is earlier or while the VM does not stop.
+    pub(super) fn get_stop_limit(
+        &self,
+        now: Instant,
+        class: &Class,
+        deadline: Instant,
+    ) -> Option<StopLimit> {
+        let end = self.stops_at.filter(|end| *end < deadline)?;
+        let own = deadline.saturating_duration_since(now);
+        let run_time = get_run_time_bound(class).min(own);
+        let starts_until = end.checked_sub(run_time).unwrap_or(now);
+        Some(StopLimit {
+            end,
+            starts_until,
+            useful_until: starts_until + class.get_expected_time(),
+        })
+    }
+}
+
+/// Limits of a call that the stop of the VM cuts short.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct StopLimit {
+    /// Time by which the call ends.
+    pub(super) end: Instant,
+    /// Time after which no attempt is started.
+    pub(super) starts_until: Instant,
+    /// Time until which an answer is useful; the call leaves the queue one expected
+    /// answer time earlier.
+    pub(super) useful_until: Instant,
+}
+
+/// Returns the time within which a call is expected to be answered.
+///
+/// The bound of a once-only call is the higher one: if it is aborted, its caller does
+/// not learn whether it ran, while an idempotent call can be sent again.
+fn get_run_time_bound(class: &Class) -> Duration {
+    match class.spec.kind {
+        ClassKind::Once => class.answer_times.get_p99(),
+        ClassKind::Interactive | ClassKind::Background => class.answer_times.get_p95(),
+    }
+}
--- a/crates/core/tests/any_order.rs
+++ b/crates/core/tests/any_order.rs
@@ -142,6 +142,26 @@
         check_attempts_per_call(&harness);
     }
 
+    #[test]
+    fn invariants_hold_in_stop(
+        before in prop::collection::vec(any_step(), 1..80),
+        millis in 0_u64..3_000,
+        after in prop::collection::vec(any_step(), 1..80),
+    ) {
+        let mut harness = Harness::new(3, 3);
+        for step in &before {
+            apply_step(&mut harness, step);
+        }
+        harness.stop(millis);
+        for step in &after {
+            apply_step(&mut harness, step);
+            check_in_flight(&harness);
+        }
+        check_single_end(&harness);
+        check_budgets(&harness);
+        check_attempts_per_call(&harness);
+    }
+
     #[test]
     fn all_calls_end(steps in prop::collection::vec(any_step(), 1..250)) {
         let mut harness = Harness::new(3, 3);
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -312,6 +312,13 @@
         self.collect_outputs();
     }
 
+    /// Starts a planned stop, in which every call ends after `millis`.
+    pub fn stop(&mut self, millis: u64) {
+        let end = self.now + Duration::from_millis(millis);
+        self.service.stop(self.now, end, &mut self.outputs);
+        self.collect_outputs();
+    }
+
     pub fn apply(&mut self, spec: ServiceSpec) {
         self.service.apply(self.now, spec, &mut self.outputs);
         self.collect_outputs();
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -218,7 +218,10 @@
             return Err(SendFailure::Final(make_failure(Outcome::Withdrawn, reason)));
         }
         let now = self.gateway.clock.now();
-        let time_left = self.deadline.saturating_duration_since(now);
+        let time_left = self
+            .gateway
+            .limit_work(self.deadline)
+            .saturating_duration_since(now);
         let request = self
             .request
             .make_request(&self.gateway, &target.incarnation.id, time_left);
--- a/crates/daemon/src/gateway/call.rs
+++ b/crates/daemon/src/gateway/call.rs
@@ -109,6 +109,9 @@
         let deadline = tokio::time::sleep_until(self.cx.deadline.into());
         tokio::pin!(deadline);
         let gone = self.cx.caller_gone.clone();
+        let gateway = self.cx.gateway.clone();
+        let answers_due = gateway.wait_answers_due();
+        tokio::pin!(answers_due);
         loop {
             let is_cancellable = self.is_cancellable();
             tokio::select! {
@@ -133,7 +136,8 @@
                     }
                     None => return Err(ResultCode::AttemptFailed),
                 },
-                () = &mut deadline => return Err(self.get_deadline_code()),
+                () = &mut deadline => return Err(self.get_end_code(ResultCode::DeadlinePassed)),
+                () = &mut answers_due => return Err(self.get_end_code(ResultCode::Stopping)),
                 () = gone.cancelled(), if is_cancellable => return Err(ResultCode::CallerGone),
             }
         }
@@ -145,11 +149,13 @@
         self.cx.kind.is_idempotent() || (self.running.is_empty() && !self.may_have_run)
     }
 
-    fn get_deadline_code(&self) -> ResultCode {
+    /// Returns the code of a call that ends without an answer, `not_run` if it was not
+    /// sent to any target.
+    fn get_end_code(&self, not_run: ResultCode) -> ResultCode {
         if self.may_have_run || !self.running.is_empty() {
             ResultCode::AttemptTimeout
         } else {
-            ResultCode::DeadlinePassed
+            not_run
         }
     }
 
--- a/crates/daemon/src/gateway/callers.rs
+++ b/crates/daemon/src/gateway/callers.rs
@@ -4,6 +4,7 @@
 use super::counted::{ByteCounts, CountedStream};
 use super::exchange::handle_request;
 use super::state::Gateway;
+use futures_util::FutureExt;
 use gentianridge_core::ResultCode;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
@@ -25,6 +26,8 @@
     CloseAfterAnswer,
     /// Idle connections close as well.
     CloseIdle,
+    /// No connection is accepted any more.
+    CloseListener,
 }
 
 /// Minimum buffer size that hyper accepts, in bytes.
@@ -32,25 +35,35 @@
 /// Pause after a failed accept, for example when no file descriptor is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Accepts connections until the task is dropped.
+/// Accepts connections until the stage [`ShutdownStage::CloseListener`].
 pub(crate) async fn run_callers(
     gateway: Rc<Gateway>,
     listener: TcpListener,
-    shutdown: watch::Receiver<ShutdownStage>,
+    mut shutdown: watch::Receiver<ShutdownStage>,
     tasks: TaskTracker,
 ) {
+    let stages = shutdown.clone();
+    let spawn = |stream| {
+        tasks.spawn_local(serve(gateway.clone(), stream, stages.clone()));
+    };
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let connection = serve(gateway.clone(), stream, shutdown.clone());
-                tasks.spawn_local(connection);
-            }
-            Err(error) => {
-                log::warn!("cannot accept a connection: {error}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => spawn(stream),
+                Err(error) => {
+                    log::warn!("cannot accept a connection: {error}");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            },
+            _ = shutdown.wait_for(|stage| *stage == ShutdownStage::CloseListener) => break,
         }
     }
+    // The kernel resets the connections that are still in the queue of the listener when
+    // it is closed. The yield lets the runtime detect them.
+    tokio::task::yield_now().await;
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        spawn(stream);
+    }
 }
 
 async fn serve(
@@ -85,6 +98,7 @@
     let timer = tokio::time::sleep(Duration::ZERO);
     tokio::pin!(timer);
     loop {
+        let stage = *shutdown.borrow_and_update();
         let event = poll_fn(|cx| {
             if let Poll::Ready(end) = connection.as_mut().poll(cx) {
                 return Poll::Ready(ConnectionEvent::Ended(end));
@@ -92,7 +106,7 @@
             // The poll may have read the start of a head or ended a request,
             // either of which changes the timeout.
             let now = gateway.clock.now();
-            let Some((kind, at)) = activity.get_timeout(now, gateway.get_limits()) else {
+            let Some((kind, at)) = activity.get_timeout(now, gateway.get_limits(), stage) else {
                 return Poll::Pending;
             };
             if timer.deadline() != at.into() {
@@ -104,6 +118,7 @@
                 .map(|()| ConnectionEvent::TimedOut(kind))
         });
         tokio::select! {
+            biased;
             event = event => match event {
                 ConnectionEvent::Ended(Ok(())) => return,
                 ConnectionEvent::Ended(Err(error)) => {
@@ -121,12 +136,12 @@
                 }
             },
             Ok(()) = shutdown.changed() => {
-                let stage = *shutdown.borrow();
-                if stage == ShutdownStage::CloseIdle
-                    || (stage == ShutdownStage::CloseAfterAnswer && activity.is_busy())
-                {
+                if activity.is_busy() {
                     connection.as_mut().graceful_shutdown();
                 }
+                // Lets the runtime detect bytes that have arrived, so that a request
+                // among them is read before its connection counts as idle.
+                tokio::task::yield_now().await;
             }
         }
     }
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -4,7 +4,7 @@
 use super::call::{Call, CallContext, CallEnd};
 use super::request::CallerRequest;
 use super::routing::RouteDecision;
-use super::state::{Gateway, Phase};
+use super::state::Gateway;
 use crate::caller::headers::get_text;
 use gentianridge_core::{ClassKind, ResultCode};
 use http::{HeaderValue, Request, Response, header};
@@ -44,10 +44,10 @@
                 "{}",
                 code.text()
             );
-            make_refusal(code, Some(get_default_retry_after()))
+            make_refusal(code, Some(get_early_retry_after(&gateway, code)))
         }
     };
-    if gateway.get_phase() == Phase::Stopping {
+    if gateway.is_stopping() {
         // A close that is announced with an answer cannot collide with the
         // caller's next request on the connection.
         response
@@ -62,10 +62,11 @@
     arrived: Instant,
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, ResultCode> {
-    gateway.wait_loaded().await;
-    let decision = gateway.route(&request)?;
-    let max_body = gateway.get_limits().max_body_bytes;
-    let request = CallerRequest::read(gateway, request, max_body).await?;
+    let (decision, request) = tokio::select! {
+        biased;
+        () = gateway.wait_answers_due() => return Err(ResultCode::Stopping),
+        received = receive(gateway, request) => received?,
+    };
     if gateway.is_quarantined(request.fingerprint) {
         return Err(ResultCode::CrashesTargets);
     }
@@ -84,6 +85,18 @@
     }
 }
 
+/// Routes a request and reads its body.
+async fn receive(
+    gateway: &Rc<Gateway>,
+    request: Request<Incoming>,
+) -> Result<(RouteDecision, CallerRequest), ResultCode> {
+    gateway.wait_loaded().await;
+    let decision = gateway.route(&request)?;
+    let max_body = gateway.get_limits().max_body_bytes;
+    let request = CallerRequest::read(gateway, request, max_body).await?;
+    Ok((decision, request))
+}
+
 fn make_context(
     gateway: &Rc<Gateway>,
     decision: &RouteDecision,
@@ -123,7 +136,10 @@
 /// Returns the `Retry-After` of a request that was refused before it reached a
 /// service: within a second, this daemon receives a configuration or the
 /// balancer chooses another VM.
-fn get_default_retry_after() -> Duration {
+fn get_early_retry_after(gateway: &Gateway, code: ResultCode) -> Duration {
+    if code == ResultCode::Stopping {
+        return gateway.get_stop_retry_after();
+    }
     Duration::from_millis(rand::rng().random_range(300..=1_000))
 }
 
@@ -135,6 +151,9 @@
 /// they do not take the capacity of requests that can still be in time.
 fn get_retry_after(cx: &CallContext, code: ResultCode) -> Duration {
     let now = cx.gateway.clock.now();
+    if code == ResultCode::Stopping {
+        return cx.gateway.get_stop_retry_after();
+    }
     if code == ResultCode::TargetsPaused {
         let pause_left = cx.service.read(|machine, now| machine.get_pause_left(now));
         return pause_left.mul_f64(rand::rng().random_range(1.0..PAUSE_SPREAD));
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod samples;
 mod send_check;
 mod services;
+mod shutdown;
 mod sockets;
 mod state;
 mod targets;
--- a/crates/daemon/src/gateway/peers/register.rs
+++ b/crates/daemon/src/gateway/peers/register.rs
@@ -1,7 +1,7 @@
 //! Registration rows in the store, by which VMs find each other.
 
 use super::gossip::{ROUND_INTERVAL, update_fleet_size};
-use crate::gateway::state::{Gateway, Phase};
+use crate::gateway::state::Gateway;
 use gentianridge_adapter::{StoreError, StoreErrorKind, Table};
 use gentianridge_core::{PeerView, VmName};
 use rand::RngExt;
@@ -134,7 +134,7 @@
 /// Reads which VMs are registered, and writes the missing rows of live ones.
 async fn poll_rows(gateway: &Gateway) -> Result<(), StoreError> {
     let registered = find_registered(gateway).await?;
-    if gateway.get_phase() == Phase::Stopping {
+    if gateway.is_stopping() {
         return Ok(());
     }
     let mut live = gateway
--- a/crates/daemon/src/gateway/peers/table.rs
+++ b/crates/daemon/src/gateway/peers/table.rs
@@ -1,6 +1,6 @@
 //! State of the peers, and the list update to send to them.
 
-use crate::gateway::state::{Gateway, Phase};
+use crate::gateway::state::Gateway;
 use gentianridge_core::{
     DomainName, GossipState, NoticeQueue, PeerView, ReadTurn, TargetListUpdate, UpdateContent,
     VmName,
@@ -231,7 +231,7 @@
             seq: peers.seq.get(),
             addr: settings.peers,
             operator_addr: None,
-            is_leaving: self.get_phase() == Phase::Stopping,
+            is_leaving: self.is_stopping(),
             revision: self.get_version(),
             domain: settings.domain.clone(),
         }
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -4,8 +4,9 @@
 use super::callers::{ShutdownStage, run_callers};
 use super::feeds::follow_store;
 use super::metrics::answer_metrics;
-use super::peers::{follow_peers, keep_registered, run_gossip, run_state_server, unregister};
+use super::peers::{follow_peers, keep_registered, run_gossip, run_state_server};
 use super::ready::answer_ready;
+use super::shutdown::shut_down;
 use super::sockets::GatewaySockets;
 use super::state::Gateway;
 use crate::clock::SystemClock;
@@ -23,11 +24,6 @@
 use tokio::task::LocalSet;
 use tokio_util::task::TaskTracker;
 
-/// Time after SIGTERM in which the balancer notices that this VM is not ready:
-/// it polls once a second and requires two failed polls.
-const READINESS_DELAY: Duration = Duration::from_millis(2_500);
-/// Part of the grace time that is reserved for the exit of the process.
-const EXIT_MARGIN: Duration = Duration::from_millis(300);
 /// Time between two reads of the settings file, which may change without a
 /// signal.
 const SETTINGS_PERIOD: Duration = Duration::from_secs(1);
@@ -124,8 +120,7 @@
     spawn_supervised(&gateway, "reads of the store", follow_store);
     spawn_supervised(&gateway, "sweep", sweep);
     stop.await;
-    shut_down(&gateway, &shutdown_tx, &connections).await;
-    accept.abort();
+    shut_down(&gateway, &shutdown_tx, accept, &connections).await;
     Ok(())
 }
 
@@ -186,28 +181,3 @@
         Err(error) => log::error!("settings not changed: {error:#}"),
     }
 }
-
-/// Marks this VM as not ready, lets requests under way end and closes the
-/// connections, so that no request is lost.
-async fn shut_down(
-    gateway: &Rc<Gateway>,
-    shutdown: &watch::Sender<ShutdownStage>,
-    connections: &TaskTracker,
-) {
-    let end = tokio::time::Instant::now() + gateway.get_settings().grace - EXIT_MARGIN;
-    gateway.stop();
-    tokio::task::spawn_local(unregister(gateway.clone()));
-    shutdown.send_replace(ShutdownStage::CloseAfterAnswer);
-    tokio::time::sleep(READINESS_DELAY).await;
-    shutdown.send_replace(ShutdownStage::CloseIdle);
-    connections.close();
-    if tokio::time::timeout_at(end, connections.wait())
-        .await
-        .is_err()
-    {
-        log::warn!(
-            "{} connections closed at the end of the grace time",
-            connections.len()
-        );
-    }
-}
--- a/crates/daemon/src/gateway/services.rs
+++ b/crates/daemon/src/gateway/services.rs
@@ -93,6 +93,9 @@
             // Peers may be known before the service is created.
             handle.set_fleet(vms, 0);
         }
+        if let Some(stop) = self.get_stop() {
+            handle.stop(stop.answer_until);
+        }
         let (timer, sampler, gateway) = (handle.clone(), handle.clone(), self.clone());
         tokio::task::spawn_local(supervise("service timer", move || {
             timer.clone().run_timer()
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -10,21 +10,13 @@
 use bytes::Bytes;
 use gentianridge_adapter::{HeaderNames, Store, get_header_names};
 use gentianridge_config::GatewaySettings;
-use gentianridge_core::{Clock, EventKind, Quarantine, RouteTable, TargetList, UpdateLog};
+use gentianridge_core::{Clock, Quarantine, RouteTable, StopSchedule, TargetList, UpdateLog};
 use std::cell::{Cell, Ref, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::Notify;
-
-/// Phase of the process.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Phase {
-    Running,
-    /// SIGTERM was received: not ready, and connections close after their next
-    /// answer.
-    Stopping,
-}
+use tokio_util::sync::CancellationToken;
 
 /// State of one daemon on the platform.
 #[derive(Debug)]
@@ -45,7 +37,10 @@
     config_value: RefCell<Option<Bytes>>,
     pub(super) services: RefCell<Vec<ServiceEntry>>,
     pub(super) quarantine: RefCell<Quarantine>,
-    phase: Cell<Phase>,
+    /// Schedule of the planned stop, after its signal.
+    stop: Cell<Option<StopSchedule>>,
+    /// Cancelled when every request must have its answer because this VM stops.
+    answers_due: CancellationToken,
     loaded: Notify,
 }
 
@@ -86,7 +81,8 @@
             config_value: RefCell::new(None),
             services: RefCell::new(Vec::new()),
             quarantine: RefCell::new(Quarantine::new(CRASH_PERIOD)),
-            phase: Cell::new(Phase::Running),
+            stop: Cell::new(None),
+            answers_due: CancellationToken::new(),
             loaded: Notify::new(),
             settings: RefCell::new(settings),
         }))
@@ -124,14 +120,23 @@
         self.apply_all();
     }
 
-    pub(crate) fn get_phase(&self) -> Phase {
-        self.phase.get()
+    /// Returns the schedule of the planned stop, `None` before its signal.
+    pub(crate) fn get_stop(&self) -> Option<StopSchedule> {
+        self.stop.get()
+    }
+
+    pub(super) fn set_stop(&self, stop: StopSchedule) {
+        self.stop.set(Some(stop));
+    }
+
+    /// Ends the time for answers: requests under way are ended, later ones are refused.
+    pub(super) fn end_answers(&self) {
+        self.answers_due.cancel();
     }
 
-    pub(crate) fn stop(&self) {
-        self.phase.set(Phase::Stopping);
-        self.journal.record(EventKind::VmStopping);
-        self.peers.request_round();
+    /// Waits until every request must have its answer because this VM stops.
+    pub(crate) async fn wait_answers_due(&self) {
+        self.answers_due.cancelled().await;
     }
 
     /// Waits until routes and targets have been read after a start, for at most
@@ -175,7 +180,7 @@
 
     /// Returns true if the balancer may send connections here.
     pub(crate) fn is_ready(&self) -> bool {
-        self.phase.get() == Phase::Running
+        self.get_stop().is_none()
             && self.routes.borrow().is_some()
             && !self.list.borrow().is_empty()
     }
--- a/crates/daemon/src/service/handle.rs
+++ b/crates/daemon/src/service/handle.rs
@@ -98,6 +98,11 @@
         rx
     }
 
+    /// Limits the calls to a planned stop of this VM; every call ends by `end`.
+    pub(crate) fn stop(&self, end: Instant) {
+        self.with(|machine, now, out| machine.stop(now, end, out));
+    }
+
     pub(crate) fn set_fleet(&self, vms: u16, rank: u16) {
         self.with(|machine, now, out| machine.set_fleet(now, vms, rank, out));
     }
--- /dev/null
+++ b/tests/gateway/late_requests.rs
@@ -0,0 +1,157 @@
+//! Requests that arrive late in a planned stop, when the balancer has no other VM to send
+//! them to: each one is answered or refused before the process exits.
+
+use crate::test_env::{TestEnv, wait_until};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+/// Time between the stop signal and the kill of the process.
+const GRACE: Duration = Duration::from_secs(4);
+/// Work time of a request; those that are sent in the last second of the grace time do
+/// not end before the process does.
+const WORK_TIME: Duration = Duration::from_millis(1_200);
+/// Connections that one burst opens. With many at once, requests arrive before the daemon
+/// accepts their connections.
+const BURST: usize = 30;
+const BURST_INTERVAL: Duration = Duration::from_millis(60);
+
+/// A request that was sent on a new connection.
+struct LateRequest {
+    id: String,
+    sent_after: Duration,
+    stream: TcpStream,
+}
+
+/// What a caller received until the end of its connection.
+struct Outcome {
+    id: String,
+    sent_after: Duration,
+    status: Option<u16>,
+    text: String,
+}
+
+/// Opens connections from `first` until `last` after the stop, and sends a request on
+/// each one.
+fn send_bursts(
+    addr: SocketAddr,
+    stopped: Instant,
+    first: Duration,
+    last: Duration,
+) -> Vec<LateRequest> {
+    let mut sent = Vec::new();
+    let mut burst = 0;
+    std::thread::sleep(first.saturating_sub(stopped.elapsed()));
+    while stopped.elapsed() < last {
+        for index in 0..BURST {
+            let id = format!("late-{burst}-{index}");
+            let sent_after = stopped.elapsed();
+            if let Some(stream) = send(addr, &id, index % 2 == 0) {
+                sent.push(LateRequest {
+                    id,
+                    sent_after,
+                    stream,
+                });
+            }
+        }
+        burst += 1;
+        std::thread::sleep(BURST_INTERVAL);
+    }
+    sent
+}
+
+/// Sends a request on a new connection; returns `None` if the daemon does not accept it.
+fn send(addr: SocketAddr, id: &str, is_once: bool) -> Option<TcpStream> {
+    let (method, path) = if is_once {
+        ("POST", "/once/x")
+    } else {
+        ("GET", "/look/x")
+    };
+    let mut stream = TcpStream::connect(addr).ok()?;
+    let text = format!(
+        "{method} {path} HTTP/1.1\r\nhost: shop.example\r\ngentianridge-attempt-id: {id}\r\n\
+         gentianridge-deadline-ms: 6000\r\ncontent-length: 0\r\n\r\n"
+    );
+    stream.write_all(text.as_bytes()).ok()?;
+    Some(stream)
+}
+
+fn receive(request: LateRequest) -> Outcome {
+    let mut stream = request.stream;
+    let mut bytes = Vec::new();
+    stream
+        .set_read_timeout(Some(Duration::from_secs(8)))
+        .unwrap();
+    // A reset connection ends with an error, after the bytes that have arrived.
+    let _ = stream.read_to_end(&mut bytes);
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    Outcome {
+        id: request.id,
+        sent_after: request.sent_after,
+        status: text.split(' ').nth(1).and_then(|word| word.parse().ok()),
+        text,
+    }
+}
+
+/// Guards against requests that a stopping process takes until its end and cuts off
+/// without an answer when it exits.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn late_requests() {
+    let mut env = TestEnv::start_with_grace(6, GRACE).await;
+    for target in &env.targets {
+        target.set_work_time(WORK_TIME);
+    }
+    let addr = env.vm.get_settings().callers;
+    let stopped = Instant::now();
+    env.vm.stop();
+    let sent = tokio::task::spawn_blocking(move || {
+        send_bursts(addr, stopped, Duration::from_millis(1_000), GRACE)
+    })
+    .await
+    .unwrap();
+    let outcomes =
+        tokio::task::spawn_blocking(|| sent.into_iter().map(receive).collect::<Vec<Outcome>>())
+            .await
+            .unwrap();
+    wait_until(Duration::from_secs(2), || async { env.vm.is_finished() }).await;
+    let took = stopped.elapsed();
+    assert!(took < GRACE + Duration::from_millis(500), "{took:?}");
+    let cut: Vec<&Outcome> = outcomes
+        .iter()
+        .filter(|outcome| outcome.status.is_none() && env.count_runs(&outcome.id) > 0)
+        .collect();
+    let list: Vec<_> = cut.iter().map(|o| (&o.id, o.sent_after)).collect();
+    assert!(
+        cut.is_empty(),
+        "cut off while their targets worked: {list:?}"
+    );
+    let refused: Vec<&Outcome> = outcomes
+        .iter()
+        .filter(|outcome| outcome.status == Some(503))
+        .collect();
+    assert!(!refused.is_empty());
+    for outcome in refused {
+        assert_eq!(
+            env.count_runs(&outcome.id),
+            0,
+            "{}: {}",
+            outcome.id,
+            outcome.text
+        );
+        assert!(
+            outcome.text.contains("\r\nretry-after: "),
+            "{}",
+            outcome.text
+        );
+    }
+    // Before the listener is closed, every request gets an answer.
+    let unanswered = outcomes.iter().filter(|outcome| {
+        outcome.status.is_none() && outcome.sent_after < GRACE - Duration::from_millis(600)
+    });
+    let list: Vec<_> = unanswered.map(|o| (&o.id, o.sent_after)).collect();
+    assert!(list.is_empty(), "closed without an answer: {list:?}");
+    let answered = outcomes
+        .iter()
+        .filter(|outcome| outcome.status == Some(200));
+    assert!(answered.count() > 0);
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod crashes;
 mod discovery;
 mod downloads;
+mod late_requests;
 mod leaving;
 mod limits;
 mod metrics;
--- a/tests/gateway/test_env.rs
+++ b/tests/gateway/test_env.rs
@@ -1,7 +1,8 @@
 //! Test environment: a store, targets of one service and one daemon.
 
+use gentianridge_config::GatewaySettings;
 use gentianridge_testkit::{
-    CART, FakeStore, FakeTarget, GatewayVm, Reply, TargetEntryValue, write_config,
+    CART, FakeStore, FakeTarget, GatewayVm, Reply, TargetEntryValue, make_settings, write_config,
 };
 use std::future::Future;
 use std::time::Duration;
@@ -16,6 +17,15 @@
 impl TestEnv {
     /// Starts the environment with targets `t0`, `t1` and so on.
     pub(crate) async fn start(targets: usize) -> Self {
+        Self::start_with(targets, |_| {}).await
+    }
+
+    /// Starts the environment with a daemon that is killed `grace` after its stop signal.
+    pub(crate) async fn start_with_grace(targets: usize, grace: Duration) -> Self {
+        Self::start_with(targets, |settings| settings.grace = grace).await
+    }
+
+    async fn start_with(targets: usize, change: impl FnOnce(&mut GatewaySettings)) -> Self {
         let store = FakeStore::start().await.unwrap();
         put_config(&store, 1, "");
         let mut started = Vec::new();
@@ -24,7 +34,9 @@
             register(&store, &target, false, 1);
             started.push(target);
         }
-        let vm = GatewayVm::start("vm-1", store.get_addr()).unwrap();
+        let mut settings = make_settings("vm-1", store.get_addr());
+        change(&mut settings);
+        let vm = GatewayVm::start_with(settings).unwrap();
         vm.wait_ready().await.unwrap();
         Self {
             store,
