fix(core): once-only requests run once beside more than 256 classes

Cause: the key of a class was its position cast to eight bits, so that the 257th class had the key of the first; `once-...` sorts after `interactive-...`. Evidence: the second run starts 340 to 430 ms after the first, which is a hedge; with 255 other classes the core test holds, with 256 it fails. Ruled out: a key of another position (the configuration does not change then), the limit of repeats (it allowed the hedges).

On related paths: the key of a target had sixteen bits and was cast in eight places, the number of targets in the budget of load requests too.

Tests: gateway::classes::once_beside_many_routes and classes::once_beside_many_classes fail before and pass now.

--- a/crates/core/src/service/key.rs
+++ b/crates/core/src/service/key.rs
@@ -9,27 +9,30 @@
 
 /// Index of a target within its service; stable while the target is declared.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct TargetKey(pub(crate) u16);
+pub struct TargetKey(u32);
 
 impl TargetKey {
     /// Returns the key of the target at a position of the declaration.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the position exceeds 32 bits; that many targets do not fit into memory.
     pub fn from_index(index: usize) -> Self {
-        debug_assert!(u16::try_from(index).is_ok(), "more targets than keys");
-        Self(index as u16)
+        Self(u32::try_from(index).expect("fewer targets than keys"))
     }
 
     /// Returns the position in the arena of targets.
     pub fn get_index(self) -> usize {
-        usize::from(self.0)
+        self.0 as usize
     }
 }
 
 /// Index of a class within its service, in the order of the file.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct ClassKey(pub u8);
+pub struct ClassKey(pub u32);
 
 impl ClassKey {
     pub(crate) fn get_index(self) -> usize {
-        usize::from(self.0)
+        self.0 as usize
     }
 }
--- a/crates/core/src/service/machine.rs
+++ b/crates/core/src/service/machine.rs
@@ -307,5 +307,5 @@
                 .iter()
                 .position(|class| class.spec.kind == old.spec.kind)
         })
-        .map(|index| ClassKey(index as u8))
+        .map(|index| ClassKey(index as u32))
 }
--- a/crates/core/src/service/pick.rs
+++ b/crates/core/src/service/pick.rs
@@ -247,7 +247,7 @@
             .position(|t| {
                 t.is_usable() && !t.is_paused(now) && t.own == 0 && t.health.is_trial_due(now)
             })
-            .map(|index| TargetKey(index as u16))
+            .map(TargetKey::from_index)
     }
 
     /// Returns the target with capacity and the lowest score.
@@ -266,7 +266,7 @@
         let is_reuse_allowed = call.state == CallState::Waiting;
         let mut best: Option<(Capacity, f32, usize)> = None;
         for (index, target) in self.targets.iter().enumerate() {
-            let is_tried = call.has_tried(TargetKey(index as u16));
+            let is_tried = call.has_tried(TargetKey::from_index(index));
             if !target.is_usable() || (is_tried && !is_reuse_allowed) {
                 continue;
             }
@@ -282,7 +282,7 @@
                 best = Some((capacity, score, index));
             }
         }
-        best.map(|(_, _, index)| TargetKey(index as u16))
+        best.map(|(_, _, index)| TargetKey::from_index(index))
     }
 }
 
--- a/crates/core/src/service/sampling.rs
+++ b/crates/core/src/service/sampling.rs
@@ -208,7 +208,7 @@
         let mut best = BestWorkTime::NoCapacity;
         for (index, target) in self.targets.iter().enumerate() {
             let is_candidate = target.is_usable()
-                && !call.has_tried(TargetKey(index as u16))
+                && !call.has_tried(TargetKey::from_index(index))
                 && context
                     .score_target(target, AllowedCapacity::Free)
                     .is_some();
@@ -274,7 +274,7 @@
                 target.is_usable()
                     && !has_fresh_report
                     && !has_recent_request
-                    && !call.has_tried(TargetKey(*index as u16))
+                    && !call.has_tried(TargetKey::from_index(*index))
             })
             .filter_map(|(index, target)| {
                 let (_, score) = context.score_target(target, AllowedCapacity::Free)?;
@@ -296,7 +296,7 @@
         for (_, index) in &candidates[..granted] {
             self.targets[*index].sampled_at = Some(now);
             out.push(Output::Sample {
-                target: TargetKey(*index as u16),
+                target: TargetKey::from_index(*index),
             });
         }
         RequestRound::Sent(granted)
--- a/crates/core/src/service/view.rs
+++ b/crates/core/src/service/view.rs
@@ -22,7 +22,7 @@
 
     /// Returns the keys of all classes.
     pub fn get_class_keys(&self) -> impl Iterator<Item = ClassKey> + '_ {
-        (0..self.classes.len()).map(|index| ClassKey(index as u8))
+        (0..self.classes.len()).map(|index| ClassKey(index as u32))
     }
 
     /// Returns the key of the class with the name.
@@ -30,7 +30,7 @@
         self.classes
             .iter()
             .position(|class| class.spec.name == name)
-            .map(|index| ClassKey(index as u8))
+            .map(|index| ClassKey(index as u32))
     }
 
     /// Returns the time until capacity for another request is expected: the wait
@@ -52,7 +52,7 @@
         self.classes
             .iter()
             .position(|class| class.spec.route.is_match(method, path))
-            .map(|index| ClassKey(index as u8))
+            .map(|index| ClassKey(index as u32))
     }
 
     /// Returns the declaration of a target.
@@ -65,14 +65,14 @@
         self.targets
             .iter()
             .position(|t| !t.is_removed && t.spec.name == name)
-            .map(|index| TargetKey(index as u16))
+            .map(TargetKey::from_index)
     }
 
     /// Returns the keys of all declared targets.
     pub fn get_target_keys(&self) -> impl Iterator<Item = TargetKey> + '_ {
         (0..self.targets.len())
             .filter(|&index| !self.targets[index].is_removed)
-            .map(|index| TargetKey(index as u16))
+            .map(TargetKey::from_index)
     }
 
     /// Returns the age of a target's last report, if there is one.
--- a/crates/daemon/src/gateway/services.rs
+++ b/crates/daemon/src/gateway/services.rs
@@ -120,7 +120,7 @@
         let percent = settings.repeats.percent.min(100) as u8;
         let probes_per_second = settings
             .probes_per_target
-            .saturating_mul(targets.len() as u16);
+            .saturating_mul(u16::try_from(targets.len()).unwrap_or(u16::MAX));
         let sampling = make_sampling(&classes);
         ServiceSpec {
             name: name.clone(),
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 
 mod announcements;
 mod answers;
+mod classes;
 mod configuration;
 mod crashes;
 mod discovery;
