fix(core): a change of the classes leaves the keys of requests valid

Cause: the key of a class was its position in a sorted list, which a configuration renumbers, and requests keep it over an await: for the body, and for the refusal. In range it named a class of another kind, out of range it panicked and ended the task of the connection. Ruled out: the width of the key (two classes suffice), the slow body by itself.

Change: classes lie in an arena whose keys never name another class; a class that changes its kind is another one, and a removed class is dropped after its last call. A call whose class was removed while its body arrived joins one of its kind or is refused. Why it works: the kind that decides on hedges and retries is reached by a key that cannot be given to another class. Related paths: body of the operators' path, calls that wait in a class whose kind changes, calls that run in a removed class; load requests and probes, whose report was credited to the target that had taken over the key (targets::key_of_replaced_target).

Tests: gateway::classes::upload_during_change fails before; classes::* in the core, where two mutants (any class instead of one of the kind; a class may change its kind) are caught.

--- a/crates/core/benches/decision.rs
+++ b/crates/core/benches/decision.rs
@@ -57,6 +57,7 @@
 /// A service that has no free slot and holds `waiting` calls in its queue.
 struct SaturatedService {
     service: Service,
+    class: ClassKey,
     now: Instant,
     running: Vec<(gentianridge_core::AttemptKey, TargetKey)>,
     outputs: Vec<Output>,
@@ -64,8 +65,11 @@
 
 impl SaturatedService {
     fn new(targets: usize, waiting: usize) -> Self {
+        let service = make_service(targets);
+        let class = service.get_class_keys().next().expect("a class");
         let mut saturated = Self {
-            service: make_service(targets),
+            class,
+            service,
             now: Instant::now(),
             running: Vec::new(),
             outputs: Vec::new(),
@@ -78,7 +82,8 @@
 
     fn arrive(&mut self) {
         let arrival = Arrival {
-            class: ClassKey(0),
+            class: self.class,
+            kind: ClassKind::Interactive,
             deadline: self.now + Duration::from_secs(3600),
             is_replayable: true,
         };
--- a/crates/core/src/service/attempts.rs
+++ b/crates/core/src/service/attempts.rs
@@ -42,7 +42,7 @@
         let attempt = &self.attempts[key];
         let elapsed = now.saturating_duration_since(attempt.started);
         let (target, kind) = (attempt.target, attempt.kind);
-        let answer_times = &mut self.classes[attempt.class.get_index()].answer_times;
+        let answer_times = &mut self.classes[attempt.class].answer_times;
         let ratio = ratio_of(elapsed, answer_times.get_median());
         let has_enough_samples = answer_times.has_enough_samples();
         let is_late = elapsed >= answer_times.get_p95();
@@ -104,7 +104,7 @@
             return;
         };
         let elapsed = now.saturating_duration_since(attempt.started);
-        let class = &mut self.classes[attempt.class.get_index()];
+        let class = &mut self.classes[attempt.class];
         class.answer_times.record_hold(elapsed);
         self.report_straggler(&attempt, elapsed, out);
         self.dispatch_waiting(now, out);
@@ -116,7 +116,7 @@
         elapsed: Duration,
         out: &mut Vec<Output>,
     ) {
-        let answer_times = &self.classes[attempt.class.get_index()].answer_times;
+        let answer_times = &self.classes[attempt.class].answer_times;
         if !answer_times.has_enough_samples()
             || elapsed < answer_times.get_p95() * Self::STRAGGLER_FACTOR
         {
@@ -253,7 +253,7 @@
             self.release(key);
             return true;
         }
-        let kind = self.classes[call.class.get_index()].spec.kind;
+        let kind = self.classes[call.class].spec.kind;
         let is_safe = !call.may_have_run || kind.is_idempotent();
         let is_possible = is_safe && call.is_replayable && call.has_attempts_left();
         if !is_possible || now >= call.starts_until {
@@ -277,7 +277,7 @@
     /// deadline, since a late answer is better than none.
     fn enqueue_again(&mut self, now: Instant, key: CallKey) {
         let call = &mut self.calls[key];
-        let margin = self.classes[call.class.get_index()].get_expected_time();
+        let margin = self.classes[call.class].get_expected_time();
         if call.useful_until <= now + margin {
             call.useful_until = match call.is_cut_short() {
                 true => call.deadline.min(call.starts_until + margin),
--- a/crates/core/src/service/calls.rs
+++ b/crates/core/src/service/calls.rs
@@ -3,20 +3,22 @@
 use super::class::{Class, QueueEntry};
 use super::records::{Call, CallState};
 use super::target::Target;
-use super::{Arrival, CallKey, Output, Service};
+use super::{Arrival, CallKey, ClassKey, Output, Service};
 use crate::{ClassKind, ResultCode};
 use std::time::{Duration, Instant};
 
 /// Inputs from callers and timers.
 impl Service {
     /// Accepts a new call and dispatches, queues or refuses it.
-    ///
-    /// # Panics
-    ///
-    /// Panics if the service has no such class.
     pub fn arrive(&mut self, now: Instant, arrival: Arrival, out: &mut Vec<Output>) -> CallKey {
         self.counters.arrivals += 1;
-        let class = &self.classes[arrival.class.get_index()];
+        let Some(class_key) = self.find_arrival_class(&arrival) else {
+            let call = Call::new(arrival, arrival.class, arrival.deadline, 0);
+            let key = self.calls.insert(call);
+            self.refuse(key, ResultCode::NoService, out);
+            return key;
+        };
+        let class = &self.classes[class_key];
         if class.spec.kind != ClassKind::Background {
             self.last_short_arrival = Some(now);
         }
@@ -25,7 +27,7 @@
             Some(objective) => arrival.deadline.min(now + objective),
             None => arrival.deadline,
         };
-        let mut call = Call::new(arrival, useful_until, spec);
+        let mut call = Call::new(arrival, class_key, useful_until, spec.max_attempts);
         if let Some(limit) = self.get_stop_limit(now, class, arrival.deadline) {
             call.limit_to_stop(limit);
         }
@@ -40,11 +42,21 @@
         key
     }
 
+    /// Returns the class that a new call joins: its own, or the first one of its kind if
+    /// its own was removed while the caller sent the request.
+    fn find_arrival_class(&self, arrival: &Arrival) -> Option<ClassKey> {
+        let own = self.classes.get(arrival.class);
+        if own.is_some_and(|class| class.spec.kind == arrival.kind) {
+            return Some(arrival.class);
+        }
+        self.classes.find_kind(arrival.kind)
+    }
+
     pub(super) fn check_admission(&self, now: Instant, call: &Call) -> Option<ResultCode> {
         if !self.targets.iter().any(Target::is_usable) {
             return Some(ResultCode::NoTarget);
         }
-        let class = &self.classes[call.class.get_index()];
+        let class = &self.classes[call.class];
         if class.is_full() {
             return Some(ResultCode::QueueFull);
         }
@@ -70,8 +82,8 @@
         let ahead: usize = self
             .classes
             .iter()
-            .filter(|c| (c.spec.kind == ClassKind::Background) == is_background)
-            .map(Class::len)
+            .filter(|(_, c)| (c.spec.kind == ClassKind::Background) == is_background)
+            .map(|(_, c)| c.len())
             .sum();
         if ahead == 0 {
             return Duration::ZERO;
@@ -109,14 +121,12 @@
 
     /// Returns the time at which [`Self::tick`] has to be called at the latest.
     pub fn next_wake(&self, now: Instant) -> Option<Instant> {
-        let expiry = self.classes.iter().filter_map(|c| c.front()).map(|w| w.due);
-        let hedge = self.classes.iter().filter_map(Class::next_check_at);
-        let sample = self
-            .classes
-            .iter()
-            .filter_map(|c| self.next_sample_wait_end(now, c));
+        let classes = || self.classes.iter().map(|(_, class)| class);
+        let expiry = classes().filter_map(Class::front).map(|entry| entry.due);
+        let hedge = classes().filter_map(Class::next_check_at);
+        let sample = classes().filter_map(|class| self.next_sample_wait_end(now, class));
         let mut wake = expiry.chain(hedge).chain(sample).min();
-        if self.classes.iter().any(|c| c.len() > 0) {
+        if self.count_waiting() > 0 {
             let recheck_at = now + self.get_recheck_interval();
             wake = Some(wake.map_or(recheck_at, |at| at.min(recheck_at)));
         }
@@ -142,7 +152,7 @@
             due: call.useful_until,
             call: key,
         };
-        self.classes[call.class.get_index()].insert(entry);
+        self.classes[call.class].insert(entry);
     }
 
     /// Removes a waiting call from the queue of its class; returns false if it does not
@@ -155,20 +165,22 @@
             due: call.useful_until,
             call: key,
         };
-        call.state == CallState::Waiting && self.classes[call.class.get_index()].remove(entry)
+        call.state == CallState::Waiting && self.classes[call.class].remove(entry)
     }
 
     pub(super) fn expire(&mut self, now: Instant, out: &mut Vec<Output>) {
         let pause_left = self.get_pause_left(now);
-        for index in 0..self.classes.len() {
-            let margin = pause_left + self.classes[index].get_expected_time();
-            while let Some(front) = self.classes[index].front() {
+        let mut position = 0;
+        while let Some(key) = self.classes.get_key(position) {
+            let margin = pause_left + self.classes[key].get_expected_time();
+            while let Some(front) = self.classes[key].front() {
                 if front.due > now + margin {
                     break;
                 }
-                self.classes[index].pop_front();
+                self.classes[key].pop_front();
                 self.refuse_expired(front.call, pause_left, out);
             }
+            position += 1;
         }
     }
 
--- a/crates/core/src/service/dispatch.rs
+++ b/crates/core/src/service/dispatch.rs
@@ -3,7 +3,7 @@
 use super::answer_times::ratio_of;
 use super::class::HedgeCheck;
 use super::records::{Attempt, Call};
-use super::{AttemptKey, AttemptKind, CallKey, Output, Service, TargetKey};
+use super::{AttemptKey, AttemptKind, CallKey, ClassKey, Output, Service, TargetKey};
 use crate::ClassKind;
 use std::time::Instant;
 
@@ -15,8 +15,8 @@
         if self.short_demand.observe(now, self.own_short) {
             self.assign_long_slots();
         }
-        while let Some(index) = self.find_next_class(false) {
-            if !self.dispatch_front(now, index, out) {
+        while let Some(class) = self.find_next_class(false) {
+            if !self.dispatch_front(now, class, out) {
                 break;
             }
         }
@@ -24,8 +24,8 @@
         if self.find_next_class(false).is_some() {
             return;
         }
-        while let Some(index) = self.find_next_class(true) {
-            if !self.dispatch_front(now, index, out) {
+        while let Some(class) = self.find_next_class(true) {
+            if !self.dispatch_front(now, class, out) {
                 break;
             }
         }
@@ -33,26 +33,25 @@
 
     /// Returns the class whose first waiting call comes next: the one with the
     /// smallest priority number, and among equals the earliest due time.
-    pub(super) fn find_next_class(&self, is_background: bool) -> Option<usize> {
+    pub(super) fn find_next_class(&self, is_background: bool) -> Option<ClassKey> {
         self.classes
             .iter()
-            .enumerate()
             .filter(|(_, class)| (class.spec.kind == ClassKind::Background) == is_background)
-            .filter_map(|(index, class)| {
+            .filter_map(|(key, class)| {
                 let front = class.front()?;
-                Some((class.spec.priority, front.due, index))
+                Some((class.spec.priority, front.due, key))
             })
             .min()
-            .map(|(_, _, index)| index)
+            .map(|(_, _, key)| key)
     }
 
     pub(super) fn dispatch_front(
         &mut self,
         now: Instant,
-        index: usize,
+        class: ClassKey,
         out: &mut Vec<Output>,
     ) -> bool {
-        let Some(front) = self.classes[index].front() else {
+        let Some(front) = self.classes[class].front() else {
             return false;
         };
         if !self.try_finish_sampling(now, front.call, out) {
@@ -61,7 +60,7 @@
         let Some(choice) = self.pick(now, front.call) else {
             return false;
         };
-        self.classes[index].pop_front();
+        self.classes[class].pop_front();
         self.start(now, front.call, choice.target, choice.kind, out);
         true
     }
@@ -75,7 +74,7 @@
         out: &mut Vec<Output>,
     ) {
         let class = self.calls[key].class;
-        let is_long = self.classes[class.get_index()].spec.kind == ClassKind::Background;
+        let is_long = self.classes[class].spec.kind == ClassKind::Background;
         let attempt = self.attempts.insert(Attempt {
             call: key,
             class,
@@ -96,9 +95,7 @@
             attempt,
             rounds: 0,
         };
-        self.classes[class.get_index()]
-            .hedge_checks
-            .push_back(check);
+        self.classes[class].hedge_checks.push_back(check);
         out.push(Output::Dispatch {
             call: key,
             attempt,
@@ -132,17 +129,19 @@
     }
 
     pub(super) fn check_hedges(&mut self, now: Instant, out: &mut Vec<Output>) {
-        for index in 0..self.classes.len() {
-            while let Some(check) = self.classes[index].pop_due_check(now) {
-                self.check_hedge(now, index, check, out);
+        let mut position = 0;
+        while let Some(class) = self.classes.get_key(position) {
+            while let Some(check) = self.classes[class].pop_due_check(now) {
+                self.check_hedge(now, class, check, out);
             }
+            position += 1;
         }
     }
 
     pub(super) fn check_hedge(
         &mut self,
         now: Instant,
-        index: usize,
+        class: ClassKey,
         check: HedgeCheck,
         out: &mut Vec<Output>,
     ) {
@@ -154,13 +153,13 @@
         }
         let (key, target, kind) = (attempt.call, attempt.target, attempt.kind);
         if check.rounds == 0 {
-            self.handle_late_attempt(now, index, target, check.started, out);
+            self.handle_late_attempt(now, class, target, check.started, out);
         }
         if kind == AttemptKind::Hedge {
             self.cancel_late_hedge(now, key, check.attempt, out);
             return;
         }
-        let is_hedge_allowed = self.classes[index].spec.kind == ClassKind::Interactive
+        let is_hedge_allowed = self.classes[class].spec.kind == ClassKind::Interactive
             && self
                 .calls
                 .get(key)
@@ -170,7 +169,7 @@
         if !is_hedge_allowed {
             return;
         }
-        if self.request_hedge_samples(now, index, key, check, out) {
+        if self.request_hedge_samples(now, class, key, check, out) {
             return;
         }
         let Some(hedge_target) = self.pick_hedge_target(now, key) else {
@@ -207,12 +206,12 @@
     pub(super) fn handle_late_attempt(
         &mut self,
         now: Instant,
-        index: usize,
+        class: ClassKey,
         target: TargetKey,
         started: Instant,
         out: &mut Vec<Output>,
     ) {
-        let answer_times = &self.classes[index].answer_times;
+        let answer_times = &self.classes[class].answer_times;
         if !answer_times.has_enough_samples() {
             return;
         }
--- a/crates/core/src/service/input.rs
+++ b/crates/core/src/service/input.rs
@@ -1,6 +1,7 @@
 //! Inputs of a service.
 
 use super::ClassKey;
+use crate::ClassKind;
 use std::time::Instant;
 
 /// A new call of a caller.
@@ -8,6 +9,9 @@
 pub struct Arrival {
     /// Class that the call belongs to.
     pub class: ClassKey,
+    /// Kind of the class. A call whose class was removed since the key was read joins
+    /// another class of the kind.
+    pub kind: ClassKind,
     /// Time by which the first byte of the answer has to arrive.
     pub deadline: Instant,
     /// False if the request body cannot be sent a second time.
--- a/crates/core/src/service/key.rs
+++ b/crates/core/src/service/key.rs
@@ -5,6 +5,9 @@
     pub struct CallKey;
     /// Key of one attempt of a call on one target.
     pub struct AttemptKey;
+    /// Key of a class of a service. It never names another class, also if the
+    /// declaration changes while a request keeps it.
+    pub struct ClassKey;
 }
 
 /// Index of a target within its service; stable while the target is declared.
@@ -26,13 +29,3 @@
         self.0 as usize
     }
 }
-
-/// Index of a class within its service, in the order of the file.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct ClassKey(pub u32);
-
-impl ClassKey {
-    pub(crate) fn get_index(self) -> usize {
-        self.0 as usize
-    }
-}
--- a/crates/core/src/service/machine.rs
+++ b/crates/core/src/service/machine.rs
@@ -1,15 +1,15 @@
 //! The state machine of one service.
 
 use super::budget::Budget;
-use super::class::{Class, QueueEntry};
+use super::classes::Classes;
 use super::demand::ShortDemand;
 use super::fleet_budget::FleetBudget;
 use super::long_slots::{LongCapacity, assign, reserve_of};
-use super::records::{Attempt, Call, CallState};
+use super::records::{Attempt, Call};
 use super::sampling::Sampler;
 use super::target::Target;
 use super::{AttemptKey, CallKey, ClassKey, Counters, Output};
-use crate::{ClassKind, DomainName, RepeatLimit, ResultCode, ServiceSpec, VmName};
+use crate::{ClassKind, DomainName, RepeatLimit, ServiceSpec, VmName};
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
 use slotmap::SlotMap;
@@ -23,8 +23,8 @@
 /// the steady state.
 ///
 /// ```
-/// use gentianridge_core::{Arrival, ClassKey, Output, Service};
-/// # use gentianridge_core::{ClassKind, ClassSpec, MethodSet, RouteMatch, ServiceSpec, TargetSpec};
+/// use gentianridge_core::{Arrival, ClassKind, Output, Service};
+/// # use gentianridge_core::{ ClassSpec, MethodSet, RouteMatch, ServiceSpec, TargetSpec};
 /// # use std::time::{Duration, Instant};
 /// # let route = RouteMatch { methods: MethodSet::default(), prefix: "/".into() };
 /// # let spec = ServiceSpec {
@@ -42,7 +42,8 @@
 /// let mut service = Service::new(spec, 7);
 /// let mut out = Vec::new();
 /// let arrival = Arrival {
-///     class: ClassKey(0),
+///     class: service.find_class_by_name("lookup").unwrap(),
+///     kind: ClassKind::Interactive,
 ///     deadline: now + Duration::from_secs(1),
 ///     is_replayable: true,
 /// };
@@ -53,7 +54,7 @@
 pub struct Service {
     pub(super) spec: ServiceSpec,
     pub(super) targets: Vec<Target>,
-    pub(super) classes: Vec<Class>,
+    pub(super) classes: Classes,
     pub(super) calls: SlotMap<CallKey, Call>,
     pub(super) attempts: SlotMap<AttemptKey, Attempt>,
     pub(super) retries: Budget,
@@ -91,7 +92,7 @@
             domain: DomainName::default(),
             vm_hash: 0,
             targets: targets.into_iter().map(|t| Target::new(t, None)).collect(),
-            classes: classes.into_iter().map(Class::new).collect(),
+            classes: Classes::new(classes),
             calls: SlotMap::with_key(),
             attempts: SlotMap::with_key(),
             counters: Counters::default(),
@@ -111,8 +112,8 @@
 
     /// Applies a new declaration and keeps the existing state.
     ///
-    /// Targets are matched by name, address and incarnation. Calls that wait in a
-    /// removed class move to the first class of the same kind or are refused.
+    /// Targets are matched by name, address and incarnation, classes by name and kind.
+    /// Calls of a removed class are served to their end.
     pub fn apply(&mut self, now: Instant, mut spec: ServiceSpec, out: &mut Vec<Output>) {
         let targets = std::mem::take(&mut spec.targets);
         let classes = std::mem::take(&mut spec.classes);
@@ -122,7 +123,7 @@
         self.spec = spec;
         self.apply_targets(now, targets);
         self.choose_subset();
-        self.apply_classes(classes, out);
+        self.apply_classes(classes);
         self.assign_long_slots();
         self.dispatch_waiting(now, out);
     }
@@ -155,58 +156,18 @@
         }
     }
 
-    pub(super) fn apply_classes(&mut self, specs: Vec<crate::ClassSpec>, out: &mut Vec<Output>) {
-        let same_order = specs.len() == self.classes.len()
-            && specs
-                .iter()
-                .zip(&self.classes)
-                .all(|(new, old)| new.name == old.spec.name && new.kind == old.spec.kind);
-        if same_order {
-            for (class, spec) in self.classes.iter_mut().zip(specs) {
-                class.spec = spec;
-            }
+    /// Applies the declaration of the classes. A call keeps the class in which it arrived,
+    /// and a removed class is dropped after its last call.
+    fn apply_classes(&mut self, specs: Vec<crate::ClassSpec>) {
+        self.classes.apply(specs);
+        if !self.classes.has_removed() {
             return;
         }
-        self.rebuild_classes(specs, out);
-    }
-
-    pub(super) fn rebuild_classes(&mut self, specs: Vec<crate::ClassSpec>, out: &mut Vec<Output>) {
-        let old = std::mem::take(&mut self.classes);
-        self.classes = specs.into_iter().map(Class::new).collect();
-        let moves: Vec<Option<ClassKey>> = old
-            .iter()
-            .map(|class| find_successor(&self.classes, class))
-            .collect();
-        for attempt in self.attempts.values_mut() {
-            attempt.class = moves[attempt.class.get_index()].unwrap_or(ClassKey(0));
-        }
-        let keys: Vec<CallKey> = self.calls.keys().collect();
-        for key in keys {
-            self.move_call(key, &moves, out);
-        }
-    }
-
-    pub(super) fn move_call(
-        &mut self,
-        key: CallKey,
-        moves: &[Option<ClassKey>],
-        out: &mut Vec<Output>,
-    ) {
-        let Some(call) = self.calls.get_mut(key) else {
-            return;
-        };
-        let successor = moves[call.class.get_index()];
-        call.class = successor.unwrap_or(ClassKey(0));
-        let is_waiting = call.state == CallState::Waiting;
-        let entry = QueueEntry {
-            due: call.useful_until,
-            call: key,
-        };
-        match successor {
-            Some(class) if is_waiting => self.classes[class.get_index()].insert(entry),
-            None if is_waiting => self.refuse(key, ResultCode::NoService, out),
-            _ => {}
-        }
+        let calls = self.calls.values().map(|call| call.class);
+        let attempts = self.attempts.values().map(|attempt| attempt.class);
+        let mut used: Vec<ClassKey> = calls.chain(attempts).collect();
+        used.sort_unstable();
+        self.classes.drop_unused(&used);
     }
 
     /// Sets the number of live VMs and the rank of this one.
@@ -236,7 +197,11 @@
     }
 
     pub(super) fn assign_long_slots(&mut self) {
-        let declared = self.classes.iter().map(|c| c.spec.reserve).sum::<u16>();
+        let declared = self
+            .classes
+            .iter_declared()
+            .map(|(_, class)| class.spec.reserve)
+            .sum::<u16>();
         let reserve = declared.max(self.short_demand.get_slots(self.vms));
         let total: u32 = self
             .targets
@@ -259,7 +224,7 @@
     pub(super) fn has_short_classes(&self) -> bool {
         self.classes
             .iter()
-            .any(|class| class.spec.kind != ClassKind::Background)
+            .any(|(_, class)| class.spec.kind != ClassKind::Background)
     }
 }
 
@@ -297,15 +262,3 @@
     };
     LongCapacity { slots, reserve }
 }
-
-fn find_successor(classes: &[Class], old: &Class) -> Option<ClassKey> {
-    classes
-        .iter()
-        .position(|class| class.spec.name == old.spec.name)
-        .or_else(|| {
-            classes
-                .iter()
-                .position(|class| class.spec.kind == old.spec.kind)
-        })
-        .map(|index| ClassKey(index as u32))
-}
--- a/crates/core/src/service/mod.rs
+++ b/crates/core/src/service/mod.rs
@@ -8,6 +8,7 @@
 mod budget;
 mod calls;
 mod class;
+mod classes;
 mod counters;
 mod demand;
 mod dispatch;
--- a/crates/core/src/service/pick.rs
+++ b/crates/core/src/service/pick.rs
@@ -217,16 +217,15 @@
     pub(super) fn get_hold_time(&self) -> Duration {
         self.classes
             .iter()
-            .filter(|class| class.spec.kind != ClassKind::Background)
-            .chain(&self.classes)
-            .map(|class| class.answer_times.get_hold_time())
-            .next()
+            .find(|(_, class)| class.spec.kind != ClassKind::Background)
+            .or_else(|| self.classes.iter().next())
+            .map(|(_, class)| class.answer_times.get_hold_time())
             .unwrap_or(Duration::from_millis(10))
     }
 
     fn get_kind(&self, key: CallKey) -> ClassKind {
         let class = self.calls[key].class;
-        self.classes[class.get_index()].spec.kind
+        self.classes[class].spec.kind
     }
 
     fn is_reserve_idle(&self, now: Instant) -> bool {
--- a/crates/core/src/service/records.rs
+++ b/crates/core/src/service/records.rs
@@ -48,12 +48,17 @@
 }
 
 impl Call {
-    pub(crate) fn new(arrival: Arrival, useful_until: Instant, spec: &ClassSpec) -> Self {
+    pub(crate) fn new(
+        arrival: Arrival,
+        class: ClassKey,
+        useful_until: Instant,
+        max_attempts: u8,
+    ) -> Self {
         Self {
-            class: arrival.class,
+            class,
             deadline: arrival.deadline,
             useful_until,
-            max_attempts: usize::from(spec.max_attempts).min(MAX_ATTEMPTS),
+            max_attempts: usize::from(max_attempts).min(MAX_ATTEMPTS),
             is_replayable: arrival.is_replayable,
             state: CallState::Waiting,
             may_have_run: false,
--- a/crates/core/src/service/sampling.rs
+++ b/crates/core/src/service/sampling.rs
@@ -8,7 +8,7 @@
 use super::class::{Class, HedgeCheck};
 use super::pick::{AllowedCapacity, get_jitter};
 use super::records::CallState;
-use super::{CallKey, Output, Service, TargetKey};
+use super::{CallKey, ClassKey, Output, Service, TargetKey};
 use crate::Sampling;
 use rand::Rng;
 use std::time::{Duration, Instant};
@@ -162,7 +162,7 @@
     pub(super) fn request_hedge_samples(
         &mut self,
         now: Instant,
-        class: usize,
+        class: ClassKey,
         key: CallKey,
         check: HedgeCheck,
         out: &mut Vec<Output>,
@@ -245,7 +245,7 @@
     /// Returns true if another round of load requests leaves time for the work itself.
     fn has_time_for_round(&self, now: Instant, config: Sampling, key: CallKey) -> bool {
         let call = &self.calls[key];
-        let answer_times = &self.classes[call.class.get_index()].answer_times;
+        let answer_times = &self.classes[call.class].answer_times;
         call.state == CallState::Waiting
             && now + config.wait + answer_times.get_median() < call.useful_until
     }
--- a/crates/core/src/service/stop.rs
+++ b/crates/core/src/service/stop.rs
@@ -25,7 +25,7 @@
     fn limit_call_to_stop(&mut self, now: Instant, key: CallKey) {
         let is_waiting = self.remove_from_queue(key);
         let call = &self.calls[key];
-        let class = &self.classes[call.class.get_index()];
+        let class = &self.classes[call.class];
         if let Some(limit) = self.get_stop_limit(now, class, call.deadline) {
             let call = &mut self.calls[key];
             call.limit_to_stop(limit);
--- a/crates/core/src/service/view.rs
+++ b/crates/core/src/service/view.rs
@@ -1,11 +1,11 @@
 //! Read access to a service for the process and for operators.
 
-use super::class::Class;
 use super::target::Target;
 use super::{
     ClassKey, Counters, PlacementInputs, Service, TargetCondition, TargetKey, TargetStatus,
 };
-use crate::ServiceSpec;
+use crate::{Incarnation, ServiceSpec};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// Read access for the process and for operators.
@@ -15,44 +15,49 @@
         &self.spec
     }
 
-    /// Returns the declaration of a class.
-    pub fn get_class(&self, class: ClassKey) -> &crate::ClassSpec {
-        &self.classes[class.get_index()].spec
+    /// Returns the declaration of a class, `None` if it was removed.
+    pub fn get_class(&self, class: ClassKey) -> Option<&crate::ClassSpec> {
+        self.classes.get(class).map(|class| &class.spec)
     }
 
-    /// Returns the keys of all classes.
+    /// Returns the keys of the declared classes, in the order of the declaration.
     pub fn get_class_keys(&self) -> impl Iterator<Item = ClassKey> + '_ {
-        (0..self.classes.len()).map(|index| ClassKey(index as u32))
+        self.classes.iter_declared().map(|(key, _)| key)
     }
 
-    /// Returns the key of the class with the name.
+    /// Returns the key of the declared class with the name.
     pub fn find_class_by_name(&self, name: &str) -> Option<ClassKey> {
         self.classes
-            .iter()
-            .position(|class| class.spec.name == name)
-            .map(|index| ClassKey(index as u32))
+            .iter_declared()
+            .find(|(_, class)| class.spec.name == name)
+            .map(|(key, _)| key)
     }
 
     /// Returns the time until capacity for another request is expected: the wait
     /// of a request that joins the queue now, at least one median answer time.
     ///
-    /// If all targets are paused, it is the time until the first one returns.
+    /// If all targets are paused, it is the time until the first one returns. Without
+    /// the class, which may have been removed since the call arrived, it is the mean time
+    /// for which a request occupies a slot.
     pub fn estimate_capacity_wait(&self, now: Instant, class: ClassKey) -> Duration {
         let pause_left = self.get_pause_left(now);
         if !pause_left.is_zero() {
             return pause_left;
         }
-        let class = &self.classes[class.get_index()];
-        self.estimate_wait(class)
-            .max(class.answer_times.get_median())
+        match self.classes.get(class) {
+            Some(class) => self
+                .estimate_wait(class)
+                .max(class.answer_times.get_median()),
+            None => self.get_hold_time(),
+        }
     }
 
-    /// Returns the first class whose route matches the request.
+    /// Returns the first declared class whose route matches the request.
     pub fn find_class(&self, method: &str, path: &str) -> Option<ClassKey> {
         self.classes
-            .iter()
-            .position(|class| class.spec.route.is_match(method, path))
-            .map(|index| ClassKey(index as u32))
+            .iter_declared()
+            .find(|(_, class)| class.spec.route.is_match(method, path))
+            .map(|(key, _)| key)
     }
 
     /// Returns the declaration of a target.
@@ -60,6 +65,20 @@
         self.targets.get(key.get_index()).map(|t| &t.spec)
     }
 
+    /// Returns true if the key names the given process of a target.
+    ///
+    /// The keys of removed targets are used again, so that a key which was kept while a
+    /// probe was under way may name another target.
+    pub fn is_same_target(
+        &self,
+        key: TargetKey,
+        addr: SocketAddr,
+        incarnation: &Incarnation,
+    ) -> bool {
+        self.get_target(key)
+            .is_some_and(|spec| spec.addr == addr && spec.get_incarnation() == *incarnation)
+    }
+
     /// Returns the key of the declared target with the name.
     pub fn find_target(&self, name: &str) -> Option<TargetKey> {
         self.targets
@@ -104,12 +123,12 @@
 
     /// Returns the number of calls that wait.
     pub fn count_waiting(&self) -> usize {
-        self.classes.iter().map(Class::len).sum()
+        self.classes.iter().map(|(_, class)| class.len()).sum()
     }
 
     /// Returns the number of calls that wait in one class.
     pub fn count_waiting_in_class(&self, class: ClassKey) -> usize {
-        self.classes[class.get_index()].len()
+        self.classes.get(class).map_or(0, |class| class.len())
     }
 
     /// Returns the number of calls that are not answered yet.
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -11,11 +11,11 @@
 use std::time::{Duration, Instant};
 
 /// Class of interactive calls.
-pub const SHORT: ClassKey = ClassKey(0);
+pub const SHORT: &str = "short";
 /// Class of once-only calls.
-pub const ONCE: ClassKey = ClassKey(1);
+pub const ONCE: &str = "once";
 /// Class of background calls.
-pub const LONG: ClassKey = ClassKey(2);
+pub const LONG: &str = "long";
 
 /// One attempt that was dispatched.
 #[derive(Debug, Clone, Copy)]
@@ -194,13 +194,36 @@
         self.now += Duration::from_millis(millis);
     }
 
-    pub fn arrive(&mut self, class: ClassKey) -> CallKey {
+    pub fn arrive(&mut self, class: &str) -> CallKey {
         self.arrive_within(class, 1_000)
     }
 
-    pub fn arrive_within(&mut self, class: ClassKey, millis: u64) -> CallKey {
+    pub fn arrive_within(&mut self, class: &str, millis: u64) -> CallKey {
+        let class = self.get_class(class);
+        self.arrive_with_key(class, millis)
+    }
+
+    /// Returns the key of a class.
+    pub fn get_class(&self, name: &str) -> ClassKey {
+        let key = self.service.find_class_by_name(name);
+        key.unwrap_or_else(|| panic!("no class {name}"))
+    }
+
+    /// Submits a call with the key of a declared class.
+    pub fn arrive_with_key(&mut self, class: ClassKey, millis: u64) -> CallKey {
+        let kind = self
+            .service
+            .get_class(class)
+            .expect("a declared class")
+            .kind;
+        self.arrive_with_kind(class, kind, millis)
+    }
+
+    /// Submits a call with a key that may have been read before a change of the declaration.
+    pub fn arrive_with_kind(&mut self, class: ClassKey, kind: ClassKind, millis: u64) -> CallKey {
         let arrival = Arrival {
             class,
+            kind,
             deadline: self.now + Duration::from_millis(millis),
             is_replayable: true,
         };
@@ -210,7 +233,7 @@
     }
 
     /// Submits a call that is dispatched at once; returns its attempt.
-    pub fn send(&mut self, class: ClassKey) -> Sent {
+    pub fn send(&mut self, class: &str) -> Sent {
         let call = self.arrive(class);
         self.get_last_attempt(call)
     }
--- a/crates/core/tests/no_allocation.rs
+++ b/crates/core/tests/no_allocation.rs
@@ -3,19 +3,21 @@
 mod common;
 
 use common::{SHORT, make_spec};
-use gentianridge_core::{Arrival, LoadReport, Output, Service};
+use gentianridge_core::{Arrival, ClassKind, LoadReport, Output, Service};
 use std::time::{Duration, Instant};
 
 #[test]
 fn steady_state() {
     let mut service = Service::new(make_spec(16, 3), 1);
+    let class = service.find_class_by_name(SHORT).expect("a class");
     let mut now = Instant::now();
     let mut outputs = Vec::with_capacity(64);
     let mut running = Vec::with_capacity(256);
     let mut run_cycle = |service: &mut Service, running: &mut Vec<_>| {
         now += Duration::from_micros(300);
         let arrival = Arrival {
-            class: SHORT,
+            class,
+            kind: ClassKind::Interactive,
             deadline: now + Duration::from_secs(1),
             is_replayable: true,
         };
--- a/crates/core/tests/pauses.rs
+++ b/crates/core/tests/pauses.rs
@@ -115,7 +115,8 @@
     apply_pauses(&mut harness, make_spec(2, 3), &[5_000, 3_000]);
     let call = harness.arrive(SHORT);
     assert_eq!(harness.get_code(call), Some(ResultCode::TargetsPaused));
-    let wait = harness.service.estimate_capacity_wait(harness.now, SHORT);
+    let short = harness.get_class(SHORT);
+    let wait = harness.service.estimate_capacity_wait(harness.now, short);
     assert_eq!(wait, Duration::from_secs(3));
 }
 
--- a/crates/core/tests/targets.rs
+++ b/crates/core/tests/targets.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Harness, SHORT, make_spec};
-use gentianridge_core::{AttemptKind, EventKind, Outcome, TargetCondition, TargetKey};
+use gentianridge_core::{AttemptKind, EventKind, Outcome, TargetCondition, TargetKey, TargetSpec};
 
 fn get_condition(harness: &Harness, target: TargetKey) -> TargetCondition {
     harness.service.get_status(harness.now)[target.get_index()].condition
@@ -236,3 +236,30 @@
         "a request in flight on a removed target is answered"
     );
 }
+
+/// Guards against a probe whose report is credited to the target that took over the key of
+/// a removed one.
+#[test]
+fn key_of_replaced_target() {
+    let mut harness = Harness::new(2, 3);
+    let key = TargetKey::from_index(0);
+    let old = harness.service.get_target(key).expect("a target").clone();
+    let is_same = |harness: &Harness, spec: &TargetSpec| {
+        harness
+            .service
+            .is_same_target(key, spec.addr, &spec.get_incarnation())
+    };
+    assert!(is_same(&harness, &old));
+    let mut spec = make_spec(2, 3);
+    spec.targets[0].name = "new".into();
+    spec.targets[0].addr = "10.0.0.9:80".parse().expect("an address");
+    harness.apply(spec);
+    let new = harness.service.get_target(key).expect("a target").clone();
+    assert_eq!(new.name, "new", "the key is used again");
+    assert!(!is_same(&harness, &old));
+    assert!(is_same(&harness, &new));
+    // The same id after a restart is another process.
+    let mut restarted = new.clone();
+    restarted.incarnation += 1;
+    assert!(!is_same(&harness, &restarted));
+}
--- a/crates/daemon/src/caller/endpoint.rs
+++ b/crates/daemon/src/caller/endpoint.rs
@@ -89,7 +89,7 @@
     let service = routes.services[index].clone();
     let found = service.read(|machine, _| {
         let class = machine.find_class(method, &head.path)?;
-        let spec = machine.get_class(class);
+        let spec = machine.get_class(class)?;
         trace.route(&service.name, &spec.name);
         Some((class, spec.kind, spec.deadline, machine.get_spec().silence))
     });
--- a/crates/daemon/src/gateway/call.rs
+++ b/crates/daemon/src/gateway/call.rs
@@ -74,6 +74,7 @@
     pub(crate) fn start(cx: CallContext) -> Self {
         let arrival = Arrival {
             class: cx.class,
+            kind: cx.kind,
             deadline: cx.deadline,
             is_replayable: true,
         };
--- a/crates/daemon/src/gateway/samples.rs
+++ b/crates/daemon/src/gateway/samples.rs
@@ -86,9 +86,9 @@
         // request that waits for the report is sent to this target next.
         gateway.keep_ready_connection(&incarnation, connection);
     }
-    if let Some(report) =
-        get_text(&head.headers, &gateway.headers.load).and_then(|text| parse_load(&text))
-    {
+    let report = get_text(&head.headers, &gateway.headers.load).and_then(|text| parse_load(&text));
+    let is_current = service.read(|machine, _| machine.is_same_target(target, addr, &incarnation));
+    if let Some(report) = report.filter(|_| is_current) {
         service.report(target, None, report);
     }
     Ok(())
--- a/crates/daemon/src/operator/status.rs
+++ b/crates/daemon/src/operator/status.rs
@@ -5,7 +5,7 @@
 use gentianridge_api::{
     ClassStatus, PeerStatus, RevisionStatus, ServiceCounters, ServiceStatus, StatusAnswer,
 };
-use gentianridge_core::{ClassKey, PeerState, Service};
+use gentianridge_core::{PeerState, Service};
 use smol_str::{SmolStr, format_smolstr};
 use std::sync::atomic::Ordering;
 
@@ -96,16 +96,16 @@
 fn make_class_status(machine: &Service) -> Vec<ClassStatus> {
     machine
         .get_class_keys()
-        .map(|key: ClassKey| {
-            let spec = machine.get_class(key);
-            ClassStatus {
+        .filter_map(|key| {
+            let spec = machine.get_class(key)?;
+            Some(ClassStatus {
                 name: spec.name.clone(),
                 kind: spec.kind.as_str().into(),
                 deadline_ms: spec.deadline.as_millis() as u64,
                 reserve: spec.reserve,
                 waiting: machine.count_waiting_in_class(key),
                 queue: spec.queue,
-            }
+            })
         })
         .collect()
 }
--- a/crates/daemon/src/service/prober.rs
+++ b/crates/daemon/src/service/prober.rs
@@ -100,9 +100,9 @@
     let found = service.read(|machine, _| {
         let spec = machine.get_target(key)?;
         let path = machine.get_spec().probe_path.clone();
-        Some((spec.addr, spec.connections, path))
+        Some((spec.addr, spec.get_incarnation(), spec.connections, path))
     });
-    let Some((addr, connections, path)) = found else {
+    let Some((addr, incarnation, connections, path)) = found else {
         return;
     };
     let Ok(pool) = service.pools.get(key.get_index(), addr, connections) else {
@@ -113,7 +113,9 @@
     let request = pool.client.get(url).timeout(PROBE_TIMEOUT);
     match request.send().await {
         Ok(response) => {
-            if let Some(report) = read_report(response.headers()) {
+            let is_current =
+                service.read(|machine, _| machine.is_same_target(key, addr, &incarnation));
+            if let Some(report) = read_report(response.headers()).filter(|_| is_current) {
                 fleet.record_load_report(&service, key, None, report);
             }
         }
--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -8,8 +8,8 @@
 use gentianridge_cli::merge_timelines;
 use gentianridge_config::parse_fleet;
 use gentianridge_core::{
-    Arrival, ClassKey, Event, EventKind, EventRing, Heartbeat, HybridClock, LoadReport, Membership,
-    Output, PeerView, Service, is_probe_owner,
+    Arrival, ClassKey, ClassKind, Event, EventKind, EventRing, Heartbeat, HybridClock, LoadReport,
+    Membership, Output, PeerView, Service, is_probe_owner,
 };
 use gentianridge_wire::PeerMessage;
 use std::fmt::Write;
@@ -89,11 +89,13 @@
     let spec = fleet.services[0].clone();
     let calls_memory = allocation_counter::measure(|| {
         let mut service = Service::new(spec, 1);
+        let (class, kind) = get_first_class(&service);
         let now = Instant::now();
         let mut out = Vec::new();
         for _ in 0..256 {
             let arrival = Arrival {
-                class: ClassKey(0),
+                class,
+                kind,
                 deadline: now + Duration::from_secs(60),
                 is_replayable: true,
             };
@@ -127,9 +129,16 @@
     );
 }
 
+fn get_first_class(service: &Service) -> (ClassKey, ClassKind) {
+    let key = service.get_class_keys().next().expect("a class");
+    let class = service.get_class(key).expect("a declared class");
+    (key, class.kind)
+}
+
 fn measure_decision(text: &str) {
     let fleet = parse_fleet(text).expect("the file is valid");
     let mut service = Service::new(fleet.services[0].clone(), 1);
+    let (class, kind) = get_first_class(&service);
     let mut now = Instant::now();
     let mut out = Vec::new();
     let mut running = std::collections::VecDeque::new();
@@ -137,7 +146,8 @@
     for _ in 0..ITERATIONS {
         now += Duration::from_micros(100);
         let arrival = Arrival {
-            class: ClassKey(0),
+            class,
+            kind,
             deadline: now + Duration::from_secs(1),
             is_replayable: true,
         };
--- a/examples/measure/calls.rs
+++ b/examples/measure/calls.rs
@@ -4,7 +4,7 @@
 use crate::model::{SHORT_DEADLINE, Work};
 use crate::policy::Policy;
 use crate::scenario::{FAULT_US, SETTLE_US};
-use gentianridge_core::{Arrival, ClassKey, Output};
+use gentianridge_core::{Arrival, ClassKind, Output};
 use std::time::Duration;
 
 /// Time in microseconds after which a long call is late.
@@ -41,13 +41,23 @@
 
     pub(crate) fn arrive_at_core(&mut self, vm: usize, index: usize) {
         let call = &self.calls[index];
-        let (class, deadline) = match call.work {
-            Work::Short => (ClassKey(0), SHORT_DEADLINE),
-            Work::Long => (ClassKey(1), Duration::from_micros(LONG_DEADLINE_US)),
+        let (position, kind, deadline) = match call.work {
+            Work::Short => (0, ClassKind::Interactive, SHORT_DEADLINE),
+            Work::Long => (
+                1,
+                ClassKind::Background,
+                Duration::from_micros(LONG_DEADLINE_US),
+            ),
         };
         let now = self.now();
+        let class = self.vms[vm]
+            .service
+            .get_class_keys()
+            .nth(position)
+            .expect("a class of each kind");
         let arrival = Arrival {
             class,
+            kind,
             deadline: now + deadline,
             is_replayable: true,
         };
--- a/tests/gateway/classes.rs
+++ b/tests/gateway/classes.rs
@@ -40,3 +40,28 @@
     assert_eq!(reply.status, 200);
     assert_eq!(env.count_runs("once"), 1);
 }
+
+/// Guards against once-only requests that run twice because a configuration renumbered the
+/// classes while their body arrived.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn upload_during_change() {
+    let env = TestEnv::start(3).await;
+    let mut caller = env.vm.open().await.unwrap();
+    caller
+        .write(
+            "POST /once/x HTTP/1.1\r\nhost: shop.example\r\ngentianridge-attempt-id: once\r\n\
+             gentianridge-deadline-ms: 6000\r\ncontent-length: 6\r\n\r\na b",
+        )
+        .await
+        .unwrap();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    put_config(&env.store, 2, &write_timeout_path("new", 1_500));
+    wait_route(&env, "new").await;
+    for target in &env.targets {
+        target.set_work_time(WORK_TIME);
+    }
+    caller.write("ody").await.unwrap();
+    let reply = caller.receive().await.unwrap().expect("an answer");
+    assert_eq!(reply.status, 200, "{reply:?}");
+    assert_eq!(env.count_runs("once"), 1);
+}
