fix(gateway): an answer counts only with the attempt ID of its request

Reported by operators of a similar system: a target wrote an earlier refusal once more on a kept connection; callers were told 'not run' of requests that ran, or they ran twice.

Cause: 'not run' and 421 were believed before the echo of the ID was checked, and a connection was kept after a refused load request, whose refusal bears no ID. Evidence: stand-ins that send late copies: the first once-only request ran twice. Ruled out: copies with another ID, copies on idle connections, a second send of one ID on one connection. Related: a late copy of an answer was taken for the answer to a load request, and the next request failed.

Change: the echo is checked first; load requests close connections whose answer is that of a request, of another target, or a refusal.

Tests: answers::repeated_refusal (before: ran 2 times; with one of the two changes: 502), invalid_answers with UnidentifiedRefusal (before: 503 for a request that ran), copy_before_load_answer (before: 502). truncated_head, at each byte of a head, held before: that report does not happen here.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -257,6 +257,14 @@
                 "the answer echoes the attempt ID of another request",
             ));
         }
+        // Without the ID even a refusal may be a late copy of an earlier one, so that it
+        // says nothing about this request.
+        if echoed.is_none() && !self.request.id.is_empty() {
+            return Err(make_failure(
+                Outcome::Broken,
+                "the answer does not echo the attempt ID",
+            ));
+        }
         if status == StatusCode::MISDIRECTED_REQUEST {
             self.gateway.remove_replaced(&target.incarnation);
             return Err(make_failure(
@@ -275,12 +283,6 @@
                 format!("not run, status {}", status.as_u16()),
             ));
         }
-        if echoed.is_none() && !self.request.id.is_empty() {
-            return Err(make_failure(
-                Outcome::Broken,
-                "the answer does not echo the attempt ID",
-            ));
-        }
         let is_verifiable = headers.contains_key(&names.signature)
             && !headers.contains_key(header::CONTENT_ENCODING);
         if status.is_success() && !is_verifiable {
--- a/crates/daemon/src/gateway/samples.rs
+++ b/crates/daemon/src/gateway/samples.rs
@@ -6,9 +6,9 @@
 use crate::service::ServiceHandle;
 use anyhow::Context;
 use bytes::Bytes;
-use gentianridge_adapter::parse_load;
-use gentianridge_core::{SendCheck, TargetKey};
-use http::{HeaderValue, Request, header};
+use gentianridge_adapter::{HeaderNames, parse_load};
+use gentianridge_core::{Incarnation, SendCheck, TargetKey};
+use http::{HeaderMap, HeaderValue, Request, header};
 use http_body_util::{BodyExt, Full};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -79,8 +79,13 @@
         .map_err(|error| anyhow::anyhow!("{error:?}"))?;
     let (head, body) = response.into_parts();
     gateway.record_announcements(&incarnation, head.status, &head.headers);
+    check_answer(&gateway.headers, &head.headers, &incarnation)?;
     body.collect().await?;
-    if connection.record_answer(gateway.clock.now(), &head.headers) && connection.wait_ready().await
+    // A target that repeats a refusal would answer the next request with it.
+    let is_refused = head.headers.contains_key(&gateway.headers.not_run);
+    if !is_refused
+        && connection.record_answer(gateway.clock.now(), &head.headers)
+        && connection.wait_ready().await
     {
         // The connection is kept before the report is recorded, since the
         // request that waits for the report is sent to this target next.
@@ -93,3 +98,23 @@
     }
     Ok(())
 }
+
+/// Checks that an answer is the target's own answer to a load request, and not a late copy
+/// of its answer to a caller's request. The connection is closed otherwise, since the next
+/// answer on it would belong to this request.
+fn check_answer(
+    names: &HeaderNames,
+    headers: &HeaderMap,
+    incarnation: &Incarnation,
+) -> anyhow::Result<()> {
+    anyhow::ensure!(
+        !headers.contains_key(&names.attempt_id),
+        "the answer echoes the attempt ID of a request"
+    );
+    let answered_by = get_text(headers, &names.target);
+    anyhow::ensure!(
+        answered_by.is_none_or(|id| id == incarnation.id),
+        "another target answers at this address"
+    );
+    Ok(())
+}
--- a/crates/testkit/src/gateway/mod.rs
+++ b/crates/testkit/src/gateway/mod.rs
@@ -12,5 +12,5 @@
 pub use caller::{CallerConnection, Reply};
 pub use config::{CART, write_config, write_path};
 pub use store::{FakeStore, StoreEndpoint, StoreFault};
-pub use target::{FakeTarget, TargetBehavior, TargetEntryValue};
+pub use target::{FakeTarget, LateCopies, TargetBehavior, TargetEntryValue};
 pub use vm::{GatewayVm, make_settings};
--- a/crates/testkit/src/gateway/target.rs
+++ b/crates/testkit/src/gateway/target.rs
@@ -41,6 +41,23 @@
     TruncatedLargeBody,
     /// Runs the request and sends a body without end.
     EndlessBody,
+    /// Runs the request and answers with a refusal that bears no id.
+    UnidentifiedRefusal,
+    /// Runs the request, sends the given number of bytes of the answer's head and closes
+    /// the connection.
+    TruncatedHead(usize),
+}
+
+/// Which answers a target sends once more on their connections, late.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LateCopies {
+    /// None.
+    None,
+    /// A refusal, before the next answer.
+    Refusals,
+    /// The last answer to a request, when a load request arrives, whose answer follows
+    /// some milliseconds later.
+    BeforeLoadAnswers,
 }
 
 /// Fields of a target's entry in the store.
@@ -67,6 +84,7 @@
     /// Header lines that are added to answers of health and load requests.
     health_headers: Mutex<String>,
     health_status: Mutex<u16>,
+    late_copies: Mutex<LateCopies>,
     runs: Mutex<Vec<Run>>,
     /// Ids of the requests that arrived, run or not.
     arrivals: Mutex<Vec<String>>,
@@ -122,6 +140,7 @@
             request_headers: Mutex::new(String::new()),
             health_headers: Mutex::new(String::new()),
             health_status: Mutex::new(200),
+            late_copies: Mutex::new(LateCopies::None),
             runs: Mutex::new(Vec::new()),
             arrivals: Mutex::new(Vec::new()),
             running: AtomicUsize::new(0),
@@ -177,6 +196,11 @@
         *self.shared.health_status.lock() = status;
     }
 
+    /// Sets which answers the target sends once more.
+    pub fn set_late_copies(&self, copies: LateCopies) {
+        *self.shared.late_copies.lock() = copies;
+    }
+
     /// Returns how often the target ran the request with the id.
     pub fn count_runs(&self, id: &str) -> usize {
         let runs = self.shared.runs.lock();
@@ -229,6 +253,17 @@
         runs.iter().map(|run| run.started_at).collect()
     }
 
+    /// Returns the size in bytes of the head of a normal answer to a request with the id.
+    pub fn get_answer_head_size(&self, id: &str) -> usize {
+        let body = format!("done by {}", self.shared.id);
+        let signed = format!(
+            "{}gentianridge-response-signature: {}\r\n",
+            make_echo(&self.shared, id),
+            self.shared.id
+        );
+        reply(200, &signed, &body).len() - body.len()
+    }
+
     /// Returns the ids of the requests that arrived, run or not.
     pub fn get_arrivals(&self) -> Vec<String> {
         self.shared.arrivals.lock().clone()
@@ -277,21 +312,60 @@
 
 async fn serve(stream: TcpStream, shared: Arc<Shared>) {
     let mut messages = MessageStream::new(stream);
+    let mut last = String::new();
     while let Ok(Some(request)) = messages.read().await {
-        if !answer(&mut messages, &request, &shared).await {
+        if !answer(&mut messages, &request, &shared, &mut last).await {
             return;
         }
     }
 }
 
+/// Writes a refusal and keeps it in `last`, if the target sends it once more later.
+async fn refuse(
+    messages: &mut MessageStream,
+    text: String,
+    shared: &Shared,
+    last: &mut String,
+) -> bool {
+    let is_written = messages.write(text.as_bytes()).await.is_ok();
+    if *shared.late_copies.lock() == LateCopies::Refusals {
+        *last = text;
+    }
+    is_written
+}
+
+/// Writes the answer to a load request, after a copy of the last answer if the target sends
+/// one.
+async fn answer_load(
+    messages: &mut MessageStream,
+    text: &str,
+    shared: &Shared,
+    last: &mut String,
+) -> bool {
+    if *shared.late_copies.lock() == LateCopies::BeforeLoadAnswers && !last.is_empty() {
+        let copy = std::mem::take(last);
+        if messages.write(copy.as_bytes()).await.is_err() {
+            return false;
+        }
+        tokio::time::sleep(COPY_LEAD).await;
+    }
+    messages.write(text.as_bytes()).await.is_ok()
+}
+
+/// Time from a copy to the answer to the load request behind it.
+const COPY_LEAD: Duration = Duration::from_millis(20);
+
 /// Handles one request; returns false if the connection has to be closed.
-async fn answer(messages: &mut MessageStream, request: &Message, shared: &Shared) -> bool {
+///
+/// `last` is the last answer on the connection if it is to be sent once more.
+async fn answer(
+    messages: &mut MessageStream,
+    request: &Message,
+    shared: &Shared,
+    last: &mut String,
+) -> bool {
     let id = request.get("gentianridge-attempt-id").unwrap_or_default();
-    let load = format!(
-        "gentianridge-server-load: {},0,3,{}\r\n",
-        shared.running.load(Ordering::Relaxed),
-        *shared.work_percent.lock(),
-    );
+    let load = make_load(shared);
     if request.start_line.starts_with("GET /health ") {
         shared.load_requests.fetch_add(1, Ordering::Relaxed);
         let status = *shared.health_status.lock();
@@ -304,23 +378,24 @@
             ),
             "",
         );
-        return messages.write(text.as_bytes()).await.is_ok();
+        if status != 200 {
+            return refuse(messages, text, shared, last).await;
+        }
+        return answer_load(messages, &text, shared, last).await;
     }
     let expected = request.get("gentianridge-expected-instance");
     if expected.is_some_and(|expected| expected != shared.id) {
-        return messages.write(reply(421, "", "").as_bytes()).await.is_ok();
+        let text = reply(421, &format!("gentianridge-attempt-id: {id}\r\n"), "");
+        return messages.write(text.as_bytes()).await.is_ok();
     }
     shared.arrivals.lock().push(id.to_owned());
     let behavior = *shared.behavior.lock();
-    let echo = format!(
-        "gentianridge-attempt-id: {id}\r\n{load}{}",
-        shared.request_headers.lock()
-    );
+    let echo = make_echo(shared, id);
     let signed = format!("{echo}gentianridge-response-signature: {}\r\n", shared.id);
     match behavior {
         TargetBehavior::NotRun => {
             let text = reply(503, &format!("{echo}gentianridge-not-executed: 1\r\n"), "");
-            return messages.write(text.as_bytes()).await.is_ok();
+            return refuse(messages, text, shared, last).await;
         }
         TargetBehavior::Silent => {
             messages.wait_closed().await;
@@ -366,14 +441,50 @@
                 .await;
             return false;
         }
+        TargetBehavior::UnidentifiedRefusal => {
+            reply(503, &format!("{load}gentianridge-not-executed: 1\r\n"), "")
+        }
+        TargetBehavior::TruncatedHead(bytes) => {
+            let complete = reply(200, &signed, &body);
+            let head = complete.len() - body.len();
+            // The connection closes in any case.
+            let _ = messages
+                .write(&complete.as_bytes()[..bytes.min(head - 1)])
+                .await;
+            return false;
+        }
         TargetBehavior::DuplicateAnswer => reply(200, &signed, &body).repeat(2),
         TargetBehavior::Normal | TargetBehavior::NotRun | TargetBehavior::Silent => {
             reply(200, &signed, &body)
         }
     };
+    let copies = *shared.late_copies.lock();
+    if copies == LateCopies::BeforeLoadAnswers {
+        *last = text.clone();
+        return messages.write(text.as_bytes()).await.is_ok();
+    }
+    let text = std::mem::take(last) + &text;
     messages.write(text.as_bytes()).await.is_ok()
 }
 
+/// Returns the header line that reports the load.
+fn make_load(shared: &Shared) -> String {
+    format!(
+        "gentianridge-server-load: {},0,3,{}\r\n",
+        shared.running.load(Ordering::Relaxed),
+        *shared.work_percent.lock(),
+    )
+}
+
+/// Returns the header lines of an answer to the request with the id.
+fn make_echo(shared: &Shared, id: &str) -> String {
+    format!(
+        "gentianridge-attempt-id: {id}\r\n{}{}",
+        make_load(shared),
+        shared.request_headers.lock()
+    )
+}
+
 /// Runs a request for the work time; returns false if its connection closed meanwhile.
 async fn run(messages: &mut MessageStream, request: &Message, shared: &Shared) -> bool {
     let header = |name: &str| request.get(name).unwrap_or_default().to_owned();
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -15,8 +15,8 @@
 pub use deployment::{Deployment, DeploymentClass, DeploymentService};
 pub use fleet::{FleetOptions, LocalFleet, LocalVm};
 pub use gateway::{
-    CART, CallerConnection, FakeStore, FakeTarget, GatewayVm, Reply, StoreEndpoint, StoreFault,
-    TargetBehavior, TargetEntryValue, make_settings, write_config, write_path,
+    CART, CallerConnection, FakeStore, FakeTarget, GatewayVm, LateCopies, Reply, StoreEndpoint,
+    StoreFault, TargetBehavior, TargetEntryValue, make_settings, write_config, write_path,
 };
 pub use history::{
     History, Leave, RevisionSample, SubmissionResult, Violation, check_history, run_history,
--- a/tests/gateway/answers.rs
+++ b/tests/gateway/answers.rs
@@ -1,7 +1,7 @@
 //! Answers that callers get for each fault of a target.
 
 use crate::test_env::TestEnv;
-use gentianridge_testkit::TargetBehavior;
+use gentianridge_testkit::{LateCopies, TargetBehavior};
 use std::time::Duration;
 
 /// Sets how every target handles requests.
@@ -82,6 +82,7 @@
         TargetBehavior::Unsigned,
         TargetBehavior::TruncatedBody,
         TargetBehavior::PlainRefusal,
+        TargetBehavior::UnidentifiedRefusal,
     ];
     for (index, behavior) in invalid.into_iter().enumerate() {
         set_all(&env, behavior);
@@ -108,6 +109,87 @@
     }
 }
 
+/// Guards against an earlier refusal that a target writes once more on a kept connection:
+/// it would say of a request that runs that it has not run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn repeated_refusal() {
+    let env = TestEnv::start(2).await;
+    for target in &env.targets {
+        target.set_late_copies(LateCopies::Refusals);
+        target.set_health_status(503);
+        target.set_health_headers("gentianridge-not-executed: 1\r\n");
+    }
+    for index in 0..12 {
+        let id = format!("once{index}");
+        let reply = env.request("POST", "/once/x", &id).await;
+        assert!(
+            env.count_runs(&id) <= 1,
+            "{id} ran {} times",
+            env.count_runs(&id)
+        );
+        let has_run = env.count_runs(&id) == 1;
+        assert!(!has_run || reply.status != 503, "{id}: {reply:?}");
+        assert_eq!(
+            reply.status, 200,
+            "the health answers alone harm no request"
+        );
+    }
+    // Refusals of requests.
+    for index in 0..12 {
+        let behavior = match index % 3 {
+            0 => TargetBehavior::NotRun,
+            _ => TargetBehavior::Normal,
+        };
+        set_all(&env, behavior);
+        let id = format!("mixed{index}");
+        let reply = env.request("POST", "/once/x", &id).await;
+        let runs = env.count_runs(&id);
+        assert!(runs <= 1, "{id} ran {runs} times");
+        assert!(runs == 0 || reply.status != 503, "{id}: {reply:?}");
+    }
+}
+
+/// Guards against a late copy of an answer to a request that is taken for the answer to a
+/// load request, so that the answers on the connection are one behind.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn copy_before_load_answer() {
+    let env = TestEnv::start(2).await;
+    for target in &env.targets {
+        target.set_late_copies(LateCopies::BeforeLoadAnswers);
+    }
+    for index in 0..20 {
+        let id = format!("a{index}");
+        let reply = env.request("POST", "/once/x", &id).await;
+        assert_eq!(reply.status, 200, "{reply:?}");
+        assert_eq!(env.count_runs(&id), 1);
+        // The sample of the load gets too old, so that the next request causes another one.
+        tokio::time::sleep(Duration::from_millis(80)).await;
+    }
+}
+
+/// Guards against a target that stops in the middle of its answer's head and closes: no
+/// caller gets a success, empty or short, that looks complete.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn truncated_head() {
+    let env = TestEnv::start(2).await;
+    let mut caller = env.vm.open().await.unwrap();
+    let head = caller.request("GET", "/look/x", "whole").await.unwrap();
+    assert_eq!(head.status, 200);
+    let size = env.targets[0].get_answer_head_size("once100");
+    for bytes in 0..size {
+        set_all(&env, TargetBehavior::TruncatedHead(bytes));
+        let id = format!("once{}", 100 + bytes);
+        let reply = env.request("POST", "/once/x", &id).await;
+        assert!(
+            matches!(reply.status, 502..=504),
+            "{bytes} of {size} bytes: {reply:?}"
+        );
+        assert!(reply.is_complete);
+        assert!(env.count_runs(&id) <= 1);
+        assert!(reply.status != 503 || env.count_runs(&id) == 0);
+    }
+}
+
 /// An idempotent request at a target that accepts it and does not answer is
 /// served by a hedge.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
