fix(caller): once-only requests of an operators' file get connections of their own

Cause: answers of these targets bear nothing that names their request, and the client keeps connections. Evidence: once_only::repeated_refusal, the first confirmation after the refusals ran twice. Ruled out: the ledger (one claim, one call, two attempts). Change: a client that keeps no connection sends requests of kind once; a copy can then only follow the answer that it copies, on a connection that is closed. Cost: one handshake a request.

--- a/crates/daemon/src/caller/call.rs
+++ b/crates/daemon/src/caller/call.rs
@@ -166,6 +166,7 @@
             fleet: cx.fleet.clone(),
             service: cx.service.clone(),
             request: cx.request.clone(),
+            kind: cx.kind,
             attempt: grant.attempt,
             target: grant.target,
             index,
--- a/crates/daemon/src/caller/forward.rs
+++ b/crates/daemon/src/caller/forward.rs
@@ -4,7 +4,7 @@
 use super::incoming::IncomingRequest;
 use crate::fleet::Fleet;
 use crate::service::{ServiceHandle, TargetPool};
-use gentianridge_core::{AttemptKey, EventKind, Outcome, TargetKey};
+use gentianridge_core::{AttemptKey, ClassKind, EventKind, Outcome, TargetKey};
 use http::header;
 use reqwest::{Request, Response, Url};
 use std::sync::Arc;
@@ -26,6 +26,7 @@
     pub(crate) fleet: Arc<Fleet>,
     pub(crate) service: Arc<ServiceHandle>,
     pub(crate) request: Arc<IncomingRequest>,
+    pub(crate) kind: ClassKind,
     pub(crate) attempt: AttemptKey,
     pub(crate) target: TargetKey,
     pub(crate) index: usize,
@@ -55,7 +56,11 @@
     async fn send(&self) -> Result<Response, Outcome> {
         let (pool, request) = self.prepare().ok_or(Outcome::Withdrawn)?;
         let limit = self.deadline.min(self.silence_deadline);
-        let sending = pool.client.execute(request);
+        let client = match self.kind {
+            ClassKind::Once => &self.fleet.once_client,
+            ClassKind::Interactive | ClassKind::Background => &pool.client,
+        };
+        let sending = client.execute(request);
         match tokio::time::timeout_at(limit.into(), sending).await {
             Ok(Ok(response)) => Ok(response),
             Ok(Err(error)) => Err(get_outcome(&error)),
--- a/crates/daemon/src/service/mod.rs
+++ b/crates/daemon/src/service/mod.rs
@@ -7,5 +7,5 @@
 
 pub(crate) use command::Command;
 pub(crate) use handle::{CommandReceiver, ServiceHandle};
-pub(crate) use pools::{TargetPool, TargetPools};
+pub(crate) use pools::{TargetPool, TargetPools, build_once_client};
 pub(crate) use prober::run_prober;
--- a/crates/daemon/src/service/pools.rs
+++ b/crates/daemon/src/service/pools.rs
@@ -85,6 +85,15 @@
     }
 }
 
+/// Builds the client for once-only requests, each of which gets a connection of its own.
+///
+/// A target may write an earlier refusal once more on a kept connection. Its answers bear
+/// nothing that names their request, so that the refusal would be taken for one of the next
+/// request, which would be sent to another target as well.
+pub(crate) fn build_once_client() -> Result<Client, reqwest::Error> {
+    build_client(0)
+}
+
 fn build_client(max_idle: u16) -> Result<Client, reqwest::Error> {
     Client::builder()
         .connect_timeout(CONNECT_TIMEOUT)
--- a/tests/hostile_input.rs
+++ b/tests/hostile_input.rs
@@ -6,7 +6,9 @@
 use rand::{Rng, RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -144,3 +146,59 @@
         );
     }
 }
+
+const TRUNCATED_ANSWER: &[u8] =
+    b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 5\r\n\r\nhello";
+const TRUNCATED_HEAD_SIZE: usize = TRUNCATED_ANSWER.len() - 5;
+
+/// A backend server that sends one byte more of its answer's head to each request, and
+/// closes. Returns its address and the number of requests.
+async fn start_truncating_target() -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a socket");
+    let addr = listener.local_addr().expect("an address");
+    let requests = Arc::new(AtomicUsize::new(0));
+    let counter = requests.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buf = [0; 4096];
+            if stream.read(&mut buf).await.is_ok_and(|size| size > 0) {
+                let size = counter.fetch_add(1, Ordering::Relaxed) % TRUNCATED_HEAD_SIZE;
+                // The connection closes in any case.
+                let _ = stream.write_all(&TRUNCATED_ANSWER[..size]).await;
+            }
+        }
+    });
+    (addr, requests)
+}
+
+/// Guards against a target that stops in the middle of its answer's head and closes: the
+/// caller must not get an answer that looks complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn truncated_head() {
+    let fleet = start_fleet(1).await;
+    let (addr, requests) = start_truncating_target().await;
+    let text = format!(
+        "[fleet]\n[service odd]\npath = /odd\n[class odd.all]\npath = /odd\nkind = interactive\n\
+         deadline = 1s\n[target odd.o]\naddress = {addr}\ndomain = d\nslots = 1\n"
+    );
+    let answer = fleet.submit(&text, None).await.expect("an answer");
+    let in_force = fleet.wait_revision(answer.revision).await;
+    in_force.expect("the revision is in force");
+    let started = Instant::now();
+    let mut index = 0;
+    while requests.load(Ordering::Relaxed) < TRUNCATED_HEAD_SIZE {
+        // Each path is another request, since a request that fails twice is quarantined.
+        let response = get(&fleet, 0, &format!("/odd/{index}")).await;
+        let status = response.status().as_u16();
+        assert!(
+            status >= 400,
+            "answered {status} {:?}",
+            response.bytes().await
+        );
+        index += 1;
+        assert!(
+            started.elapsed() < Duration::from_secs(20),
+            "the target gets too few requests"
+        );
+    }
+}
--- a/tests/once_only.rs
+++ b/tests/once_only.rs
@@ -3,7 +3,12 @@
 mod common;
 
 use common::{build_client, confirm, get_addr, get_code, get_header, start_fleet, wait_for};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn missing_key() {
@@ -209,3 +214,84 @@
     );
     assert_eq!(fleet.runs.count("k1"), 1);
 }
+
+/// Starts a target that refuses its first request. On a connection on which it has refused
+/// one, it writes the refusal once more before its next answer. Returns its address and the
+/// number of requests that it ran.
+async fn start_repeating_target() -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a socket");
+    let addr = listener.local_addr().expect("an address");
+    let runs = Arc::new(AtomicUsize::new(0));
+    let (counter, has_refused) = (runs.clone(), Arc::new(AtomicBool::new(false)));
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve_repeating(
+                stream,
+                counter.clone(),
+                has_refused.clone(),
+            ));
+        }
+    });
+    (addr, runs)
+}
+
+async fn serve_repeating(
+    mut stream: TcpStream,
+    runs: Arc<AtomicUsize>,
+    has_refused: Arc<AtomicBool>,
+) {
+    const REFUSAL: &[u8] =
+        b"HTTP/1.1 503 Full\r\ngentianridge-run: not-run\r\ncontent-length: 0\r\n\r\n";
+    const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone";
+    let mut buf = [0; 4096];
+    let mut copy: &[u8] = b"";
+    while stream.read(&mut buf).await.is_ok_and(|size| size > 0) {
+        let answer = if has_refused.swap(true, Ordering::Relaxed) {
+            runs.fetch_add(1, Ordering::Relaxed);
+            [std::mem::take(&mut copy), ANSWER].concat()
+        } else {
+            copy = REFUSAL;
+            REFUSAL.to_vec()
+        };
+        if stream.write_all(&answer).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Guards against a refusal that a target writes once more on a kept connection: the next
+/// confirmation would be taken for refused and run on a second target.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeated_refusal() {
+    let fleet = start_fleet(1).await;
+    let (first, first_runs) = start_repeating_target().await;
+    let (second, second_runs) = start_repeating_target().await;
+    let text = format!(
+        "[fleet]\n[service odd]\npath = /odd\n[class odd.all]\npath = /odd\nkind = once\n\
+         deadline = 2s\n[target odd.a]\naddress = {first}\ndomain = d\nslots = 1\n\
+         [target odd.b]\naddress = {second}\ndomain = d\nslots = 1\n"
+    );
+    let answer = fleet.submit(&text, None).await.expect("an answer");
+    let in_force = fleet.wait_revision(answer.revision).await;
+    in_force.expect("the revision is in force");
+    let mut answered = 0;
+    for index in 0..4 {
+        let before = first_runs.load(Ordering::Relaxed) + second_runs.load(Ordering::Relaxed);
+        let response = build_client()
+            .post(format!("http://{}/odd", get_addr(&fleet, 0)))
+            .header("idempotency-key", format!("k{index}"))
+            .send()
+            .await
+            .expect("an answer");
+        let after = first_runs.load(Ordering::Relaxed) + second_runs.load(Ordering::Relaxed);
+        assert!(
+            after - before <= 1,
+            "confirmation {index} ran {} times",
+            after - before
+        );
+        let status = response.status().as_u16();
+        assert!(status != 503 || after == before, "confirmation {index} ran");
+        answered += u32::from(status == 200);
+    }
+    assert!(answered >= 3, "{answered} of 4 answered");
+}
