fix(caller): calls that arrive during a stop with an operators' file are answered

Ruled out: the server library, which serves what is in flight until the grace time ends. Change: services refuse calls that cannot be completed (1005), and the deadline of the others ends before the connections do. Calls in flight at the signal are unchanged: `grace` is to exceed the deadlines of the file, as its default of ten minutes does.

Tests: leaving::late_call fails before (connection closed before the answer) and passes now.

--- a/crates/daemon/src/caller/endpoint.rs
+++ b/crates/daemon/src/caller/endpoint.rs
@@ -96,11 +96,16 @@
     let (class, kind, class_deadline, silence) = found.ok_or(ResultCode::NoService)?;
     let timeout = headers::get_timeout(&head.headers)
         .map_or(class_deadline, |timeout| timeout.min(class_deadline));
+    let mut deadline = arrived + timeout;
+    if let Some(stop) = fleet.get_stop() {
+        // The caller gets an answer before its connection is closed.
+        deadline = deadline.min(stop.answer_until);
+    }
     Ok(ResolvedRoute {
         service,
         class,
         kind,
-        deadline: arrived + timeout,
+        deadline,
         silence,
     })
 }
--- a/crates/daemon/src/fleet/shared.rs
+++ b/crates/daemon/src/fleet/shared.rs
@@ -6,7 +6,8 @@
 use gentianridge_config::{Settings, parse_fleet};
 use gentianridge_core::{
     AttemptKey, Clock, EventKind, FleetSpec, LoadReport, Membership, Quarantine, QuarantineChange,
-    RevisionLog, RevisionRecord, RevisionUpdate, TargetKey, TargetNotice, TargetNotices, VmName,
+    RevisionLog, RevisionRecord, RevisionUpdate, StopSchedule, TargetKey, TargetNotice,
+    TargetNotices, VmName,
 };
 use gentianridge_platform::Platform;
 use parking_lot::{Mutex, RwLock};
@@ -14,7 +15,7 @@
 use reqwest::Client;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize};
 use std::time::{Duration, UNIX_EPOCH};
 use tokio::sync::Notify;
 
@@ -60,7 +61,8 @@
     pub(crate) open_claims: AtomicUsize,
     routes: Arc<RwLock<Option<Arc<Routes>>>>,
     revisions: Mutex<RevisionState>,
-    stopping: AtomicBool,
+    /// Schedule of the planned stop, after its signal.
+    stop: Mutex<Option<StopSchedule>>,
 }
 
 #[derive(Debug, Default)]
@@ -95,7 +97,7 @@
             seq: AtomicU64::new(0),
             open_claims: AtomicUsize::new(0),
             revisions: Mutex::new(RevisionState::default()),
-            stopping: AtomicBool::new(false),
+            stop: Mutex::new(None),
             traces: TraceBuffer::new(),
             settings,
             clock,
@@ -195,6 +197,9 @@
             self.clock.clone(),
             self.journal.clone(),
         ));
+        if let Some(stop) = self.get_stop() {
+            handle.stop(stop);
+        }
         tokio::spawn(handle.clone().run_timer());
         handle
     }
@@ -215,14 +220,27 @@
 /// The state of the fleet.
 impl Fleet {
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Acquire)
+        self.get_stop().is_some()
+    }
+
+    /// Returns the schedule of the planned stop, `None` before its signal.
+    pub(crate) fn get_stop(&self) -> Option<StopSchedule> {
+        *self.stop.lock()
     }
 
+    /// Marks this VM as not ready, and limits its calls to the time that is left.
     pub(crate) fn start_stopping(&self) {
-        if !self.stopping.swap(true, Ordering::AcqRel) {
-            self.journal.record(EventKind::VmStopping);
-            self.gossip_wakeup.notify_one();
+        let settings = &self.settings;
+        let time_left = settings.stop_notice + settings.stop_grace;
+        let stop = StopSchedule::new(self.clock.now(), time_left);
+        *self.stop.lock() = Some(stop);
+        if let Some(routes) = self.get_routes() {
+            for service in &routes.services {
+                service.stop(stop);
+            }
         }
+        self.journal.record(EventKind::VmStopping);
+        self.gossip_wakeup.notify_one();
     }
 
     pub(crate) fn is_ready(&self) -> bool {
--- a/crates/testkit/src/fleet/local.rs
+++ b/crates/testkit/src/fleet/local.rs
@@ -29,6 +29,8 @@
     pub seed: u64,
     /// Time at a stop from reporting as not ready to refusing connections.
     pub stop_notice: Duration,
+    /// Longest time for requests in flight at a stop.
+    pub stop_grace: Duration,
     /// Timeout of a store operation.
     pub store_timeout: Duration,
 }
@@ -41,6 +43,7 @@
             vms: 5,
             seed: 1,
             stop_notice: Duration::from_millis(300),
+            stop_grace: Duration::from_secs(60),
             store_timeout: Duration::from_millis(500),
         }
     }
@@ -128,7 +131,7 @@
             .location(self.options.deployment.get_name(), domain)
             .platform(self.platform.get_addr())
             .operator_token(OPERATOR_TOKEN)
-            .stop(self.options.stop_notice, Duration::from_secs(60));
+            .stop(self.options.stop_notice, self.options.stop_grace);
         settings.store_timeout = self.options.store_timeout;
         self.vms.push(LocalVm::start(settings).await?);
         self.update_members();
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -3,7 +3,9 @@
 mod common;
 
 use common::{get, get_addr, start_fleet, wait_for};
-use gentianridge_testkit::{CallOutcome, CallPlan, CallResult, LocalFleet, run_calls};
+use gentianridge_testkit::{
+    CallOutcome, CallPlan, CallResult, Deployment, FleetOptions, LocalFleet, run_calls,
+};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -102,6 +104,34 @@
     }
 }
 
+/// Guards against calls that arrive during a stop, take longer than the time left and are
+/// cut off without an answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_call() {
+    let options = FleetOptions {
+        stop_grace: Duration::from_millis(1_500),
+        ..FleetOptions::new(Deployment::SorteggioNero).vms(1)
+    };
+    let mut fleet = LocalFleet::start_ready(options).await.expect("a fleet");
+    for target in fleet.targets.iter().flatten() {
+        target.get_faults().set_delay(Duration::from_secs(8));
+    }
+    let stopping = get_addr(&fleet, 0);
+    let vm = fleet.vms.remove(0);
+    let stop = tokio::spawn(vm.stop());
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let calls = (0..3).map(|index| {
+        let url = format!("http://{stopping}/past/history?n={index}");
+        tokio::spawn(common::build_client().get(url).send())
+    });
+    for call in calls.collect::<Vec<_>>() {
+        let answer = call.await.expect("the task ends").expect("an answer");
+        let code = common::get_code(&answer);
+        assert!(matches!(code, 1005 | 3002), "{code}");
+    }
+    stop.await.expect("the task ends").expect("the stop ends");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn stop_closes_claims() {
     let mut fleet = start_fleet(2).await;
