refactor(testkit): behaviors of the target stand-in in a file of their own

Ruled out: a change of behavior; the core tests and the lints pass as before. Change: target_behavior.rs; plainer branches; a spare space in the example of Service.

--- a/crates/core/src/service/attempts.rs
+++ b/crates/core/src/service/attempts.rs
@@ -279,10 +279,8 @@
         let call = &mut self.calls[key];
         let margin = self.classes[call.class].get_expected_time();
         if call.useful_until <= now + margin {
-            call.useful_until = match call.is_cut_short() {
-                true => call.deadline.min(call.starts_until + margin),
-                false => call.deadline,
-            };
+            // `starts_until` is the deadline unless the VM stops.
+            call.useful_until = call.deadline.min(call.starts_until + margin);
         }
         self.enqueue(key);
     }
--- a/crates/core/src/service/calls.rs
+++ b/crates/core/src/service/calls.rs
@@ -69,10 +69,11 @@
         if finish <= call.useful_until {
             return None;
         }
-        Some(match call.is_cut_short() {
-            true => ResultCode::Stopping,
-            false => ResultCode::DeadlineUnreachable,
-        })
+        if call.is_cut_short() {
+            Some(ResultCode::Stopping)
+        } else {
+            Some(ResultCode::DeadlineUnreachable)
+        }
     }
 
     /// Estimates the waiting time of a new call of the class from the calls
--- a/crates/core/src/service/machine.rs
+++ b/crates/core/src/service/machine.rs
@@ -24,7 +24,7 @@
 ///
 /// ```
 /// use gentianridge_core::{Arrival, ClassKind, Output, Service};
-/// # use gentianridge_core::{ ClassSpec, MethodSet, RouteMatch, ServiceSpec, TargetSpec};
+/// # use gentianridge_core::{ClassSpec, MethodSet, RouteMatch, ServiceSpec, TargetSpec};
 /// # use std::time::{Duration, Instant};
 /// # let route = RouteMatch { methods: MethodSet::default(), prefix: "/".into() };
 /// # let spec = ServiceSpec {
--- a/crates/core/src/service/stop.rs
+++ b/crates/core/src/service/stop.rs
@@ -45,8 +45,8 @@
     ) -> Option<StopLimit> {
         let stop = self.stop.filter(|stop| stop.work_until < deadline)?;
         let own = deadline.saturating_duration_since(now);
-        // Most runs end within the 99th percentile. A run that does not is aborted, and its
-        // caller does not learn whether it has run.
+        // A run that takes longer than the time left is aborted, and its caller does not
+        // learn whether it ran.
         let run_time = class.answer_times.get_p99().min(own);
         let starts_until = stop.work_until.checked_sub(run_time).unwrap_or(now);
         Some(StopLimit {
--- a/crates/testkit/src/gateway/mod.rs
+++ b/crates/testkit/src/gateway/mod.rs
@@ -7,10 +7,12 @@
 mod http;
 mod store;
 mod target;
+mod target_behavior;
 mod vm;
 
 pub use caller::{CallerConnection, Reply};
 pub use config::{CART, write_config, write_path};
 pub use store::{FakeStore, StoreEndpoint, StoreFault};
-pub use target::{FakeTarget, LateCopies, TargetBehavior, TargetEntryValue};
+pub use target::FakeTarget;
+pub use target_behavior::{LateCopies, TargetBehavior, TargetEntryValue};
 pub use vm::{GatewayVm, make_settings};
