fix(gateway): a closing connection whose answer is still written takes no processor time

Found by reading the change: in a planned stop a connection counts as idle once its answer was made, and has no idle time left, so that its loop ran without a pause while a slow caller read. Cause: the idle timeout was due again at once after the close was requested. Ruled out: a loss of the answer; downloads::slow_reader_in_stop holds before and after. Change: once the close is requested, the loop waits for the connection only.

--- a/crates/daemon/src/gateway/callers.rs
+++ b/crates/daemon/src/gateway/callers.rs
@@ -97,12 +97,17 @@
     tokio::pin!(connection);
     let timer = tokio::time::sleep(Duration::ZERO);
     tokio::pin!(timer);
+    let mut is_closing = false;
     loop {
         let stage = *shutdown.borrow_and_update();
         let event = poll_fn(|cx| {
             if let Poll::Ready(end) = connection.as_mut().poll(cx) {
                 return Poll::Ready(ConnectionEvent::Ended(end));
             }
+            if is_closing {
+                // The rest of the last answer is being written.
+                return Poll::Pending;
+            }
             // The poll may have read the start of a head or ended a request,
             // either of which changes the timeout.
             let now = gateway.clock.now();
@@ -131,8 +136,8 @@
                     return;
                 }
                 ConnectionEvent::TimedOut(TimeoutKind::Idle) => {
-                    activity.end_request(gateway.clock.now());
                     connection.as_mut().graceful_shutdown();
+                    is_closing = true;
                 }
             },
             Ok(()) = shutdown.changed() => {
--- a/tests/gateway/downloads.rs
+++ b/tests/gateway/downloads.rs
@@ -67,3 +67,21 @@
     })
     .await;
 }
+
+/// A caller that reads its answer slowly gets all of it during a planned stop, although its
+/// connection counts as idle once the answer was made.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn slow_reader_in_stop() {
+    let mut env = start(1).await;
+    env.targets[0].set_behavior(TargetBehavior::LargeBody);
+    let mut caller = env.vm.open().await.unwrap();
+    caller.send("GET", "/art/x", "slow", 4_000).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    env.vm.stop();
+    tokio::time::sleep(Duration::from_millis(3_000)).await;
+    let reply = caller.receive().await.unwrap().expect("an answer");
+    assert_eq!(reply.status, 200);
+    assert!(reply.is_complete);
+    assert_eq!(reply.body.len(), FakeTarget::LARGE_BODY);
+    wait_until(Duration::from_secs(3), || async { env.vm.is_finished() }).await;
+}
