refactor(core): a call's own copy decides whether it may be repeated

Cause: retries and hedges looked the kind of a call up in its class each time. The class could not change its kind, but only the table of classes ensured that.

Change: a call keeps the kind with which it was routed, and only that copy decides on retries and hedges.

--- a/crates/core/src/service/attempts.rs
+++ b/crates/core/src/service/attempts.rs
@@ -253,10 +253,7 @@
             self.release(key);
             return true;
         }
-        let kind = self.classes[call.class].spec.kind;
-        let is_safe = !call.may_have_run || kind.is_idempotent();
-        let is_possible = is_safe && call.is_replayable && call.has_attempts_left();
-        if !is_possible || now >= call.starts_until {
+        if !call.is_repeatable() || now >= call.starts_until {
             return false;
         }
         if !self.is_repeat_allowed(now) || !self.retries.try_consume() {
--- a/crates/core/src/service/dispatch.rs
+++ b/crates/core/src/service/dispatch.rs
@@ -2,7 +2,7 @@
 
 use super::answer_times::ratio_of;
 use super::class::HedgeCheck;
-use super::records::{Attempt, Call};
+use super::records::Attempt;
 use super::{AttemptKey, AttemptKind, CallKey, ClassKey, Output, Service, TargetKey};
 use crate::ClassKind;
 use std::time::Instant;
@@ -159,11 +159,10 @@
             self.cancel_late_hedge(now, key, check.attempt, out);
             return;
         }
-        let is_hedge_allowed = self.classes[class].spec.kind == ClassKind::Interactive
-            && self
-                .calls
-                .get(key)
-                .is_some_and(|call| is_hedgeable(call, now))
+        let is_hedge_allowed = self
+            .calls
+            .get(key)
+            .is_some_and(|call| call.is_hedgeable(now))
             && (kind == AttemptKind::Trial || self.hedges.has_token())
             && self.is_repeat_allowed(now);
         if !is_hedge_allowed {
@@ -225,10 +224,3 @@
         self.eject_if_slow(now, target, out);
     }
 }
-
-fn is_hedgeable(call: &Call, now: Instant) -> bool {
-    call.is_replayable
-        && call.count_running() == 1
-        && call.has_attempts_left()
-        && now < call.starts_until
-}
--- a/crates/core/src/service/records.rs
+++ b/crates/core/src/service/records.rs
@@ -2,7 +2,7 @@
 
 use super::stop::StopLimit;
 use super::{Arrival, AttemptKey, AttemptKind, CallKey, ClassKey, TargetKey};
-use crate::ClassSpec;
+use crate::{ClassKind, ClassSpec};
 use std::time::Instant;
 
 /// Attempts that one call may make.
@@ -29,7 +29,12 @@
 /// One call from its arrival until its answer or refusal.
 #[derive(Debug)]
 pub(crate) struct Call {
+    /// Class whose queue and answer times the call uses.
     pub(crate) class: ClassKey,
+    /// Whether the call may run more than once, as stated when it was routed. Repeats are
+    /// decided by this copy alone, so that no change of the classes can turn a once-only
+    /// call into one that is repeated.
+    kind: ClassKind,
     pub(crate) deadline: Instant,
     /// Time until which an answer is useful and the call may stay in the queue.
     pub(crate) useful_until: Instant,
@@ -56,6 +61,7 @@
     ) -> Self {
         Self {
             class,
+            kind: arrival.kind,
             deadline: arrival.deadline,
             useful_until,
             max_attempts: usize::from(max_attempts).min(MAX_ATTEMPTS),
@@ -82,6 +88,21 @@
         self.starts_until < self.deadline
     }
 
+    /// Returns true if the call may be sent again after the attempts made so far.
+    pub(crate) fn is_repeatable(&self) -> bool {
+        let is_safe = !self.may_have_run || self.kind.is_idempotent();
+        is_safe && self.is_replayable && self.has_attempts_left()
+    }
+
+    /// Returns true if the call may run on two targets at the same time.
+    pub(crate) fn is_hedgeable(&self, now: Instant) -> bool {
+        self.kind == ClassKind::Interactive
+            && self.is_replayable
+            && self.count_running() == 1
+            && self.has_attempts_left()
+            && now < self.starts_until
+    }
+
     pub(crate) fn has_tried(&self, target: TargetKey) -> bool {
         self.tried.contains(&Some(target))
     }
