feat: decode workspaces, cold rates and the bounds that go with them

Cause: configurations with workspaces, with rates of cold targets and with emptied failure domains were read as if they had none.

A setting that is still a placeholder counts as not stated, so that a template with new keys works with what renders only the old ones.

--- a/crates/config/src/gateway/parse.rs
+++ b/crates/config/src/gateway/parse.rs
@@ -5,11 +5,22 @@
 use crate::reader::{SectionReader, read_sections};
 use crate::settings::read_log;
 use crate::{FaultReport, parse_fractional_duration};
+use gentianridge_core::RequestBound;
 use std::net::SocketAddr;
 use std::num::NonZeroU16;
 use std::time::Duration;
 
-const SECTIONS: [&str; 7] = ["vm", "listen", "store", "fleet", "bounds", "repeats", "log"];
+const SECTIONS: [&str; 9] = [
+    "vm",
+    "listen",
+    "store",
+    "fleet",
+    "bounds",
+    "repeats",
+    "workspaces",
+    "cold",
+    "log",
+];
 
 /// Parses the settings of a daemon on the platform.
 ///
@@ -57,6 +68,7 @@
             read_duration(reader, "drain", &mut settings.drain);
             read_duration(reader, "apply", &mut settings.apply);
             read_duration(reader, "grace", &mut settings.grace);
+            read_duration(reader, "evacuate", &mut settings.evacuate);
             read_count(reader, "probes", &mut settings.probes_per_target);
         }
         "repeats" => {
@@ -66,10 +78,30 @@
             let ratio = reader.optional_non_empty("ratio", "a fraction such as 0.2", parse_ratio);
             repeats.percent = ratio.unwrap_or(repeats.percent);
         }
+        "workspaces" => read_workspaces(reader, settings),
+        "cold" => read_bound(reader, &mut settings.cold_bound),
         _ => (settings.log_level, settings.log_format) = read_log(reader),
     }
 }
 
+/// Reads the bounds on keys and limits of workspaces. Without `strict`, withdrawn keys have
+/// the bound of any other change of the configuration.
+fn read_workspaces(reader: &mut SectionReader<'_>, settings: &mut GatewaySettings) {
+    let strict = reader.optional_non_empty("strict", "true or false", |text| text.parse().ok());
+    let expected = "a duration such as 250ms or 2.5s";
+    let revoke = reader.optional_non_empty("revoke", expected, parse_fractional_duration);
+    settings.revoke = revoke.filter(|_| strict == Some(true));
+    read_duration(reader, "window", &mut settings.limit_window);
+    read_bound(reader, &mut settings.limit_bound);
+}
+
+fn read_bound(reader: &mut SectionReader<'_>, bound: &mut RequestBound) {
+    let expected = "a fraction such as 0.2";
+    let excess = reader.optional_non_empty("excess", expected, parse_ratio);
+    bound.excess_percent = excess.unwrap_or(bound.excess_percent);
+    read_count(reader, "slack", &mut bound.slack);
+}
+
 /// Reads how to find other VMs. `seed_port` replaces the ports of the seeds, if a
 /// platform lists the VMs with another port than the one for messages of peers.
 fn read_fleet(reader: &mut SectionReader<'_>, settings: &mut GatewaySettings) {
--- a/crates/config/src/gateway/values.rs
+++ b/crates/config/src/gateway/values.rs
@@ -1,7 +1,7 @@
 //! The values of the settings.
 
 use crate::LogFormat;
-use gentianridge_core::{DomainName, RepeatLimit, VmName};
+use gentianridge_core::{DomainName, RepeatLimit, RequestBound, VmName};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -38,6 +38,17 @@
     pub grace: Duration,
     /// Limit on repeated attempts of each service, over the fleet.
     pub repeats: RepeatLimit,
+    /// Time after which an emptied failure domain must receive no more requests.
+    pub evacuate: Duration,
+    /// Time after which a withdrawn key must be refused by every VM, also by one that
+    /// reaches neither the store nor its peers. `None` if no such bound is in force.
+    pub revoke: Option<Duration>,
+    /// Window over which the limits of workspaces are counted.
+    pub limit_window: Duration,
+    /// Tolerance of the limits of workspaces.
+    pub limit_bound: RequestBound,
+    /// Tolerance of the rate at which cold targets receive requests.
+    pub cold_bound: RequestBound,
     /// Maximum load requests per second to each target, over the fleet.
     pub probes_per_target: u16,
     /// Lowest level of log lines: error, warn, info, debug or trace.
@@ -61,6 +72,11 @@
         extra: 0,
     };
 
+    /// Default of `evacuate`.
+    const EVACUATE: Duration = Duration::from_secs(5);
+    /// Default of `limit_window`.
+    const LIMIT_WINDOW: Duration = Duration::from_secs(5);
+
     /// Returns the listen addresses, which cannot change while the process runs.
     pub fn get_listen_addrs(&self) -> [Option<SocketAddr>; 4] {
         [
@@ -93,6 +109,11 @@
             apply: Self::APPLY,
             grace: Self::GRACE,
             repeats: Self::REPEATS,
+            evacuate: Self::EVACUATE,
+            revoke: None,
+            limit_window: Self::LIMIT_WINDOW,
+            limit_bound: RequestBound::EXACT,
+            cold_bound: RequestBound::EXACT,
             probes_per_target: 0,
             log_level: "info".into(),
             log_format: LogFormat::Text,
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -15,6 +15,9 @@
 }
 
 impl<'a> SectionReader<'a> {
+    /// Start of a value that the platform did not fill in.
+    const PLACEHOLDER: &'static str = "{{";
+
     pub(crate) fn new(section: &'a Section, faults: &'a mut Vec<Fault>) -> Self {
         Self {
             section,
@@ -177,9 +180,11 @@
         parsed
     }
 
-    /// Reads an optional value; an empty value counts as missing.
+    /// Reads an optional value; an empty value counts as missing, and so does a
+    /// placeholder.
     ///
-    /// The platform fills in a template and leaves the values that it lacks empty.
+    /// The platform fills in a template and leaves the values that it lacks empty. What
+    /// renders only some values leaves the placeholders of the others.
     pub(crate) fn optional_non_empty<T>(
         &mut self,
         key: &'static str,
@@ -187,7 +192,7 @@
         parse: impl Fn(&str) -> Option<T>,
     ) -> Option<T> {
         let entry = self.find(key)?;
-        if entry.value.is_empty() {
+        if entry.value.is_empty() || entry.value.starts_with(Self::PLACEHOLDER) {
             return None;
         }
         self.optional(key, expected, parse)
--- a/crates/core/benches/decision.rs
+++ b/crates/core/benches/decision.rs
@@ -86,6 +86,7 @@
             kind: ClassKind::Interactive,
             deadline: self.now + Duration::from_secs(3600),
             is_replayable: true,
+            workspace: None,
         };
         self.service.arrive(self.now, arrival, &mut self.outputs);
         self.collect_outputs();
--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -75,6 +75,14 @@
     CallerGone = 1006, 499, Unknown, "the caller has gone";
     /// The request body exceeds the limit of the configuration.
     TooLarge = 1007, 413, NotRun, "the request body is too large";
+    /// The request needs a key, and carries none that the configuration names.
+    UnknownKey = 1008, 401, NotRun, "the key is missing or unknown";
+    /// The configuration of this VM is so old that the key may have been withdrawn since.
+    KeyUnproven = 1009, 503, NotRun, "this VM cannot prove that the key is in force";
+    /// The workspace has sent more requests than its limit admits.
+    LimitReached = 1010, 429, NotRun, "the workspace has reached its limit";
+    /// The memory for requests is in use.
+    MemoryFull = 1011, 503, NotRun, "this VM has no memory left for the request";
     /// The queue of the class is full.
     QueueFull = 2001, 503, NotRun, "the queue of this class is full";
     /// The wait would exceed the deadline of the call.
@@ -89,6 +97,10 @@
     CrashesTargets = 2006, 503, NotRun, "this request crashed targets and is not run again for now";
     /// All targets of the service requested a pause that is too long for the call.
     TargetsPaused = 2007, 503, NotRun, "all targets of the service requested a pause";
+    /// Requests that cost callers more to turn away took the place of this one.
+    GaveWay = 2008, 503, NotRun, "the request gave way to more urgent ones";
+    /// Operators have emptied the failure domains of all targets of the service.
+    DomainsEmptied = 2009, 503, NotRun, "the failure domains of all targets are emptied";
     /// The attempt failed after dispatch and no retry was possible.
     AttemptFailed = 3001, 502, Unknown, "the attempt failed after it was dispatched";
     /// The target did not answer before the deadline.
@@ -129,6 +141,6 @@
 
     /// Returns true if the call may be sent again unchanged after a pause.
     pub fn is_retryable(self) -> bool {
-        self.run_state() == RunState::NotRun && self.http_status() == 503
+        self.run_state() == RunState::NotRun && matches!(self.http_status(), 429 | 503)
     }
 }
--- a/crates/core/src/discovery/mod.rs
+++ b/crates/core/src/discovery/mod.rs
@@ -4,6 +4,7 @@
 
 mod directory;
 mod entry;
+mod evacuations;
 mod leaving;
 mod list;
 mod paused;
@@ -14,6 +15,7 @@
 
 pub use directory::Directory;
 pub use entry::{Incarnation, TargetEntry};
+pub use evacuations::Evacuations;
 pub use leaving::LeavingTargets;
 pub use list::{AppliedRead, SendCheck, TargetList};
 pub use paused::PausedTargets;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,13 +19,14 @@
 mod service;
 mod spec;
 mod stop_schedule;
+mod workspace;
 
 pub use clock::{Clock, HybridClock, HybridTime};
 pub use code::{ResultCode, RunState};
 pub use discovery::{
-    AppliedRead, Directory, Incarnation, LeavingTargets, PausedTargets, ReadTurn, RefreshTimer,
-    SendCheck, TargetEntry, TargetList, TargetListRead, TargetListUpdate, UpdateContent, UpdateLog,
-    UpdateOutcome,
+    AppliedRead, Directory, Evacuations, Incarnation, LeavingTargets, PausedTargets, ReadTurn,
+    RefreshTimer, SendCheck, TargetEntry, TargetList, TargetListRead, TargetListUpdate,
+    UpdateContent, UpdateLog, UpdateOutcome,
 };
 pub use event::{Event, EventKind, EventRing};
 pub use ledger::{
@@ -43,14 +44,16 @@
     Verdict,
 };
 pub use routes::{
-    CallerLimits, HostRoutes, Route, RouteKey, RouteTable, RoutedService, Split, SplitPart,
+    CallerLimits, ColdRate, HostRoutes, Route, RouteKey, RouteTable, RoutedService, Split,
+    SplitPart,
 };
 pub use service::{
     Arrival, AttemptKey, AttemptKind, CallKey, ClassKey, Counters, LoadReport, Outcome, Output,
     PlacementInputs, Service, TargetCondition, TargetKey, TargetStatus,
 };
 pub use spec::{
-    ClassKind, ClassSpec, DomainName, FleetSpec, MethodSet, Note, RepeatLimit, RouteMatch,
-    Sampling, ServiceSpec, TargetSpec, VmName,
+    ClassKind, ClassSpec, DomainName, FleetSpec, MethodSet, Note, RepeatLimit, RequestBound,
+    RouteMatch, Sampling, ServiceSpec, TargetSpec, VmName,
 };
 pub use stop_schedule::StopSchedule;
+pub use workspace::{ConfigProof, RateLimit, WorkspaceKey, WorkspaceSpec, WorkspaceTable};
--- a/crates/core/src/routes/mod.rs
+++ b/crates/core/src/routes/mod.rs
@@ -6,6 +6,6 @@
 mod split;
 mod table;
 
-pub use route::{CallerLimits, HostRoutes, Route, RoutedService};
+pub use route::{CallerLimits, ColdRate, HostRoutes, Route, RoutedService};
 pub use split::{Split, SplitPart};
 pub use table::{RouteKey, RouteTable};
--- a/crates/core/src/routes/route.rs
+++ b/crates/core/src/routes/route.rs
@@ -24,6 +24,8 @@
     pub max_attempts: u8,
     /// Services that share the requests.
     pub split: Split,
+    /// True if requests need no key where the configuration has workspaces.
+    pub is_public: bool,
 }
 
 impl Route {
@@ -75,7 +77,7 @@
 }
 
 /// A service that routes refer to.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct RoutedService {
     /// Name that targets and routes use.
     pub name: SmolStr,
@@ -83,6 +85,17 @@
     pub health_path: SmolStr,
     /// Connections that a target accepts from all callers together.
     pub max_connections: u16,
+    /// What a target bears just after its start, if the service has such a limit.
+    pub cold: Option<ColdRate>,
+}
+
+/// Requests that a cold target bears; well above that rate it crashes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdRate {
+    /// Time for which a target is cold after its start.
+    pub warm_up: Duration,
+    /// Requests a second that one cold target bears, over the whole fleet.
+    pub per_second: f64,
 }
 
 /// What a caller may send, and how long it may take.
--- a/crates/core/src/routes/table.rs
+++ b/crates/core/src/routes/table.rs
@@ -1,7 +1,7 @@
 //! All routes of one configuration.
 
 use super::{CallerLimits, HostRoutes, Route, RoutedService};
-use crate::ClassSpec;
+use crate::{ClassSpec, WorkspaceTable};
 use smol_str::SmolStr;
 
 /// A configuration as it is in force: routes by host, services and limits.
@@ -13,12 +13,13 @@
 /// assert_eq!(table.get_version(), 7);
 /// assert!(table.find("shop.example", "/cart/1").is_none());
 /// ```
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct RouteTable {
     version: u64,
     hosts: Vec<HostEntry>,
     services: Vec<RoutedService>,
     limits: CallerLimits,
+    workspaces: Option<WorkspaceTable>,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -57,9 +58,22 @@
             hosts,
             services,
             limits,
+            workspaces: None,
         }
     }
 
+    /// Adds the workspaces whose keys requests need.
+    pub fn with_workspaces(mut self, workspaces: WorkspaceTable) -> Self {
+        self.workspaces = Some(workspaces);
+        self
+    }
+
+    /// Returns the workspaces, `None` if the configuration has none and requests need no
+    /// key.
+    pub fn get_workspaces(&self) -> Option<&WorkspaceTable> {
+        self.workspaces.as_ref()
+    }
+
     /// Returns the version of the configuration.
     pub fn get_version(&self) -> u64 {
         self.version
--- a/crates/core/src/service/input.rs
+++ b/crates/core/src/service/input.rs
@@ -1,7 +1,7 @@
 //! Inputs of a service.
 
 use super::ClassKey;
-use crate::ClassKind;
+use crate::{ClassKind, WorkspaceKey};
 use std::time::Instant;
 
 /// A new call of a caller.
@@ -16,6 +16,8 @@
     pub deadline: Instant,
     /// False if the request body cannot be sent a second time.
     pub is_replayable: bool,
+    /// Workspace of the caller, if the configuration has workspaces.
+    pub workspace: Option<WorkspaceKey>,
 }
 
 /// How an attempt without an answer to forward ended.
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -229,6 +229,7 @@
             kind,
             deadline: self.now + Duration::from_millis(millis),
             is_replayable: true,
+            workspace: None,
         };
         let call = self.service.arrive(self.now, arrival, &mut self.outputs);
         self.collect_outputs();
--- a/crates/core/tests/no_allocation.rs
+++ b/crates/core/tests/no_allocation.rs
@@ -20,6 +20,7 @@
             kind: ClassKind::Interactive,
             deadline: now + Duration::from_secs(1),
             is_replayable: true,
+            workspace: None,
         };
         service.arrive(now, arrival, &mut outputs);
         for output in outputs.drain(..) {
--- a/crates/core/tests/routes.rs
+++ b/crates/core/tests/routes.rs
@@ -20,6 +20,7 @@
         priority: 2,
         max_attempts: 2,
         split: Split::new(parts.collect()),
+        is_public: false,
     }
 }
 
@@ -32,6 +33,7 @@
         name: "cart".into(),
         health_path: "/health".into(),
         max_connections: 220,
+        cold: None,
     };
     RouteTable::new(3, vec![host], vec![service], CallerLimits::default())
 }
--- a/crates/daemon/src/caller/call.rs
+++ b/crates/daemon/src/caller/call.rs
@@ -84,6 +84,7 @@
             kind: cx.kind,
             deadline: cx.deadline,
             is_replayable: cx.request.is_replayable(),
+            workspace: None,
         };
         let (key, rx) = cx.service.arrive(arrival);
         Self {
--- a/crates/daemon/src/gateway/call.rs
+++ b/crates/daemon/src/gateway/call.rs
@@ -10,6 +10,7 @@
 use futures_util::{FutureExt, StreamExt};
 use gentianridge_core::{
     Arrival, AttemptKey, AttemptKind, CallKey, ClassKey, ClassKind, ResultCode, TargetKey,
+    WorkspaceKey,
 };
 use smol_str::SmolStr;
 use std::rc::Rc;
@@ -27,6 +28,8 @@
     pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
     pub(crate) objective: Duration,
+    /// Workspace of the caller, if the configuration has workspaces.
+    pub(crate) workspace: Option<WorkspaceKey>,
     pub(crate) request: Rc<CallerRequest>,
     /// Cancelled when the caller closes the connection.
     pub(crate) caller_gone: CancellationToken,
@@ -77,6 +80,7 @@
             kind: cx.kind,
             deadline: cx.deadline,
             is_replayable: true,
+            workspace: cx.workspace,
         };
         let (key, rx) = cx.service.arrive(arrival);
         Self {
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -6,7 +6,7 @@
 use super::routing::RouteDecision;
 use super::state::Gateway;
 use crate::caller::headers::get_text;
-use gentianridge_core::{ClassKind, ResultCode};
+use gentianridge_core::{ClassKind, ResultCode, WorkspaceKey};
 use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
 use rand::RngExt;
@@ -112,6 +112,10 @@
         arrived,
         deadline: arrived + time_left.min(decision.timeout),
         objective: decision.objective,
+        workspace: decision
+            .workspace
+            .as_ref()
+            .map(|workspace| WorkspaceKey::from_name(&workspace.name)),
         request: Rc::new(request),
         caller_gone: CancellationToken::new(),
     }
--- a/crates/daemon/src/gateway/peers/gossip.rs
+++ b/crates/daemon/src/gateway/peers/gossip.rs
@@ -205,6 +205,8 @@
         list: None,
         leaving: Vec::new(),
         paused: Vec::new(),
+        evacuations: None,
+        proof: None,
         peers,
         summaries,
     }
--- a/crates/daemon/src/gateway/routing.rs
+++ b/crates/daemon/src/gateway/routing.rs
@@ -2,7 +2,9 @@
 
 use super::state::Gateway;
 use crate::service::ServiceHandle;
-use gentianridge_core::{CallerLimits, ClassKey, ClassKind, EventKind, ResultCode, RouteTable};
+use gentianridge_core::{
+    CallerLimits, ClassKey, ClassKind, EventKind, ResultCode, RouteTable, WorkspaceSpec,
+};
 use http::{Request, header};
 use rand::RngExt;
 use smol_str::SmolStr;
@@ -21,6 +23,8 @@
     pub(crate) kind: ClassKind,
     pub(crate) timeout: Duration,
     pub(crate) objective: Duration,
+    /// Workspace of the caller, if the configuration has workspaces.
+    pub(crate) workspace: Option<Arc<WorkspaceSpec>>,
 }
 
 /// Routes in force.
@@ -72,6 +76,7 @@
             kind: route.kind,
             timeout: route.timeout,
             objective: route.objective,
+            workspace: None,
         })
     }
 
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -6,8 +6,8 @@
 use crate::message::{CrashMessage, PeerViewMessage};
 use crate::{WireError, WireErrorKind};
 use gentianridge_core::{
-    CrashRecord, HeartbeatSummary, Incarnation, PeerView, TargetEntry, TargetListUpdate,
-    UpdateContent,
+    ConfigProof, CrashRecord, Evacuations, HeartbeatSummary, Incarnation, PeerView, TargetEntry,
+    TargetListUpdate, UpdateContent,
 };
 use prost::Message;
 use smol_str::SmolStr;
@@ -39,6 +39,10 @@
     pub leaving: Vec<u64>,
     /// Digests of incarnations that requested a pause from the sender, newest first.
     pub paused: Vec<u64>,
+    /// Failure domains that operators have emptied, if any ever was.
+    pub evacuations: Option<Evacuations>,
+    /// Newest proof of the configuration that the sender has, if keys need one.
+    pub proof: Option<ConfigProof>,
     /// Views of other VMs.
     pub peers: Vec<PeerView>,
     /// Summaries of recent heartbeats of further VMs.
@@ -118,6 +122,26 @@
     leaving: Vec<u64>,
     #[prost(fixed64, repeated, tag = "11")]
     paused: Vec<u64>,
+    #[prost(message, optional, tag = "12")]
+    evacuations: Option<EncodedEvacuations>,
+    #[prost(message, optional, tag = "13")]
+    proof: Option<EncodedProof>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct EncodedEvacuations {
+    #[prost(uint64, tag = "1")]
+    version: u64,
+    #[prost(string, repeated, tag = "2")]
+    domains: Vec<String>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct EncodedProof {
+    #[prost(uint64, tag = "1")]
+    revision: u64,
+    #[prost(uint32, tag = "2")]
+    age_ms: u32,
 }
 
 impl PeerDatagram {
@@ -138,6 +162,8 @@
             summary_seqs: self.summaries.iter().map(|summary| summary.seq).collect(),
             leaving: self.leaving.clone(),
             paused: self.paused.clone(),
+            evacuations: self.evacuations.as_ref().map(encode_evacuations),
+            proof: self.proof.map(encode_proof),
         };
         encoded.encode_to_vec()
     }
@@ -168,6 +194,8 @@
             list: encoded.list.map(decode_list).transpose()?,
             leaving: encoded.leaving,
             paused: encoded.paused,
+            evacuations: encoded.evacuations.map(decode_evacuations),
+            proof: encoded.proof.as_ref().map(decode_proof),
             peers: peers.collect::<Result<_, _>>()?,
             summaries: summaries
                 .map(|(&peer, &seq)| HeartbeatSummary { peer, seq })
@@ -176,6 +204,39 @@
     }
 }
 
+pub(crate) fn encode_evacuations(evacuations: &Evacuations) -> EncodedEvacuations {
+    let domains = evacuations.domains.iter().map(SmolStr::to_string);
+    EncodedEvacuations {
+        version: evacuations.version,
+        domains: domains.collect(),
+    }
+}
+
+pub(crate) fn decode_evacuations(encoded: EncodedEvacuations) -> Evacuations {
+    let mut domains: Vec<SmolStr> = encoded.domains.into_iter().map(SmolStr::from).collect();
+    domains.sort();
+    domains.dedup();
+    Evacuations {
+        version: encoded.version,
+        domains,
+    }
+}
+
+/// Rounds the age up, so that no proof looks more recent than it is.
+pub(crate) fn encode_proof(proof: ConfigProof) -> EncodedProof {
+    EncodedProof {
+        revision: proof.revision,
+        age_ms: u32::try_from(proof.age.as_micros().div_ceil(1_000)).unwrap_or(u32::MAX),
+    }
+}
+
+pub(crate) fn decode_proof(encoded: &EncodedProof) -> ConfigProof {
+    ConfigProof {
+        revision: encoded.revision,
+        age: Duration::from_millis(u64::from(encoded.age_ms)),
+    }
+}
+
 pub(crate) fn encode_list(list: &TargetListUpdate) -> EncodedList {
     let mut names = Vec::new();
     let entries = list.entries.iter();
--- a/crates/wire/src/state.rs
+++ b/crates/wire/src/state.rs
@@ -1,10 +1,13 @@
 //! Requests for the state of a peer, on a connection.
 
 use crate::convert::{decode_peer, encode_peer, malformed};
-use crate::datagram::{EncodedList, decode_list, encode_list};
+use crate::datagram::{
+    EncodedEvacuations, EncodedList, EncodedProof, decode_evacuations, decode_list, decode_proof,
+    encode_evacuations, encode_list, encode_proof,
+};
 use crate::message::PeerViewMessage;
 use crate::{WireError, WireErrorKind};
-use gentianridge_core::{PeerView, TargetListUpdate, VmName};
+use gentianridge_core::{ConfigProof, Evacuations, PeerView, TargetListUpdate, VmName};
 use prost::Message;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -44,6 +47,10 @@
     pub list: Option<TargetListUpdate>,
     /// The VMs in the membership of the peer.
     pub peers: Vec<PeerView>,
+    /// Failure domains that operators have emptied, if any ever was.
+    pub evacuations: Option<Evacuations>,
+    /// Newest proof of the configuration, if keys need one.
+    pub proof: Option<ConfigProof>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -82,6 +89,10 @@
     list: Option<EncodedList>,
     #[prost(message, repeated, tag = "4")]
     peers: Vec<PeerViewMessage>,
+    #[prost(message, optional, tag = "5")]
+    evacuations: Option<EncodedEvacuations>,
+    #[prost(message, optional, tag = "6")]
+    proof: Option<EncodedProof>,
 }
 
 impl StateRequest {
@@ -137,6 +148,8 @@
             config,
             list: self.list.as_ref().map(encode_list),
             peers: self.peers.iter().map(encode_peer).collect(),
+            evacuations: self.evacuations.as_ref().map(encode_evacuations),
+            proof: self.proof.map(encode_proof),
         };
         encoded.encode_to_vec()
     }
@@ -155,6 +168,8 @@
             config: encoded.config.map(decode_config).transpose()?,
             list: encoded.list.map(decode_list).transpose()?,
             peers: peers.collect::<Result<_, _>>()?,
+            evacuations: encoded.evacuations.map(decode_evacuations),
+            proof: encoded.proof.as_ref().map(decode_proof),
         })
     }
 }
--- a/crates/wire/tests/datagrams.rs
+++ b/crates/wire/tests/datagrams.rs
@@ -1,8 +1,8 @@
 //! Encoding of datagrams between VMs.
 
 use gentianridge_core::{
-    CrashRecord, GossipState, HeartbeatSummary, Incarnation, PeerView, TargetEntry,
-    TargetListUpdate, UpdateContent,
+    ConfigProof, CrashRecord, Evacuations, GossipState, HeartbeatSummary, Incarnation, PeerView,
+    TargetEntry, TargetListUpdate, UpdateContent,
 };
 use gentianridge_wire::PeerDatagram;
 use proptest::prelude::*;
@@ -38,7 +38,7 @@
         prop::option::of(any_list()),
         prop::collection::vec(any_peer(), 0..5),
         prop::collection::vec(any::<(u32, u64)>(), 0..30),
-        any::<(Vec<u64>, Vec<u64>)>(),
+        any::<(Vec<u64>, Vec<u64>, Option<u64>, Option<(u64, u32)>)>(),
     )
         .prop_map(
             |(me, (is_hello, newest_revision), crashes, list, peers, summaries, notices)| {
@@ -53,6 +53,14 @@
                     list,
                     leaving: notices.0,
                     paused: notices.1,
+                    evacuations: notices.2.map(|version| Evacuations {
+                        version,
+                        domains: vec!["a".into(), "b".into()],
+                    }),
+                    proof: notices.3.map(|(revision, age_ms)| ConfigProof {
+                        revision,
+                        age: Duration::from_millis(u64::from(age_ms)),
+                    }),
                     peers,
                     summaries: summaries
                         .into_iter()
@@ -155,6 +163,8 @@
         list: Some(TargetListUpdate::default()),
         leaving: Vec::new(),
         paused: Vec::new(),
+        evacuations: None,
+        proof: None,
         peers: (1..=GossipState::PEER_VIEWS as u16).map(view).collect(),
         summaries: (0..GossipState::SUMMARIES as u32)
             .map(|peer| HeartbeatSummary { peer, seq: 100_000 })
--- a/crates/wire/tests/messages.rs
+++ b/crates/wire/tests/messages.rs
@@ -119,9 +119,10 @@
 /// bytes.
 mod state {
     use super::make_peer;
-    use gentianridge_core::{TargetListUpdate, UpdateContent};
+    use gentianridge_core::{ConfigProof, Evacuations, TargetListUpdate, UpdateContent};
     use gentianridge_wire::{ConfigState, StateReply, StateRequest};
     use proptest::prelude::*;
+    use std::time::Duration;
 
     fn any_request() -> impl Strategy<Value = StateRequest> {
         (
@@ -146,8 +147,17 @@
             prop::option::of(any::<(u64, Vec<u8>)>()),
             prop::option::of(any::<(u64, u64)>()),
             0usize..3,
+            prop::option::of((any::<u64>(), any::<u32>())),
         )
-            .prop_map(|(config, list, peers)| StateReply {
+            .prop_map(|(config, list, peers, fact)| StateReply {
+                evacuations: fact.map(|(version, _)| Evacuations {
+                    version,
+                    domains: vec!["a".into(), "b".into()],
+                }),
+                proof: fact.map(|(revision, age_ms)| ConfigProof {
+                    revision,
+                    age: Duration::from_millis(u64::from(age_ms)),
+                }),
                 config: config.map(|(revision, value)| ConfigState { revision, value }),
                 list: list.map(|(version, digest)| TargetListUpdate {
                     version,
--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -98,6 +98,7 @@
                 kind,
                 deadline: now + Duration::from_secs(60),
                 is_replayable: true,
+                workspace: None,
             };
             service.arrive(now, arrival, &mut out);
             out.clear();
@@ -150,6 +151,7 @@
             kind,
             deadline: now + Duration::from_secs(1),
             is_replayable: true,
+            workspace: None,
         };
         service.arrive(now, arrival, &mut out);
         for output in out.drain(..) {
--- a/examples/measure/calls.rs
+++ b/examples/measure/calls.rs
@@ -60,6 +60,7 @@
             kind,
             deadline: now + deadline,
             is_replayable: true,
+            workspace: None,
         };
         let mut out = std::mem::take(&mut self.out);
         let key = self.vms[vm].service.arrive(now, arrival, &mut out);
--- a/tests/gateway/peer_state.rs
+++ b/tests/gateway/peer_state.rs
@@ -230,6 +230,8 @@
         list,
         leaving: Vec::new(),
         paused: Vec::new(),
+        evacuations: None,
+        proof: None,
         peers: Vec::new(),
         summaries: Vec::new(),
     }
--- a/tests/gateway/peers.rs
+++ b/tests/gateway/peers.rs
@@ -187,6 +187,8 @@
         list: None,
         leaving: Vec::new(),
         paused: Vec::new(),
+        evacuations: None,
+        proof: None,
         peers: Vec::new(),
         summaries: Vec::new(),
     };
