--- a/crates/core/src/service/machine.rs
+++ b/crates/core/src/service/machine.rs
@@ -46,6 +46,7 @@
 ///     kind: ClassKind::Interactive,
 ///     deadline: now + Duration::from_secs(1),
 ///     is_replayable: true,
+///     workspace: None,
 /// };
 /// let call = service.arrive(now, arrival, &mut out);
 /// assert!(matches!(out[0], Output::Dispatch { call: sent, .. } if sent == call));
