feat(core): limits of workspaces over the fleet

Cause: rate and burst of a workspace were decoded and not kept.

Change: each limit is divided among a few holders by hash, whose buckets fill at constant rates; other VMs ask these for whole tokens, which are void a short time after the ask. A message of its own carries asks and grants. A model of the fleet with loss, delay, repeated messages, partitions, pauses, restarts, joins and lowered limits checks every window.

--- /dev/null
+++ b/crates/core/tests/limits_model/mod.rs
@@ -0,0 +1,462 @@
+//! A fleet that shares limits, on a virtual clock: links that lose, delay and repeat
+//! messages, VMs that pause and restart, partitions, and changes of members and limits.
+
+use gentianridge_core::{
+    Admission, FleetLimits, LimitMember, LimitMessage, RateLimit, RequestBound, WorkspaceKey,
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Window over which requests are counted.
+pub(crate) const WINDOW: Duration = Duration::from_secs(5);
+/// Tolerance of the limits.
+pub(crate) const BOUND: RequestBound = RequestBound {
+    excess_percent: 10,
+    slack: 20,
+};
+/// Time between two lists of the known VMs.
+const LIST_PERIOD: Duration = Duration::from_millis(300);
+/// Failure domains of the fleet.
+const DOMAINS: usize = 3;
+
+/// A guard that the model leaves out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Mutant {
+    /// The product as it is.
+    None,
+    /// A process that has just started assumes that no token was spent before.
+    FullAtStart,
+    /// VMs that are out of reach are forgotten at once.
+    ForgetsSilent,
+    /// The clock stands still while a VM is paused.
+    ClockStops,
+    /// A repeated reply counts as the reply to a later ask.
+    RepeatsCount,
+    /// Limits are divided before the other VMs are known.
+    AssumesAlone,
+}
+
+/// How links behave.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Links {
+    pub(crate) lost: f64,
+    pub(crate) repeated: f64,
+    pub(crate) min_delay: Duration,
+    pub(crate) max_delay: Duration,
+}
+
+impl Links {
+    /// Links within a region.
+    pub(crate) const CALM: Self = Self {
+        lost: 0.0,
+        repeated: 0.0,
+        min_delay: Duration::from_micros(500),
+        max_delay: Duration::from_millis(3),
+    };
+}
+
+/// A workspace and what it asked for.
+#[derive(Debug)]
+pub(crate) struct Workspace {
+    pub(crate) key: WorkspaceKey,
+    pub(crate) limit: RateLimit,
+    /// Times at which requests were admitted.
+    pub(crate) admitted: Vec<Duration>,
+    /// Requests that a single bucket of the whole limit admits.
+    pub(crate) within: u64,
+    /// Of these, requests that were refused.
+    pub(crate) refused: u64,
+    level: f64,
+    level_at: Duration,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    workspace: usize,
+    until: Duration,
+    is_within: bool,
+}
+
+#[derive(Debug)]
+struct Vm {
+    limits: FleetLimits,
+    member: LimitMember,
+    group: u32,
+    paused_until: Duration,
+    /// Time for which the VM's clock stood still; only a mutant's does.
+    lag: Duration,
+    waiting: Vec<Waiting>,
+    /// Number of the newest ask to any peer.
+    newest_nonce: u32,
+    joined_at: Duration,
+    pub(crate) bytes: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Event {
+    Arrive(usize, usize),
+    Deliver(usize, usize, LimitMessage),
+    Tick(usize),
+    List(usize),
+}
+
+/// The fleet and its workspaces.
+pub(crate) struct Model {
+    pub(crate) now: Duration,
+    pub(crate) workspaces: Vec<Workspace>,
+    pub(crate) links: Links,
+    pub(crate) rng: Pcg32,
+    mutant: Mutant,
+    vms: Vec<Vm>,
+    queue: BinaryHeap<Reverse<(Duration, u64)>>,
+    events: std::collections::HashMap<u64, Event>,
+    next_event: u64,
+    /// Time after which all VMs know of a VM that joined.
+    pub(crate) join_delay: Duration,
+}
+
+fn make_addr(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (index / 250) as u8, (index % 250) as u8], 7_540))
+}
+
+fn get_index(addr: SocketAddr) -> usize {
+    let SocketAddr::V4(addr) = addr else {
+        panic!("the fleet has IPv4 addresses");
+    };
+    let octets = addr.ip().octets();
+    usize::from(octets[2]) * 250 + usize::from(octets[3])
+}
+
+impl Model {
+    /// Starts a fleet whose VMs know each other.
+    pub(crate) fn start(vms: usize, limits: &[RateLimit], seed: u64, mutant: Mutant) -> Self {
+        let workspaces = limits.iter().enumerate().map(|(index, limit)| Workspace {
+            key: WorkspaceKey::from_name(&format!("workspace-{index}")),
+            limit: *limit,
+            admitted: Vec::new(),
+            within: 0,
+            refused: 0,
+            level: limit.burst,
+            level_at: Duration::ZERO,
+        });
+        let mut model = Self {
+            now: Duration::from_secs(1_000),
+            workspaces: workspaces.collect(),
+            links: Links::CALM,
+            rng: Pcg32::seed_from_u64(seed),
+            mutant,
+            vms: Vec::new(),
+            queue: BinaryHeap::new(),
+            events: std::collections::HashMap::new(),
+            next_event: 0,
+            join_delay: Duration::ZERO,
+        };
+        for index in 0..vms {
+            model.add_vm(index, true);
+        }
+        for index in 0..vms {
+            model.list(index);
+        }
+        model
+    }
+
+    /// Adds a VM, of which the others learn after `join_delay`.
+    pub(crate) fn join(&mut self) {
+        let index = self.vms.len();
+        self.add_vm(index, false);
+        self.list(index);
+    }
+
+    pub(crate) fn count_vms(&self) -> usize {
+        self.vms.len()
+    }
+
+    /// Schedules requests of a workspace at one VM, with random gaps.
+    pub(crate) fn load(&mut self, workspace: usize, vm: usize, rate: f64, from: Duration, to: Duration) {
+        let mut at = self.now + from;
+        let end = self.now + to;
+        loop {
+            let draw: f64 = self.rng.random_range(f64::EPSILON..1.0);
+            at += Duration::from_secs_f64(-draw.ln() / rate);
+            if at >= end {
+                return;
+            }
+            self.schedule(at, Event::Arrive(vm, workspace));
+        }
+    }
+
+    /// Runs for a time.
+    pub(crate) fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while let Some(Reverse((at, _))) = self.queue.peek() {
+            if *at > end {
+                break;
+            }
+            let Some(Reverse((at, id))) = self.queue.pop() else {
+                break;
+            };
+            self.now = at;
+            if let Some(event) = self.events.remove(&id) {
+                self.handle(event);
+            }
+        }
+        self.now = end;
+    }
+
+    /// Parts the VMs into groups that do not reach each other.
+    pub(crate) fn part(&mut self, groups: u32) {
+        for index in 0..self.vms.len() {
+            self.vms[index].group = self.rng.random_range(0..groups);
+        }
+        if self.mutant == Mutant::ForgetsSilent {
+            for index in 0..self.vms.len() {
+                self.restart(index);
+            }
+        }
+    }
+
+    /// Reconnects all VMs.
+    pub(crate) fn heal(&mut self) {
+        for vm in &mut self.vms {
+            vm.group = 0;
+        }
+    }
+
+    /// Pauses a VM.
+    pub(crate) fn pause(&mut self, index: usize, time: Duration) {
+        let until = self.now + time;
+        let vm = &mut self.vms[index];
+        vm.paused_until = until;
+        if self.mutant == Mutant::ClockStops {
+            vm.lag += time;
+        }
+        self.schedule(until, Event::Tick(index));
+    }
+
+    /// Ends the process of a VM and starts another.
+    pub(crate) fn restart(&mut self, index: usize) {
+        let limits = self.make_limits(index, false);
+        let vm = &mut self.vms[index];
+        vm.limits = limits;
+        vm.waiting.clear();
+        self.list(index);
+    }
+
+    /// Changes a limit; VMs learn of it after up to `spread`.
+    pub(crate) fn change_limit(&mut self, workspace: usize, limit: RateLimit) {
+        self.workspaces[workspace].limit = limit;
+        for index in 0..self.vms.len() {
+            let now = self.now;
+            let declared = self.get_declared();
+            self.vms[index].limits.declare(now, declared);
+        }
+    }
+
+    /// Returns the bytes that the VM with the most has sent.
+    pub(crate) fn get_most_bytes(&self) -> u64 {
+        self.vms.iter().map(|vm| vm.bytes).max().unwrap_or(0)
+    }
+
+    /// Returns the largest number of workspaces with state on one VM.
+    pub(crate) fn get_most_active(&self) -> usize {
+        let active = self.vms.iter().map(|vm| vm.limits.count_active());
+        active.max().unwrap_or(0)
+    }
+
+    /// Returns the largest excess over `limit` x window + burst + `tolerance` of any
+    /// window and workspace.
+    pub(crate) fn get_worst_excess(&self, tolerance: impl Fn(&RateLimit) -> f64) -> f64 {
+        let mut worst = f64::NEG_INFINITY;
+        for workspace in &self.workspaces {
+            let limit = workspace.limit;
+            let allowed = limit.per_second * WINDOW.as_secs_f64() + limit.burst;
+            let allowed = allowed + tolerance(&limit);
+            let mut times = workspace.admitted.clone();
+            times.sort_unstable();
+            let mut first = 0;
+            for (index, at) in times.iter().enumerate() {
+                while *at - times[first] >= WINDOW {
+                    first += 1;
+                }
+                worst = worst.max((index - first + 1) as f64 - allowed);
+            }
+        }
+        worst
+    }
+
+    fn get_declared(&self) -> Vec<(WorkspaceKey, RateLimit)> {
+        let workspaces = self.workspaces.iter();
+        workspaces.map(|w| (w.key, w.limit)).collect()
+    }
+
+    fn make_limits(&mut self, index: usize, is_first_start: bool) -> FleetLimits {
+        let now = self.read_clock(index);
+        let is_first_start = is_first_start || self.mutant == Mutant::FullAtStart;
+        let started = now;
+        let nonce = self.rng.random();
+        let mut limits = FleetLimits::new(started, &format!("vm-{index}").into(), nonce, is_first_start);
+        limits.set_bound(WINDOW, BOUND);
+        limits.declare(started, self.get_declared());
+        if self.mutant == Mutant::AssumesAlone {
+            limits.set_fleet_known();
+        }
+        limits
+    }
+
+    fn add_vm(&mut self, index: usize, is_first_start: bool) {
+        let name = format!("vm-{index}").into();
+        // Whether a VM is near depends on the observer; the first domain is near for all.
+        let member = LimitMember::new(&name, make_addr(index), index.is_multiple_of(DOMAINS));
+        let limits = self.make_limits(index, is_first_start);
+        self.vms.push(Vm {
+            limits,
+            member,
+            group: 0,
+            paused_until: Duration::ZERO,
+            lag: Duration::ZERO,
+            waiting: Vec::new(),
+            newest_nonce: 0,
+            joined_at: self.now,
+            bytes: 0,
+        });
+        self.schedule(self.now, Event::List(index));
+    }
+
+    fn read_clock(&self, index: usize) -> Duration {
+        let lag = self.vms.get(index).map_or(Duration::ZERO, |vm| vm.lag);
+        self.now - lag
+    }
+
+    fn schedule(&mut self, at: Duration, event: Event) {
+        let id = self.next_event;
+        self.next_event += 1;
+        self.events.insert(id, event);
+        self.queue.push(Reverse((at, id)));
+    }
+
+    fn list(&mut self, index: usize) {
+        let now = self.read_clock(index);
+        if self.mutant == Mutant::AssumesAlone {
+            return;
+        }
+        let group = self.vms[index].group;
+        let known = self.vms.iter().filter(|vm| {
+            let is_told = self.now >= vm.joined_at + self.join_delay
+                || self.vms[index].joined_at >= vm.joined_at;
+            let is_reached = self.mutant != Mutant::ForgetsSilent || vm.group == group;
+            is_told && is_reached
+        });
+        let members: Vec<LimitMember> = known.map(|vm| vm.member).collect();
+        let limits = &mut self.vms[index].limits;
+        limits.list_members(now, &members);
+        limits.set_fleet_known();
+    }
+
+    fn handle(&mut self, event: Event) {
+        let index = match event {
+            Event::Arrive(vm, _) | Event::Deliver(vm, _, _) | Event::Tick(vm) | Event::List(vm) => {
+                vm
+            }
+        };
+        if self.vms[index].paused_until > self.now {
+            let at = self.vms[index].paused_until;
+            self.schedule(at, event);
+            return;
+        }
+        let now = self.read_clock(index);
+        match event {
+            Event::Arrive(vm, workspace) => self.arrive(vm, workspace),
+            Event::Deliver(vm, from, message) => self.deliver(vm, from, message),
+            Event::Tick(vm) => self.vms[vm].limits.tick(now),
+            Event::List(vm) => {
+                self.list(vm);
+                self.schedule(self.now + LIST_PERIOD, Event::List(vm));
+            }
+        }
+        self.retry_waiting(index);
+        self.send(index);
+        if let Some(at) = self.vms[index].limits.get_next_tick(now) {
+            let at = at + self.vms[index].lag;
+            self.schedule(at.max(self.now + Duration::from_millis(1)), Event::Tick(index));
+        }
+    }
+
+    fn arrive(&mut self, vm: usize, index: usize) {
+        let now = self.read_clock(vm);
+        let workspace = &mut self.workspaces[index];
+        let elapsed = self.now.saturating_sub(workspace.level_at).as_secs_f64();
+        let filled = workspace.level + elapsed * workspace.limit.per_second;
+        workspace.level = filled.min(workspace.limit.burst);
+        workspace.level_at = self.now;
+        let is_within = workspace.level >= 1.0;
+        if is_within {
+            workspace.level -= 1.0;
+            workspace.within += 1;
+        }
+        match self.vms[vm].limits.admit(now, workspace.key) {
+            Admission::Waits => self.vms[vm].waiting.push(Waiting {
+                workspace: index,
+                until: now + FleetLimits::MAX_WAIT,
+                is_within,
+            }),
+            Admission::Refused(_) => workspace.refused += u64::from(is_within),
+            Admission::Admitted(_) | Admission::Unlimited => workspace.admitted.push(self.now),
+        }
+    }
+
+    fn deliver(&mut self, vm: usize, from: usize, message: LimitMessage) {
+        let now = self.read_clock(vm);
+        let message = match message {
+            LimitMessage::Grants(nonce, grants) if self.mutant == Mutant::RepeatsCount => {
+                let newest = self.vms[vm].newest_nonce;
+                let limits = &mut self.vms[vm].limits;
+                limits.receive(now, make_addr(from), LimitMessage::Grants(nonce, grants.clone()));
+                LimitMessage::Grants(newest, grants)
+            }
+            message => message,
+        };
+        self.vms[vm].limits.receive(now, make_addr(from), message);
+    }
+
+    fn retry_waiting(&mut self, vm: usize) {
+        let now = self.read_clock(vm);
+        let waiting = std::mem::take(&mut self.vms[vm].waiting);
+        for request in waiting {
+            let workspace = &mut self.workspaces[request.workspace];
+            let limits = &mut self.vms[vm].limits;
+            match limits.retry(now, workspace.key) {
+                Admission::Waits if now < request.until => self.vms[vm].waiting.push(request),
+                Admission::Waits => {
+                    limits.give_up(now, workspace.key);
+                    workspace.refused += u64::from(request.is_within);
+                }
+                Admission::Refused(_) => workspace.refused += u64::from(request.is_within),
+                Admission::Admitted(_) | Admission::Unlimited => workspace.admitted.push(self.now),
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize) {
+        for (addr, message) in self.vms[from].limits.take_messages() {
+            let to = get_index(addr);
+            self.vms[from].bytes += message.get_max_size() as u64;
+            if let LimitMessage::Asks(nonce, _) = message {
+                self.vms[from].newest_nonce = nonce;
+            }
+            let is_cut = self.vms[from].group != self.vms[to].group;
+            if is_cut || self.rng.random_bool(self.links.lost) {
+                continue;
+            }
+            let copies = if self.rng.random_bool(self.links.repeated) { 2 } else { 1 };
+            for _ in 0..copies {
+                let span = self.links.min_delay..self.links.max_delay;
+                let delay = self.rng.random_range(span);
+                self.schedule(self.now + delay, Event::Deliver(to, from, message.clone()));
+            }
+        }
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,6 +10,7 @@
 mod convert;
 mod datagram;
 mod error;
+mod limits;
 mod message;
 mod state;
 
@@ -19,4 +20,5 @@
 pub use convert::PeerMessage;
 pub use datagram::PeerDatagram;
 pub use error::{WireError, WireErrorKind};
+pub use limits::LimitDatagram;
 pub use state::{ConfigState, StateReply, StateRequest};
