feat: callers with keys run under the name of their workspace

Cause: keys of callers were forwarded to targets and never checked, so that requests without a key in force ran, and targets were not told whose requests they ran.

RouteDecision.workspace is filled. Without workspaces headers are forwarded as before.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -56,4 +56,7 @@
     RouteMatch, Sampling, ServiceSpec, TargetSpec, VmName,
 };
 pub use stop_schedule::StopSchedule;
-pub use workspace::{ConfigProof, RateLimit, WorkspaceKey, WorkspaceSpec, WorkspaceTable};
+pub use workspace::{
+    ConfigProof, RateLimit, WorkspaceFault, WorkspaceKey, WorkspaceSpec, WorkspaceTable,
+    parse_credential,
+};
--- a/crates/core/src/routes/route.rs
+++ b/crates/core/src/routes/route.rs
@@ -38,16 +38,17 @@
         self.split.get_parts()
     }
 
-    /// Returns the class in which the route's requests are handled.
+    /// Returns the class in which the route's requests with a priority are handled; the
+    /// priority is that of the route or of the caller's workspace.
     ///
     /// Routes with equal requirements share a class, so that a configuration
     /// with many routes needs few classes.
-    pub fn make_class(&self) -> ClassSpec {
+    pub fn make_class(&self, priority: u8) -> ClassSpec {
         ClassSpec {
             name: format_smolstr!(
                 "{}-p{}-{}ms-{}ms-a{}",
                 self.kind.as_str(),
-                self.priority,
+                priority,
                 self.objective.as_millis(),
                 self.timeout.as_millis(),
                 self.max_attempts
@@ -61,7 +62,7 @@
             reserve: 0,
             queue: Self::QUEUE,
             objective: Some(self.objective),
-            priority: self.priority,
+            priority,
             max_attempts: self.max_attempts,
         }
     }
--- a/crates/core/src/routes/table.rs
+++ b/crates/core/src/routes/table.rs
@@ -1,7 +1,7 @@
 //! All routes of one configuration.
 
 use super::{CallerLimits, HostRoutes, Route, RoutedService};
-use crate::{ClassSpec, WorkspaceTable};
+use crate::{ClassSpec, WorkspaceSpec, WorkspaceTable};
 use smol_str::SmolStr;
 
 /// A configuration as it is in force: routes by host, services and limits.
@@ -31,8 +31,9 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct RouteEntry {
     route: Route,
-    /// Name of the route's class, computed once because each request needs it.
-    class: SmolStr,
+    /// Names of the route's classes by priority, computed once because each request
+    /// needs one.
+    classes: Vec<(u8, SmolStr)>,
 }
 
 /// Position of a route in its table.
@@ -64,6 +65,11 @@
 
     /// Adds the workspaces whose keys requests need.
     pub fn with_workspaces(mut self, workspaces: WorkspaceTable) -> Self {
+        for entry in self.hosts.iter_mut().flat_map(|host| &mut host.routes) {
+            let route = &entry.route;
+            let priorities = workspaces.collect_priorities(route.priority, route.is_public);
+            entry.set_priorities(&priorities);
+        }
         self.workspaces = Some(workspaces);
         self
     }
@@ -116,9 +122,22 @@
         &self.get_entry(key).route
     }
 
-    /// Returns the name of the class in which the route's requests are handled.
-    pub fn get_class_name(&self, key: RouteKey) -> &SmolStr {
-        &self.get_entry(key).class
+    /// Returns the name of the class in which the route's requests from a workspace are
+    /// handled, or those of callers without one. The priority of the workspace goes before
+    /// that of the route.
+    ///
+    /// `None` is returned for callers that the route does not admit.
+    pub fn get_class_name(
+        &self,
+        key: RouteKey,
+        workspace: Option<&WorkspaceSpec>,
+    ) -> Option<&SmolStr> {
+        let entry = self.get_entry(key);
+        let own = workspace.and_then(|workspace| workspace.priority);
+        let priority = own.unwrap_or(entry.route.priority);
+        let classes = &entry.classes;
+        let index = classes.binary_search_by_key(&priority, |(priority, _)| *priority);
+        Some(&classes[index.ok()?].1)
     }
 
     /// Chooses the service for the next request of a route.
@@ -146,9 +165,14 @@
             .hosts
             .iter()
             .flat_map(|host| &host.routes)
-            .map(|entry| &entry.route)
-            .filter(|route| route.get_parts().iter().any(|part| part.service == service))
-            .map(Route::make_class)
+            .filter(|entry| {
+                let mut parts = entry.route.get_parts().iter();
+                parts.any(|part| part.service == service)
+            })
+            .flat_map(|entry| {
+                let priorities = entry.classes.iter().map(|(priority, _)| *priority);
+                priorities.map(|priority| entry.route.make_class(priority))
+            })
             .collect();
         classes.sort_by(|a, b| a.name.cmp(&b.name));
         classes.dedup_by(|a, b| a.name == b.name);
@@ -162,14 +186,7 @@
 
 impl HostEntry {
     fn new(host: HostRoutes) -> Self {
-        let mut routes: Vec<RouteEntry> = host
-            .routes
-            .into_iter()
-            .map(|route| RouteEntry {
-                class: route.make_class().name,
-                route,
-            })
-            .collect();
+        let mut routes: Vec<RouteEntry> = host.routes.into_iter().map(RouteEntry::new).collect();
         routes.sort_by(|a, b| a.route.prefix.cmp(&b.route.prefix));
         Self {
             host: host.host,
@@ -178,6 +195,26 @@
     }
 }
 
+impl RouteEntry {
+    fn new(route: Route) -> Self {
+        let priority = route.priority;
+        let mut entry = Self {
+            route,
+            classes: Vec::new(),
+        };
+        entry.set_priorities(&[priority]);
+        entry
+    }
+
+    /// Replaces the classes by one for each priority, which are in ascending order.
+    fn set_priorities(&mut self, priorities: &[u8]) {
+        let priorities = priorities.iter();
+        self.classes = priorities
+            .map(|priority| (*priority, self.route.make_class(*priority).name))
+            .collect();
+    }
+}
+
 /// Looks up each prefix of the path that ends with a slash, the longest first.
 fn find_longest(routes: &[RouteEntry], path: &str) -> Option<usize> {
     let mut end = path.len();
--- a/crates/daemon/src/gateway/answer.rs
+++ b/crates/daemon/src/gateway/answer.rs
@@ -163,6 +163,9 @@
     );
     headers.insert(CODE, HeaderValue::from(code.number()));
     headers.insert(RUN, HeaderValue::from_static(code.run_state().as_str()));
+    if status == StatusCode::UNAUTHORIZED {
+        headers.insert(header::WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+    }
     let retry_after = retry_after.filter(|_| code.is_retryable());
     if let Some(retry_after) = retry_after
         && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", retry_after.as_secs_f64()))
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -93,7 +93,12 @@
     gateway.wait_loaded().await;
     let decision = gateway.route(&request)?;
     let max_body = gateway.get_limits().max_body_bytes;
-    let request = CallerRequest::read(gateway, request, max_body).await?;
+    let mut request = CallerRequest::read(gateway, request, max_body).await?;
+    if decision.needs_identity {
+        let workspace = decision.workspace.as_ref();
+        let name = workspace.map(|workspace| workspace.name.as_str());
+        request.set_workspace(&gateway.headers, name);
+    }
     Ok((decision, request))
 }
 
@@ -190,6 +195,7 @@
         request = cx.request.id.as_str(),
         route = decision.route.as_str(),
         service = decision.service.name.as_str(),
+        workspace = decision.workspace.as_ref().map(|workspace| workspace.name.as_str()),
         kind = decision.kind.as_str(),
         status = status,
         code = code.map(gentianridge_core::ResultCode::number),
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -3,6 +3,7 @@
 use super::state::Gateway;
 use crate::caller::headers::{copy_end_to_end, get_text};
 use bytes::{Bytes, BytesMut};
+use gentianridge_adapter::HeaderNames;
 use gentianridge_core::ResultCode;
 use http::{HeaderMap, HeaderValue, Method, Request, Uri, header};
 use http_body_util::{BodyExt, Full};
@@ -62,6 +63,17 @@
         })
     }
 
+    /// Replaces the caller's key and whatever it says of its workspace by the name of the
+    /// workspace that holds the key, if any.
+    pub(crate) fn set_workspace(&mut self, names: &HeaderNames, name: Option<&str>) {
+        self.headers.remove(header::AUTHORIZATION);
+        self.headers.remove(&names.workspace);
+        // Names that no header can hold have no keys.
+        if let Some(value) = name.and_then(|name| HeaderValue::from_str(name).ok()) {
+            self.headers.insert(names.workspace.clone(), value);
+        }
+    }
+
     /// Builds the request for one target.
     pub(crate) fn make_request(
         &self,
--- a/crates/daemon/src/gateway/routing.rs
+++ b/crates/daemon/src/gateway/routing.rs
@@ -2,10 +2,12 @@
 
 use super::state::Gateway;
 use crate::service::ServiceHandle;
+use crate::telemetry::STATE_LOG_TARGET;
 use gentianridge_core::{
-    CallerLimits, ClassKey, ClassKind, EventKind, ResultCode, RouteTable, WorkspaceSpec,
+    CallerLimits, ClassKey, ClassKind, EventKind, ResultCode, RouteKey, RouteTable, WorkspaceSpec,
+    WorkspaceTable, parse_credential,
 };
-use http::{Request, header};
+use http::{HeaderMap, HeaderValue, Request, header};
 use rand::RngExt;
 use smol_str::SmolStr;
 use std::rc::Rc;
@@ -25,6 +27,9 @@
     pub(crate) objective: Duration,
     /// Workspace of the caller, if the configuration has workspaces.
     pub(crate) workspace: Option<Arc<WorkspaceSpec>>,
+    /// True if the configuration has workspaces: targets then learn the caller's from this
+    /// VM alone.
+    pub(crate) needs_identity: bool,
 }
 
 /// Routes in force.
@@ -61,10 +66,13 @@
         let key = table
             .find(host, request.uri().path())
             .ok_or(ResultCode::NoService)?;
+        let workspace = identify(table, key, request.headers())?;
         let name = table.next_service(key).ok_or(ResultCode::NoTarget)?;
         let route = table.get(key);
         let service = self.find_service(&name).ok_or(ResultCode::NoTarget)?;
-        let class_name = table.get_class_name(key);
+        let class_name = table
+            .get_class_name(key, workspace.as_deref())
+            .ok_or(ResultCode::NoTarget)?;
         let class = service
             .read(|machine, _| machine.find_class_by_name(class_name))
             .ok_or(ResultCode::NoTarget)?;
@@ -76,7 +84,8 @@
             kind: route.kind,
             timeout: route.timeout,
             objective: route.objective,
-            workspace: None,
+            needs_identity: table.get_workspaces().is_some(),
+            workspace,
         })
     }
 
@@ -93,6 +102,10 @@
             author: "operator".into(),
             source: source.into(),
         });
+        let workspaces = table.get_workspaces();
+        for fault in workspaces.map_or(&[][..], WorkspaceTable::get_faults) {
+            log::error!(target: STATE_LOG_TARGET, version = table.get_version(); "{fault}");
+        }
         for declared in table.get_services() {
             let classes = table.collect_classes(&declared.name);
             self.declare(now, declared.clone(), classes);
@@ -104,3 +117,21 @@
         true
     }
 }
+
+/// Returns the workspace that holds the request's key. Requests on public routes need none.
+fn identify(
+    table: &RouteTable,
+    route: RouteKey,
+    headers: &HeaderMap,
+) -> Result<Option<Arc<WorkspaceSpec>>, ResultCode> {
+    let Some(workspaces) = table.get_workspaces() else {
+        return Ok(None);
+    };
+    let values = headers.get_all(header::AUTHORIZATION).into_iter();
+    let key = parse_credential(values.map(HeaderValue::as_bytes));
+    let workspace = key.and_then(|key| workspaces.find_by_key(key));
+    if workspace.is_none() && !table.get(route).is_public {
+        return Err(ResultCode::UnknownKey);
+    }
+    Ok(workspace.cloned())
+}
--- a/crates/testkit/src/gateway/caller.rs
+++ b/crates/testkit/src/gateway/caller.rs
@@ -35,6 +35,8 @@
 #[derive(Debug)]
 pub struct CallerConnection {
     messages: MessageStream,
+    /// Header lines that are added to each request.
+    headers: String,
 }
 
 impl CallerConnection {
@@ -51,9 +53,20 @@
     pub async fn open(addr: SocketAddr) -> anyhow::Result<Self> {
         Ok(Self {
             messages: MessageStream::new(TcpStream::connect(addr).await?),
+            headers: String::new(),
         })
     }
 
+    /// Sets header lines, each with its line end, that are added to requests.
+    pub fn set_headers(&mut self, headers: &str) {
+        self.headers = headers.into();
+    }
+
+    /// Sets the key that requests carry.
+    pub fn set_key(&mut self, key: &str) {
+        self.headers = format!("authorization: Bearer {key}\r\n");
+    }
+
     /// Sends a request without waiting for its answer.
     ///
     /// # Errors
@@ -80,7 +93,8 @@
     ) -> anyhow::Result<()> {
         let text = format!(
             "{method} {path} HTTP/1.1\r\nhost: shop.example\r\ngentianridge-attempt-id: {id}\r\n\
-             gentianridge-deadline-ms: {time_left_ms}\r\ncontent-length: {}\r\n\r\n{body}",
+             gentianridge-deadline-ms: {time_left_ms}\r\n{}content-length: {}\r\n\r\n{body}",
+            self.headers,
             body.len()
         );
         self.messages.write(text.as_bytes()).await?;
--- a/crates/testkit/src/gateway/config.rs
+++ b/crates/testkit/src/gateway/config.rs
@@ -26,3 +26,40 @@
         "slo_latency":"600ms","priority":1,"service":"{CART}","max_attempts":2}}"#
     )
 }
+
+/// A workspace of a configuration.
+#[derive(Debug, Clone, Copy)]
+pub struct WorkspaceValue<'a> {
+    /// Name, which targets receive.
+    pub name: &'a str,
+    /// Keys of its callers.
+    pub keys: &'a [&'a str],
+    /// Priority in place of that of the routes.
+    pub priority: u8,
+}
+
+/// Returns the configuration of [`write_config`] with workspaces.
+pub fn write_keyed_config(
+    version: u64,
+    extra_paths: &str,
+    workspaces: &[WorkspaceValue<'_>],
+) -> String {
+    let workspaces: Vec<serde_json::Value> = workspaces
+        .iter()
+        .map(|workspace| {
+            serde_json::json!({
+                "name": workspace.name, "api_keys": workspace.keys,
+                "priority": workspace.priority, "rate_per_s": 0, "burst": 0,
+            })
+        })
+        .collect();
+    let plain = write_config(version, extra_paths);
+    let workspaces = serde_json::Value::Array(workspaces);
+    format!("{{\"tenants\":{workspaces},{}", &plain[1..])
+}
+
+/// Returns a path like [`write_path`] whose requests need no key.
+pub fn write_public_path(name: &str, prefix: &str, kind: &str) -> String {
+    let path = write_path(name, prefix, kind);
+    format!("{{\"public\":true,{}", &path[1..])
+}
--- a/crates/testkit/src/gateway/mod.rs
+++ b/crates/testkit/src/gateway/mod.rs
@@ -11,7 +11,9 @@
 mod vm;
 
 pub use caller::{CallerConnection, Reply};
-pub use config::{CART, write_config, write_path};
+pub use config::{
+    CART, WorkspaceValue, write_config, write_keyed_config, write_path, write_public_path,
+};
 pub use store::{FakeStore, StoreEndpoint, StoreFault};
 pub use target::FakeTarget;
 pub use target_behavior::{LateCopies, TargetBehavior, TargetEntryValue};
--- a/crates/testkit/src/gateway/target.rs
+++ b/crates/testkit/src/gateway/target.rs
@@ -42,6 +42,8 @@
     time_left_ms: u64,
     /// Path and query.
     request_target: String,
+    /// Names, in lower case, and values.
+    headers: Vec<(String, String)>,
     started_at: Instant,
 }
 
@@ -166,6 +168,16 @@
         Some(Duration::from_millis(run.time_left_ms))
     }
 
+    /// Returns the values of a header that the request with the id had when it ran; `name`
+    /// is in lower case.
+    pub fn get_header_values(&self, id: &str, name: &str) -> Vec<String> {
+        let runs = self.shared.runs.lock();
+        let run = runs.iter().find(|run| run.id == id);
+        let headers = run.map_or(&[][..], |run| &run.headers);
+        let found = headers.iter().filter(|(key, _)| key == name);
+        found.map(|(_, value)| value.clone()).collect()
+    }
+
     /// Returns the path and query of each run, in order.
     pub fn get_paths(&self) -> Vec<String> {
         let runs = self.shared.runs.lock();
@@ -458,6 +470,7 @@
             .nth(1)
             .unwrap_or_default()
             .into(),
+        headers: request.headers.clone(),
         started_at: Instant::now(),
     });
     shared.running.fetch_add(1, Ordering::Relaxed);
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -16,3 +16,4 @@
 mod peers;
 mod store_faults;
 mod test_env;
+mod workspaces;
