--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -58,5 +58,6 @@
 pub use stop_schedule::StopSchedule;
 pub use workspace::{
     Admission, ConfigProof, FleetLimits, LimitMember, LimitMessage, LimitTerms, RateLimit,
-    SpentToken, TokenAsk, TokenGrant, WorkspaceKey, WorkspaceSpec, WorkspaceTable,
+    SpentToken, TokenAsk, TokenGrant, WorkspaceFault, WorkspaceKey, WorkspaceSpec,
+    WorkspaceTable, parse_credential,
 };
