feat: proofs of the configuration by the store's clock

Cause: a VM that reached neither the store nor peers accepted withdrawn keys without limit. Change: a VM bounds the store's clock by its answers; a proof names a moment of that clock and travels in datagrams and state replies, so that its age needs no trust in delays. Keys are accepted while the proof of the configuration in force is younger than the bound.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -57,6 +57,6 @@
 };
 pub use stop_schedule::StopSchedule;
 pub use workspace::{
-    ConfigProof, RateLimit, WorkspaceFault, WorkspaceKey, WorkspaceSpec, WorkspaceTable,
-    parse_credential,
+    ConfigProof, Proofs, RateLimit, StoreClock, StoreTime, WorkspaceFault, WorkspaceKey,
+    WorkspaceSpec, WorkspaceTable, parse_credential,
 };
--- a/crates/core/src/workspace/mod.rs
+++ b/crates/core/src/workspace/mod.rs
@@ -1,18 +1,22 @@
 //! Workspaces: the customers whose callers send requests with keys.
 //!
-//! docs/decisions/0024-workspaces.md gives the reasons.
+//! docs/decisions/0024-workspaces.md and 0025-withdrawn-keys.md give the reasons.
 
 mod credential;
 mod fault;
 mod key;
 mod key_index;
 mod proof;
+mod proofs;
 mod spec;
+mod store_clock;
 mod table;
 
 pub use credential::parse_credential;
 pub use fault::WorkspaceFault;
 pub use key::WorkspaceKey;
 pub use proof::ConfigProof;
+pub use proofs::Proofs;
 pub use spec::{RateLimit, WorkspaceSpec};
+pub use store_clock::{StoreClock, StoreTime};
 pub use table::WorkspaceTable;
--- a/crates/core/src/workspace/proof.rs
+++ b/crates/core/src/workspace/proof.rs
@@ -2,14 +2,15 @@
 
 use std::time::Duration;
 
-/// A statement that a revision was the newest one in the store some time ago.
+/// A statement that no revision newer than `revision` was in the store at a moment.
 ///
-/// It holds for the VM that read the store and for all that receive it, each with an age
-/// that counts from the start of that read.
+/// The moment is on the store's own clock, so that the statement stays true however long
+/// it is under way or waits: each VM that receives it computes its age by what it knows of
+/// that clock ([`StoreClock`](super::StoreClock)).
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ConfigProof {
-    /// The revision that was the newest.
+    /// Newest revision that can have been in the store.
     pub revision: u64,
-    /// Time since the start of the read.
-    pub age: Duration,
+    /// Time of the store's clock, at or before the start of the read.
+    pub at: Duration,
 }
--- a/crates/daemon/src/gateway/feeds.rs
+++ b/crates/daemon/src/gateway/feeds.rs
@@ -46,36 +46,36 @@
     }
 }
 
-fn apply_config_row(gateway: &Rc<Gateway>, row: &Row) {
-    if row.key != CONFIG_KEY {
-        return;
-    }
-    match &row.value {
-        Some(value) => {
-            apply_config(gateway, value, "store");
-        }
-        None => {
-            log::warn!("the configuration's row was removed; the configuration in force stays");
-        }
-    }
+/// Outcome of a configuration that arrived.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ConfigOutcome {
+    /// It is in force from now on.
+    InForce,
+    /// One that is at least as new is in force.
+    NotNewer,
+    /// It cannot be decoded.
+    Invalid,
 }
 
-/// Puts a configuration in force that the store holds; returns false if it is not
-/// newer than the one in force.
-pub(super) fn apply_config(gateway: &Rc<Gateway>, value: &[u8], source: &'static str) -> bool {
-    match decode_routes(value) {
-        Ok(table) => {
-            let is_newer = gateway.apply_routes(table, source);
-            if is_newer {
-                gateway.set_config_value(value);
-            }
-            is_newer
-        }
+/// Puts a configuration in force that the store holds, if it is newer than the one in
+/// force.
+pub(super) fn apply_config(
+    gateway: &Rc<Gateway>,
+    value: &[u8],
+    source: &'static str,
+) -> ConfigOutcome {
+    let table = match decode_routes(value) {
+        Ok(table) => table,
         Err(error) => {
             log::error!("invalid configuration from a {source}: {error}");
-            false
+            return ConfigOutcome::Invalid;
         }
+    };
+    if !gateway.apply_routes(table, source) {
+        return ConfigOutcome::NotNewer;
     }
+    gateway.set_config_value(value);
+    ConfigOutcome::InForce
 }
 
 /// Why a VM reads the store.
@@ -85,7 +85,7 @@
     Due,
     /// It lacks changes of the list, and no peer has them.
     MissedChanges,
-    /// A configuration exists that no peer has.
+    /// A configuration exists that no peer has, or none has a recent proof of it.
     NewerConfig,
 }
 
@@ -101,6 +101,7 @@
         is_down: false,
         is_config_readable: true,
         config_after: None,
+        is_config_valid: true,
         backoff: Backoff::new(),
     };
     // Registration continues if it takes longer, and the state may come from peers.
@@ -167,7 +168,7 @@
             if gateway.list.borrow().has_gap() {
                 return ReadReason::MissedChanges;
             }
-            if is_behind(gateway) {
+            if is_behind(gateway) || gateway.is_proof_due() {
                 return ReadReason::NewerConfig;
             }
         }
@@ -191,6 +192,8 @@
     is_config_readable: bool,
     /// Version of the store at the last read of the configuration.
     config_after: Option<u64>,
+    /// False if the store holds a configuration that cannot be decoded.
+    is_config_valid: bool,
     backoff: Backoff,
 }
 
@@ -258,6 +261,7 @@
 
     async fn read_config(&mut self, after: Option<u64>, wait: Duration) -> bool {
         let store = self.gateway.get_store();
+        let sent = self.gateway.clock.since_boot();
         let changed = match after {
             None => None,
             Some(after) => {
@@ -275,8 +279,12 @@
         match result {
             Ok(changes) => {
                 self.config_after = Some(changes.version);
+                self.gateway.record_store_time(sent, changes.time);
                 for row in &changes.rows {
-                    apply_config_row(&self.gateway, row);
+                    self.apply_config_row(row);
+                }
+                if self.is_config_valid {
+                    self.gateway.record_config_read(sent);
                 }
                 true
             }
@@ -287,6 +295,21 @@
         }
     }
 
+    fn apply_config_row(&mut self, row: &Row) {
+        if row.key != CONFIG_KEY {
+            return;
+        }
+        match &row.value {
+            Some(value) => {
+                let outcome = apply_config(&self.gateway, value, "store");
+                self.is_config_valid = outcome != ConfigOutcome::Invalid;
+            }
+            None => {
+                log::warn!("the configuration's row was removed; the configuration in force stays");
+            }
+        }
+    }
+
     /// Records an event if the store became available or unavailable.
     fn record_store_state(&mut self, is_success: bool) {
         if std::mem::replace(&mut self.is_down, !is_success) == is_success {
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -39,6 +39,7 @@
     outdated_sends: Counter<u64>,
     list_due: Gauge<f64>,
     list_age: Gauge<f64>,
+    proof_age: Gauge<f64>,
     log_lines: Gauge<f64>,
 }
 
@@ -118,6 +119,11 @@
                 "gentianridge.list.age",
                 "Time since the read of the store that the list of targets reflects",
             ),
+            proof_age: gauge(
+                &meter,
+                "gentianridge.config.proof.age",
+                "Greatest time since the configuration in force was the newest one in the store",
+            ),
             list_due: gauge(
                 &meter,
                 "gentianridge.list.due",
@@ -218,6 +224,9 @@
         if let Some(age) = gateway.list.borrow().get_age(now) {
             self.list_age.record(age.as_secs_f64(), &[]);
         }
+        if let Some(age) = gateway.get_proof_age() {
+            self.proof_age.record(age.as_secs_f64(), &[]);
+        }
         if let Some(due) = gateway.get_list_due() {
             let ahead = due.saturating_duration_since(now).as_secs_f64();
             let behind = now.saturating_duration_since(due).as_secs_f64();
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod crashes;
 mod exchange;
 mod feeds;
+mod identity;
 mod list_reader;
 mod metrics;
 mod peers;
--- a/crates/daemon/src/gateway/peers/follow.rs
+++ b/crates/daemon/src/gateway/peers/follow.rs
@@ -1,7 +1,7 @@
 //! Fetches from peers what this VM lacks.
 
 use super::state_exchange::fetch_state;
-use crate::gateway::feeds::{apply_config, apply_list_update};
+use crate::gateway::feeds::{ConfigOutcome, apply_config, apply_list_update};
 use crate::gateway::state::Gateway;
 use gentianridge_core::UpdateOutcome;
 use gentianridge_wire::{StateReply, StateRequest};
@@ -83,7 +83,7 @@
 }
 
 /// Returns the peers that announced what this VM lacks, then others.
-fn choose_peers(gateway: &Gateway) -> Vec<SocketAddr> {
+pub(super) fn choose_peers(gateway: &Gateway) -> Vec<SocketAddr> {
     let now = gateway.clock.now();
     let domain = gateway.get_settings().domain.clone();
     let newest = gateway.peers.get_newest_version();
@@ -120,10 +120,11 @@
             needs_peers,
         }
     };
+    let sent = gateway.clock.since_boot();
     let reply = fetch_state(addr, &request).await;
     gateway.metrics.record_state_request(reply.is_ok());
     match reply {
-        Ok(reply) => apply_reply(gateway, addr, reply),
+        Ok(reply) => apply_reply(gateway, addr, sent, reply),
         Err(error) => {
             log::debug!("cannot get the state of {addr}: {error:#}");
             false
@@ -131,7 +132,7 @@
     }
 }
 
-fn apply_reply(gateway: &Rc<Gateway>, addr: SocketAddr, reply: StateReply) -> bool {
+fn apply_reply(gateway: &Rc<Gateway>, addr: SocketAddr, sent: Duration, reply: StateReply) -> bool {
     let now = gateway.clock.now();
     for view in reply.peers {
         gateway
@@ -140,9 +141,11 @@
             .borrow_mut()
             .record_heartbeat(now, view);
     }
+    gateway.record_peer_proof(sent, reply.store_time, reply.proof);
     let mut is_progress = false;
     if let Some(config) = reply.config {
-        is_progress |= apply_config(gateway, &config.value, "peer");
+        let outcome = apply_config(gateway, &config.value, "peer");
+        is_progress |= outcome == ConfigOutcome::InForce;
     }
     if let Some(update) = reply.list {
         let outcome = apply_list_update(gateway, update, addr);
--- a/crates/daemon/src/gateway/peers/gossip.rs
+++ b/crates/daemon/src/gateway/peers/gossip.rs
@@ -69,6 +69,7 @@
             }
             next_routine = now + ROUND_INTERVAL;
             update_members(&self.gateway, now);
+            self.gateway.check_proof();
             self.send_round(now, RoundKind::Routine);
         }
     }
@@ -173,6 +174,7 @@
         if let Some(update) = datagram.list.filter(|_| !has_backlog) {
             apply_list_update(gateway, update, addr);
         }
+        gateway.adopt_proof(datagram.proof);
         gateway.peers.record_config_holder(revision, addr);
         gateway.peers.record_version(datagram.newest_revision);
         if datagram.is_hello {
@@ -206,7 +208,7 @@
         leaving: Vec::new(),
         paused: Vec::new(),
         evacuations: None,
-        proof: None,
+        proof: gateway.get_proof(),
         peers,
         summaries,
     }
--- a/crates/daemon/src/gateway/peers/mod.rs
+++ b/crates/daemon/src/gateway/peers/mod.rs
@@ -9,6 +9,7 @@
 mod follow;
 mod gossip;
 mod register;
+mod renew;
 mod start;
 mod state_exchange;
 mod table;
@@ -16,6 +17,7 @@
 pub(crate) use follow::{follow_peers, is_behind};
 pub(crate) use gossip::run_gossip;
 pub(crate) use register::{keep_registered, unregister};
+pub(crate) use renew::keep_proven;
 pub(crate) use start::{fetch_from_seeds, load_state};
 pub(crate) use state_exchange::run_state_server;
 pub(crate) use table::Peers;
--- a/crates/daemon/src/gateway/peers/state_exchange.rs
+++ b/crates/daemon/src/gateway/peers/state_exchange.rs
@@ -107,7 +107,8 @@
         list: make_list(gateway, request),
         peers: Vec::new(),
         evacuations: None,
-        proof: None,
+        proof: gateway.get_proof(),
+        store_time: gateway.get_store_time(),
     };
     if request.needs_peers {
         reply.peers = gateway.peers.gossip.borrow().get_live_views(now);
--- a/crates/daemon/src/gateway/peers/table.rs
+++ b/crates/daemon/src/gateway/peers/table.rs
@@ -35,6 +35,7 @@
     lacking: Notify,
     list_update: Notify,
     store_read: Notify,
+    proof_request: Notify,
     is_store_read_requested: Cell<bool>,
     list_holder: Cell<Option<SocketAddr>>,
     config_holder: Cell<Option<(u64, SocketAddr)>>,
@@ -55,6 +56,7 @@
             lacking: Notify::new(),
             list_update: Notify::new(),
             store_read: Notify::new(),
+            proof_request: Notify::new(),
             is_store_read_requested: Cell::new(false),
             list_holder: Cell::new(None),
             config_holder: Cell::new(None),
@@ -105,6 +107,16 @@
         self.store_read.notify_one();
     }
 
+    /// Wakes the task that looks for a newer proof of the configuration.
+    pub(crate) fn request_proof(&self) {
+        self.proof_request.notify_one();
+    }
+
+    /// Waits until a newer proof is requested.
+    pub(super) async fn wait_proof_request(&self) {
+        self.proof_request.notified().await;
+    }
+
     /// Returns true if a read of the store was requested since the last call.
     pub(crate) fn take_store_read_request(&self) -> bool {
         self.is_store_read_requested.take()
--- a/crates/daemon/src/gateway/routing.rs
+++ b/crates/daemon/src/gateway/routing.rs
@@ -4,10 +4,10 @@
 use crate::service::ServiceHandle;
 use crate::telemetry::STATE_LOG_TARGET;
 use gentianridge_core::{
-    CallerLimits, ClassKey, ClassKind, EventKind, ResultCode, RouteKey, RouteTable, WorkspaceSpec,
-    WorkspaceTable, parse_credential,
+    CallerLimits, ClassKey, ClassKind, EventKind, ResultCode, RouteTable, WorkspaceSpec,
+    WorkspaceTable,
 };
-use http::{HeaderMap, HeaderValue, Request, header};
+use http::{Request, header};
 use rand::RngExt;
 use smol_str::SmolStr;
 use std::rc::Rc;
@@ -66,7 +66,7 @@
         let key = table
             .find(host, request.uri().path())
             .ok_or(ResultCode::NoService)?;
-        let workspace = identify(table, key, request.headers())?;
+        let workspace = self.identify(table, key, request.headers())?;
         let name = table.next_service(key).ok_or(ResultCode::NoTarget)?;
         let route = table.get(key);
         let service = self.find_service(&name).ok_or(ResultCode::NoTarget)?;
@@ -110,6 +110,7 @@
             let classes = table.collect_classes(&declared.name);
             self.declare(now, declared.clone(), classes);
         }
+        self.proofs.borrow_mut().set_revision(table.get_version());
         *self.routes.borrow_mut() = Some(table);
         self.apply_all();
         self.notify_loaded();
@@ -117,21 +118,3 @@
         true
     }
 }
-
-/// Returns the workspace that holds the request's key. Requests on public routes need none.
-fn identify(
-    table: &RouteTable,
-    route: RouteKey,
-    headers: &HeaderMap,
-) -> Result<Option<Arc<WorkspaceSpec>>, ResultCode> {
-    let Some(workspaces) = table.get_workspaces() else {
-        return Ok(None);
-    };
-    let values = headers.get_all(header::AUTHORIZATION).into_iter();
-    let key = parse_credential(values.map(HeaderValue::as_bytes));
-    let workspace = key.and_then(|key| workspaces.find_by_key(key));
-    if workspace.is_none() && !table.get(route).is_public {
-        return Err(ResultCode::UnknownKey);
-    }
-    Ok(workspace.cloned())
-}
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -4,7 +4,7 @@
 use super::callers::{ShutdownStage, run_callers};
 use super::feeds::follow_store;
 use super::metrics::answer_metrics;
-use super::peers::{follow_peers, keep_registered, run_gossip, run_state_server};
+use super::peers::{follow_peers, keep_proven, keep_registered, run_gossip, run_state_server};
 use super::ready::answer_ready;
 use super::shutdown::shut_down;
 use super::sockets::GatewaySockets;
@@ -117,6 +117,7 @@
     });
     spawn_supervised(&gateway, "registration", keep_registered);
     spawn_supervised(&gateway, "fetches from peers", follow_peers);
+    spawn_supervised(&gateway, "proofs of the configuration", keep_proven);
     spawn_supervised(&gateway, "reads of the store", follow_store);
     spawn_supervised(&gateway, "sweep", sweep);
     stop.await;
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -10,7 +10,9 @@
 use bytes::Bytes;
 use gentianridge_adapter::{HeaderNames, Store, get_header_names};
 use gentianridge_config::GatewaySettings;
-use gentianridge_core::{Clock, Quarantine, RouteTable, StopSchedule, TargetList, UpdateLog};
+use gentianridge_core::{
+    Clock, Proofs, Quarantine, RouteTable, StopSchedule, TargetList, UpdateLog,
+};
 use std::cell::{Cell, Ref, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -30,6 +32,10 @@
     pub(crate) peers: Peers,
     pub(crate) metrics: GatewayMetrics,
     pub(super) routes: RefCell<Option<RouteTable>>,
+    /// How recently the configuration in force was the newest one.
+    pub(super) proofs: RefCell<Proofs>,
+    /// True if keys were accepted at the last look.
+    pub(super) was_serving_keys: Cell<bool>,
     pub(super) list: RefCell<TargetList>,
     pub(super) list_reader: ListReader,
     pub(super) update_log: RefCell<UpdateLog>,
@@ -75,6 +81,8 @@
             peers: Peers::new(settings.vm.clone(), settings.domain.clone()),
             metrics: GatewayMetrics::new(lines)?,
             routes: RefCell::new(None),
+            proofs: RefCell::default(),
+            was_serving_keys: Cell::new(true),
             list: RefCell::new(TargetList::new(get_list_bound(&settings))),
             list_reader: ListReader::default(),
             update_log: RefCell::default(),
@@ -183,6 +191,7 @@
         self.get_stop().is_none()
             && self.routes.borrow().is_some()
             && !self.list.borrow().is_empty()
+            && self.is_serving_keys()
     }
 }
 
--- a/crates/testkit/src/gateway/store.rs
+++ b/crates/testkit/src/gateway/store.rs
@@ -8,7 +8,7 @@
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
@@ -45,6 +45,7 @@
     compacted: u64,
     /// Request lines of all calls.
     calls: Vec<String>,
+    started: Instant,
 }
 
 /// One address of a store with its own fault, so that a fault can be limited to
@@ -128,6 +129,7 @@
                 ver: 0,
                 compacted: 0,
                 calls: Vec::new(),
+                started: Instant::now(),
             }),
             changed: Notify::new(),
         });
@@ -220,6 +222,11 @@
         self.history.push(row);
     }
 
+    /// Returns the time of the store's clock.
+    fn get_time(&self) -> String {
+        format!("{}ms", self.started.elapsed().as_millis())
+    }
+
     /// Returns the version of a row, 0 if it does not exist.
     fn get_version(&self, table: &str, key: &str) -> u64 {
         let row = self
@@ -253,7 +260,7 @@
 
     fn reply(&self, rows: &[&StoredRow]) -> Value {
         let rows: Vec<Value> = rows.iter().map(|row| row_json(row)).collect();
-        json!({"rows": rows, "has_more": false, "ver": self.ver, "now": "1ms"})
+        json!({"rows": rows, "has_more": false, "ver": self.ver, "now": self.get_time()})
     }
 }
 
@@ -395,7 +402,7 @@
         state.write(&text(row, "table"), &text(row, "key"), None);
     }
     shared.changed.notify_waiters();
-    (200, json!({"ver": state.ver, "now": "1ms"}))
+    (200, json!({"ver": state.ver, "now": state.get_time()}))
 }
 
 /// Returns the decoded value of a query parameter, empty if it is missing.
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -41,7 +41,7 @@
     pub paused: Vec<u64>,
     /// Failure domains that operators have emptied, if any ever was.
     pub evacuations: Option<Evacuations>,
-    /// Newest proof of the configuration that the sender has, if keys need one.
+    /// Newest proof of a configuration that the sender has, if keys need one.
     pub proof: Option<ConfigProof>,
     /// Views of other VMs.
     pub peers: Vec<PeerView>,
@@ -140,8 +140,8 @@
 pub(crate) struct EncodedProof {
     #[prost(uint64, tag = "1")]
     revision: u64,
-    #[prost(uint32, tag = "2")]
-    age_ms: u32,
+    #[prost(uint64, tag = "2")]
+    at_ms: u64,
 }
 
 impl PeerDatagram {
@@ -222,18 +222,18 @@
     }
 }
 
-/// Rounds the age up, so that no proof looks more recent than it is.
+/// Rounds the moment down, so that no proof looks more recent than it is.
 pub(crate) fn encode_proof(proof: ConfigProof) -> EncodedProof {
     EncodedProof {
         revision: proof.revision,
-        age_ms: u32::try_from(proof.age.as_micros().div_ceil(1_000)).unwrap_or(u32::MAX),
+        at_ms: u64::try_from(proof.at.as_millis()).unwrap_or(0),
     }
 }
 
 pub(crate) fn decode_proof(encoded: &EncodedProof) -> ConfigProof {
     ConfigProof {
         revision: encoded.revision,
-        age: Duration::from_millis(u64::from(encoded.age_ms)),
+        at: Duration::from_millis(encoded.at_ms),
     }
 }
 
--- a/crates/wire/src/state.rs
+++ b/crates/wire/src/state.rs
@@ -7,8 +7,9 @@
 };
 use crate::message::PeerViewMessage;
 use crate::{WireError, WireErrorKind};
-use gentianridge_core::{ConfigProof, Evacuations, PeerView, TargetListUpdate, VmName};
+use gentianridge_core::{ConfigProof, Evacuations, PeerView, StoreTime, TargetListUpdate, VmName};
 use prost::Message;
+use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// The only format that this process encodes and decodes.
@@ -49,8 +50,10 @@
     pub peers: Vec<PeerView>,
     /// Failure domains that operators have emptied, if any ever was.
     pub evacuations: Option<Evacuations>,
-    /// Newest proof of the configuration, if keys need one.
+    /// Newest proof of a configuration, if keys need one.
     pub proof: Option<ConfigProof>,
+    /// Time of the store at the reply, if keys need a proof.
+    pub store_time: Option<StoreTime>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -93,6 +96,16 @@
     evacuations: Option<EncodedEvacuations>,
     #[prost(message, optional, tag = "6")]
     proof: Option<EncodedProof>,
+    #[prost(message, optional, tag = "7")]
+    store_time: Option<EncodedStoreTime>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct EncodedStoreTime {
+    #[prost(uint64, tag = "1")]
+    earliest_ms: u64,
+    #[prost(uint64, tag = "2")]
+    latest_ms: u64,
 }
 
 impl StateRequest {
@@ -150,6 +163,7 @@
             peers: self.peers.iter().map(encode_peer).collect(),
             evacuations: self.evacuations.as_ref().map(encode_evacuations),
             proof: self.proof.map(encode_proof),
+            store_time: self.store_time.map(encode_store_time),
         };
         encoded.encode_to_vec()
     }
@@ -170,10 +184,27 @@
             peers: peers.collect::<Result<_, _>>()?,
             evacuations: encoded.evacuations.map(decode_evacuations),
             proof: encoded.proof.as_ref().map(decode_proof),
+            store_time: encoded.store_time.as_ref().map(decode_store_time),
         })
     }
 }
 
+/// Rounds the bounds outward, so that they hold for the rounded time too.
+fn encode_store_time(time: StoreTime) -> EncodedStoreTime {
+    let latest_ms = time.latest.as_micros().div_ceil(1_000);
+    EncodedStoreTime {
+        earliest_ms: u64::try_from(time.earliest.as_millis()).unwrap_or(0),
+        latest_ms: u64::try_from(latest_ms).unwrap_or(u64::MAX),
+    }
+}
+
+fn decode_store_time(encoded: &EncodedStoreTime) -> StoreTime {
+    StoreTime {
+        earliest: Duration::from_millis(encoded.earliest_ms),
+        latest: Duration::from_millis(encoded.latest_ms),
+    }
+}
+
 fn decode_config(config: EncodedConfig) -> Result<ConfigState, WireError> {
     if xxh3_64(&config.value) != config.checksum {
         return Err(malformed(format!(
--- a/crates/wire/tests/datagrams.rs
+++ b/crates/wire/tests/datagrams.rs
@@ -38,7 +38,7 @@
         prop::option::of(any_list()),
         prop::collection::vec(any_peer(), 0..5),
         prop::collection::vec(any::<(u32, u64)>(), 0..30),
-        any::<(Vec<u64>, Vec<u64>, Option<u64>, Option<(u64, u32)>)>(),
+        any::<(Vec<u64>, Vec<u64>, Option<u64>, Option<(u64, u64)>)>(),
     )
         .prop_map(
             |(me, (is_hello, newest_revision), crashes, list, peers, summaries, notices)| {
@@ -57,9 +57,9 @@
                         version,
                         domains: vec!["a".into(), "b".into()],
                     }),
-                    proof: notices.3.map(|(revision, age_ms)| ConfigProof {
+                    proof: notices.3.map(|(revision, at_ms)| ConfigProof {
                         revision,
-                        age: Duration::from_millis(u64::from(age_ms)),
+                        at: Duration::from_millis(at_ms),
                     }),
                     peers,
                     summaries: summaries
--- a/crates/wire/tests/messages.rs
+++ b/crates/wire/tests/messages.rs
@@ -119,7 +119,7 @@
 /// bytes.
 mod state {
     use super::make_peer;
-    use gentianridge_core::{ConfigProof, Evacuations, TargetListUpdate, UpdateContent};
+    use gentianridge_core::{ConfigProof, Evacuations, StoreTime, TargetListUpdate, UpdateContent};
     use gentianridge_wire::{ConfigState, StateReply, StateRequest};
     use proptest::prelude::*;
     use std::time::Duration;
@@ -147,16 +147,20 @@
             prop::option::of(any::<(u64, Vec<u8>)>()),
             prop::option::of(any::<(u64, u64)>()),
             0usize..3,
-            prop::option::of((any::<u64>(), any::<u32>())),
+            prop::option::of(any::<(u64, u64)>()),
         )
             .prop_map(|(config, list, peers, fact)| StateReply {
                 evacuations: fact.map(|(version, _)| Evacuations {
                     version,
                     domains: vec!["a".into(), "b".into()],
                 }),
-                proof: fact.map(|(revision, age_ms)| ConfigProof {
+                proof: fact.map(|(revision, at_ms)| ConfigProof {
                     revision,
-                    age: Duration::from_millis(u64::from(age_ms)),
+                    at: Duration::from_millis(at_ms),
+                }),
+                store_time: fact.map(|(earliest_ms, latest_ms)| StoreTime {
+                    earliest: Duration::from_millis(earliest_ms),
+                    latest: Duration::from_millis(latest_ms),
                 }),
                 config: config.map(|(revision, value)| ConfigState { revision, value }),
                 list: list.map(|(version, digest)| TargetListUpdate {
