--- a/crates/core/src/workspace/mod.rs
+++ b/crates/core/src/workspace/mod.rs
@@ -1,6 +1,7 @@
 //! Workspaces: the customers whose callers send requests with keys.
 //!
-//! docs/decisions/0024-workspaces.md gives the reasons.
+//! docs/decisions/0024-workspaces.md and 0025-withdrawn-keys.md give the reasons, and
+//! 0026-limits-of-workspaces.md those of limits.
 
 mod credential;
 mod fault;
@@ -8,7 +9,9 @@
 mod key_index;
 mod limits;
 mod proof;
+mod proofs;
 mod spec;
+mod store_clock;
 mod table;
 
 pub use credential::parse_credential;
@@ -18,5 +21,7 @@
     Admission, FleetLimits, LimitMember, LimitMessage, LimitTerms, SpentToken, TokenAsk, TokenGrant,
 };
 pub use proof::ConfigProof;
+pub use proofs::Proofs;
 pub use spec::{RateLimit, WorkspaceSpec};
+pub use store_clock::{StoreClock, StoreTime};
 pub use table::WorkspaceTable;
