feat(daemon): requests are admitted by the limits of their workspaces

Change: after the key is known and before the body is read, a request takes a token of its workspace, waits a few round trips for tokens of peers, or gets 429 with the time after which there is room. A request that is refused before it can have run gives its token back. Peers exchange tokens in datagrams of their own; VMs without limits send none. Counters by workspace, at most 100 names.

--- a/crates/core/src/membership/gossip.rs
+++ b/crates/core/src/membership/gossip.rs
@@ -271,6 +271,18 @@
         chosen
     }
 
+    /// Returns the name, the address and the failure domain of each VM that has not been
+    /// removed, live or not; the domain of one that has sent no message is not known.
+    pub fn get_known(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (&VmName, SocketAddr, Option<&DomainName>)> {
+        let peers = self.membership.get_peers(now);
+        let peers = peers.map(|(view, _)| (&view.vm, view.addr, Some(&view.domain)));
+        let unconfirmed = self.unconfirmed.iter();
+        peers.chain(unconfirmed.map(|peer| (&peer.vm, peer.addr, None)))
+    }
+
     /// Returns the views of the live peers.
     pub fn get_live_views(&self, now: Instant) -> Vec<PeerView> {
         let peers = self.membership.get_peers(now);
--- a/crates/core/src/workspace/limits/machine.rs
+++ b/crates/core/src/workspace/limits/machine.rs
@@ -1,14 +1,12 @@
 //! Admission by the limits of workspaces.
 
+use super::bucket::BucketStart;
 use super::byte_budget::LimitByteBudget;
+use super::declared::DeclaredLimit;
 use super::members::LimitMembers;
 use super::pending::{PendingAsk, PendingAsks};
-use super::bucket::BucketStart;
-use super::declared::DeclaredLimit;
 use super::state::LimitState;
-use super::{
-    Admission, LimitMember, LimitMessage, LimitTerms, SpentToken, TokenAsk, TokenGrant,
-};
+use super::{Admission, LimitMember, LimitMessage, LimitTerms, SpentToken, TokenAsk, TokenGrant};
 use crate::{RateLimit, RequestBound, VmName, WorkspaceKey};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -238,6 +236,11 @@
         }
     }
 
+    /// Returns true if there are messages to send or workspaces that need tokens ahead.
+    pub fn has_work(&self) -> bool {
+        !self.outgoing.is_empty() || !self.due.is_empty()
+    }
+
     /// Returns the messages to send now.
     pub fn take_messages(&mut self) -> Vec<(SocketAddr, LimitMessage)> {
         std::mem::take(&mut self.outgoing)
@@ -422,7 +425,11 @@
         let is_since_start = self.is_since_start && since == self.since;
         BucketStart {
             since,
-            level: if is_since_start { terms.start_level } else { 0.0 },
+            level: if is_since_start {
+                terms.start_level
+            } else {
+                0.0
+            },
         }
     }
 
--- a/crates/core/tests/limits_model/mod.rs
+++ b/crates/core/tests/limits_model/mod.rs
@@ -176,7 +176,14 @@
     }
 
     /// Schedules requests of a workspace at one VM, with random gaps.
-    pub(crate) fn load(&mut self, workspace: usize, vm: usize, rate: f64, from: Duration, to: Duration) {
+    pub(crate) fn load(
+        &mut self,
+        workspace: usize,
+        vm: usize,
+        rate: f64,
+        from: Duration,
+        to: Duration,
+    ) {
         let mut at = self.now + from;
         let end = self.now + to;
         loop {
@@ -298,7 +305,12 @@
         let is_first_start = is_first_start || self.mutant == Mutant::FullAtStart;
         let started = now;
         let nonce = self.rng.random();
-        let mut limits = FleetLimits::new(started, &format!("vm-{index}").into(), nonce, is_first_start);
+        let mut limits = FleetLimits::new(
+            started,
+            &format!("vm-{index}").into(),
+            nonce,
+            is_first_start,
+        );
         limits.set_bound(WINDOW, BOUND);
         limits.declare(started, self.get_declared());
         if self.mutant == Mutant::AssumesAlone {
@@ -381,7 +393,10 @@
         self.send(index);
         if let Some(at) = self.vms[index].limits.get_next_tick(now) {
             let at = at + self.vms[index].lag;
-            self.schedule(at.max(self.now + Duration::from_millis(1)), Event::Tick(index));
+            self.schedule(
+                at.max(self.now + Duration::from_millis(1)),
+                Event::Tick(index),
+            );
         }
     }
 
@@ -414,7 +429,11 @@
             LimitMessage::Grants(nonce, grants) if self.mutant == Mutant::RepeatsCount => {
                 let newest = self.vms[vm].newest_nonce;
                 let limits = &mut self.vms[vm].limits;
-                limits.receive(now, make_addr(from), LimitMessage::Grants(nonce, grants.clone()));
+                limits.receive(
+                    now,
+                    make_addr(from),
+                    LimitMessage::Grants(nonce, grants.clone()),
+                );
                 LimitMessage::Grants(newest, grants)
             }
             message => message,
@@ -451,7 +470,11 @@
             if is_cut || self.rng.random_bool(self.links.lost) {
                 continue;
             }
-            let copies = if self.rng.random_bool(self.links.repeated) { 2 } else { 1 };
+            let copies = if self.rng.random_bool(self.links.repeated) {
+                2
+            } else {
+                1
+            };
             for _ in 0..copies {
                 let span = self.links.min_delay..self.links.max_delay;
                 let delay = self.rng.random_range(span);
--- a/crates/core/tests/workspace_limits.rs
+++ b/crates/core/tests/workspace_limits.rs
@@ -58,7 +58,12 @@
     };
     model.run(seconds(3));
     for workspace in 0..limits.len() {
-        load_hot(&mut model, workspace, [0.6, 2.0, 7.5][workspace % 3], seconds(20));
+        load_hot(
+            &mut model,
+            workspace,
+            [0.6, 2.0, 7.5][workspace % 3],
+            seconds(20),
+        );
     }
     for _ in 0..10 {
         model.run(seconds(1));
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -1,15 +1,17 @@
 //! One HTTP exchange with a caller, from the request to the answer.
 
+use super::admission::LimitPermit;
 use super::answer::{AnswerBody, make_refusal};
 use super::call::{Call, CallContext, CallEnd};
 use super::request::CallerRequest;
 use super::routing::RouteDecision;
 use super::state::Gateway;
 use crate::caller::headers::get_text;
-use gentianridge_core::{ClassKind, ResultCode, WorkspaceKey};
+use gentianridge_core::{ClassKind, ResultCode, RunState, WorkspaceKey};
 use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
 use rand::RngExt;
+use smol_str::SmolStr;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -22,6 +24,26 @@
 /// callers are spread, so that they do not all arrive at that moment.
 const PAUSE_SPREAD: f64 = 1.25;
 
+/// Refusal of a request before it reached a service.
+#[derive(Debug)]
+pub(crate) struct EarlyRefusal {
+    pub(crate) code: ResultCode,
+    /// Time after which there is room, if it is known.
+    pub(crate) retry_after: Option<Duration>,
+    /// Name of the workspace whose limit is reached.
+    pub(crate) workspace: Option<SmolStr>,
+}
+
+impl From<ResultCode> for EarlyRefusal {
+    fn from(code: ResultCode) -> Self {
+        Self {
+            code,
+            retry_after: None,
+            workspace: None,
+        }
+    }
+}
+
 /// Answers one request.
 ///
 /// hyper drops this future when the caller closes the connection.
@@ -33,18 +55,22 @@
     let id = get_text(request.headers(), &gateway.headers.attempt_id).unwrap_or_default();
     let mut response = match exchange(&gateway, arrived, request).await {
         Ok(response) => response,
-        Err(code) => {
+        Err(refusal) => {
+            let code = refusal.code;
             gateway.metrics.record_refusal(code);
             log::warn!(
                 target: "request",
                 request = id.as_str(),
                 status = code.http_status(),
                 code = code.number(),
+                workspace = refusal.workspace.as_deref(),
                 version = gateway.get_version();
                 "{}",
                 code.text()
             );
-            make_refusal(code, Some(get_early_retry_after(&gateway, code)))
+            let retry_after = refusal.retry_after;
+            let retry_after = retry_after.unwrap_or_else(|| get_early_retry_after(&gateway, code));
+            make_refusal(code, Some(retry_after))
         }
     };
     if gateway.is_stopping() {
@@ -61,16 +87,17 @@
     gateway: &Rc<Gateway>,
     arrived: Instant,
     request: Request<Incoming>,
-) -> Result<Response<AnswerBody>, ResultCode> {
-    let (decision, request) = tokio::select! {
+) -> Result<Response<AnswerBody>, EarlyRefusal> {
+    let (decision, request, permit) = tokio::select! {
         biased;
-        () = gateway.wait_answers_due() => return Err(ResultCode::Stopping),
+        () = gateway.wait_answers_due() => return Err(ResultCode::Stopping.into()),
         received = receive(gateway, request) => received?,
     };
     if gateway.is_quarantined(request.fingerprint) {
-        return Err(ResultCode::CrashesTargets);
+        return Err(ResultCode::CrashesTargets.into());
     }
     let cx = make_context(gateway, &decision, arrived, request);
+    let permit = permit.map(LimitPermit::start);
     let end = match decision.kind {
         ClassKind::Once => run_detached(cx.clone()).await,
         ClassKind::Interactive | ClassKind::Background => Call::start(cx.clone()).run().await,
@@ -80,18 +107,22 @@
         Ok((answer, slot)) => Ok(answer.into_response(slot)),
         Err(code) => {
             gateway.metrics.record_refusal(code);
+            if let Some(permit) = permit.filter(|_| code.run_state() == RunState::NotRun) {
+                permit.give_back();
+            }
             Ok(make_refusal(code, Some(get_retry_after(&cx, code))))
         }
     }
 }
 
-/// Routes a request and reads its body.
+/// Routes a request, admits it by the limit of its workspace and reads its body.
 async fn receive(
     gateway: &Rc<Gateway>,
     request: Request<Incoming>,
-) -> Result<(RouteDecision, CallerRequest), ResultCode> {
+) -> Result<(RouteDecision, CallerRequest, Option<LimitPermit>), EarlyRefusal> {
     gateway.wait_loaded().await;
     let decision = gateway.route(&request)?;
+    let permit = gateway.admit(&decision).await?;
     let max_body = gateway.get_limits().max_body_bytes;
     let mut request = CallerRequest::read(gateway, request, max_body).await?;
     if decision.needs_identity {
@@ -99,7 +130,7 @@
         let name = workspace.map(|workspace| workspace.name.as_str());
         request.set_workspace(&gateway.headers, name);
     }
-    Ok((decision, request))
+    Ok((decision, request, permit))
 }
 
 fn make_context(
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -2,17 +2,23 @@
 
 use super::state::Gateway;
 use crate::telemetry::{Exposition, LineCounts, counter, gauge, time_histogram};
-use gentianridge_core::{AttemptKind, ResultCode, TargetCondition};
+use gentianridge_core::{AttemptKind, FleetLimits, ResultCode, TargetCondition};
 use http::StatusCode;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
+use smol_str::SmolStr;
+use std::cell::RefCell;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// Path at which the metrics are served.
 const PATH: &str = "/metrics";
+/// Workspaces with a label of their own; each costs some hundred bytes.
+const MAX_LIMIT_NAMES: usize = 100;
+/// Label of all other workspaces.
+const OTHER_WORKSPACES: &str = "(other)";
 
 /// The instruments of one daemon; docs/METRICS-AND-LOGS.md explains each.
 #[derive(Debug)]
@@ -37,6 +43,10 @@
     state_bytes: Counter<u64>,
     announcements: Counter<u64>,
     outdated_sends: Counter<u64>,
+    limit_requests: Counter<u64>,
+    limit_states: Gauge<f64>,
+    /// Workspaces with a label of their own.
+    limit_names: RefCell<Vec<SmolStr>>,
     list_due: Gauge<f64>,
     list_age: Gauge<f64>,
     proof_age: Gauge<f64>,
@@ -114,6 +124,17 @@
                 "gentianridge.list.outdated.sends",
                 "Requests sent by an outdated list because the store did not answer",
             ),
+            limit_requests: counter(
+                &meter,
+                "gentianridge.limit.requests",
+                "Requests of workspaces with a limit, by outcome",
+            ),
+            limit_states: gauge(
+                &meter,
+                "gentianridge.limit.states",
+                "Workspaces whose limit was used lately",
+            ),
+            limit_names: RefCell::default(),
             list_age: gauge(
                 &meter,
                 "gentianridge.list.age",
@@ -201,6 +222,25 @@
         self.announcements.add(1, &labels);
     }
 
+    /// Counts a request of a workspace with a limit. Workspaces that come after
+    /// [`MAX_LIMIT_NAMES`] others share one label.
+    pub(crate) fn record_limit(&self, workspace: &SmolStr, outcome: &'static str) {
+        let mut names = self.limit_names.borrow_mut();
+        let name = match names.binary_search(workspace) {
+            Ok(_) => workspace.to_string(),
+            Err(index) if names.len() < MAX_LIMIT_NAMES => {
+                names.insert(index, workspace.clone());
+                workspace.to_string()
+            }
+            Err(_) => OTHER_WORKSPACES.to_owned(),
+        };
+        let labels = [
+            KeyValue::new("workspace", name),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.limit_requests.add(1, &labels);
+    }
+
     pub(crate) fn record_outdated_send(&self) {
         self.outdated_sends.add(1, &[]);
     }
@@ -220,6 +260,10 @@
         self.version.record(gateway.get_version() as f64, &[]);
         self.vms
             .record(gateway.peers.count_live(gateway.clock.now()) as f64, &[]);
+        if gateway.limits.read(FleetLimits::is_limiting) {
+            let active = gateway.limits.read(FleetLimits::count_active);
+            self.limit_states.record(active as f64, &[]);
+        }
         let now = gateway.clock.now();
         if let Some(age) = gateway.list.borrow().get_age(now) {
             self.list_age.record(age.as_secs_f64(), &[]);
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! is described in docs/decisions/0013-platform.md.
 
 mod activity;
+mod admission;
 mod announcements;
 mod answer;
 mod attempt;
--- a/crates/daemon/src/gateway/peers/follow.rs
+++ b/crates/daemon/src/gateway/peers/follow.rs
@@ -134,6 +134,7 @@
 
 fn apply_reply(gateway: &Rc<Gateway>, addr: SocketAddr, sent: Duration, reply: StateReply) -> bool {
     let now = gateway.clock.now();
+    let has_listed = !reply.peers.is_empty();
     for view in reply.peers {
         gateway
             .peers
@@ -147,6 +148,9 @@
         let outcome = apply_config(gateway, &config.value, "peer");
         is_progress |= outcome == ConfigOutcome::InForce;
     }
+    if has_listed {
+        gateway.set_fleet_known();
+    }
     if let Some(update) = reply.list {
         let outcome = apply_list_update(gateway, update, addr);
         is_progress |= matches!(outcome, UpdateOutcome::Applied | UpdateOutcome::Unchanged);
--- a/crates/daemon/src/gateway/peers/gossip.rs
+++ b/crates/daemon/src/gateway/peers/gossip.rs
@@ -1,11 +1,12 @@
 //! Gossip rounds between VMs.
 
+use super::limits::receive_limits;
 use super::register::remove_rows;
 use crate::gateway::feeds::apply_list_update;
 use crate::gateway::state::Gateway;
 use crate::telemetry::STATE_LOG_TARGET;
 use gentianridge_core::{ByteBudget, StallDetector, TargetListUpdate, UpdateContent, VmName};
-use gentianridge_wire::PeerDatagram;
+use gentianridge_wire::{LimitDatagram, PeerDatagram};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -130,6 +131,10 @@
                     continue;
                 }
             };
+            if LimitDatagram::is_kind(&buf[..size]) {
+                receive_limits(&self.gateway, addr, &buf[..size]);
+                continue;
+            }
             match PeerDatagram::decode(&buf[..size]) {
                 Ok(datagram) => self.apply_datagram(addr, datagram),
                 Err(error) => log::warn!("datagram of {addr} dropped: {error}"),
@@ -247,6 +252,7 @@
 /// those that are gone.
 fn update_members(gateway: &Rc<Gateway>, now: Instant) {
     let (events, gone) = gateway.peers.gossip.borrow_mut().tick(now);
+    gateway.list_limit_members();
     if !events.is_empty() {
         for event in events {
             gateway.journal.record(event);
--- /dev/null
+++ b/crates/daemon/src/gateway/peers/limits.rs
@@ -0,0 +1,91 @@
+//! Exchange of tokens of limits between VMs.
+
+use crate::gateway::state::Gateway;
+use gentianridge_core::LimitMember;
+use gentianridge_wire::LimitDatagram;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+
+/// Time after a start from which the VMs that gossip has named are taken for the whole
+/// fleet, if the store and the peers have not listed them.
+const DISCOVERY_TIME: Duration = Duration::from_secs(10);
+
+/// Sends asks and grants until the task is dropped; [`receive_limits`] takes those of
+/// peers.
+pub(crate) async fn run_limits(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    let discovered_at = gateway.clock.since_boot() + DISCOVERY_TIME;
+    loop {
+        wait_until_due(&gateway).await;
+        let now = gateway.clock.since_boot();
+        if now >= discovered_at {
+            gateway
+                .limits
+                .update_quietly(|limits| limits.set_fleet_known());
+        }
+        gateway.limits.tick(now);
+        send_messages(&gateway, &socket);
+    }
+}
+
+/// Waits until the limits have something to do. Without limits that is never.
+async fn wait_until_due(gateway: &Gateway) {
+    let now = gateway.clock.since_boot();
+    let next = gateway.limits.read(|limits| limits.get_next_tick(now));
+    let work = gateway.limits.wait_work();
+    match next {
+        Some(next) => {
+            let _ = tokio::time::timeout(next.saturating_sub(now), work).await;
+        }
+        None => work.await,
+    }
+}
+
+fn send_messages(gateway: &Gateway, socket: &UdpSocket) {
+    for (addr, message) in gateway.limits.take_messages() {
+        let bytes = LimitDatagram(message).encode();
+        match socket.try_send_to(&bytes, addr) {
+            Ok(size) => gateway.metrics.record_datagram("sent", size),
+            Err(error) => log::debug!("cannot send to peer {addr}: {error}"),
+        }
+    }
+}
+
+/// Applies a datagram of a peer about limits.
+pub(super) fn receive_limits(gateway: &Gateway, from: SocketAddr, bytes: &[u8]) {
+    let now = gateway.clock.since_boot();
+    match LimitDatagram::decode(bytes) {
+        Ok(LimitDatagram(message)) => {
+            gateway
+                .limits
+                .update(|limits| limits.receive(now, from, message));
+        }
+        Err(error) => log::warn!("datagram of {from} dropped: {error}"),
+    }
+}
+
+impl Gateway {
+    /// Tells the limits which VMs are known, if there are limits.
+    pub(in crate::gateway) fn list_limit_members(&self) {
+        if !self.limits.read(|limits| limits.is_limiting()) {
+            return;
+        }
+        let domain = self.get_settings().domain.clone();
+        let gossip = self.peers.gossip.borrow();
+        let known = gossip.get_known(self.clock.now());
+        let members: Vec<LimitMember> = known
+            .map(|(vm, addr, its)| LimitMember::new(vm, addr, its == Some(&domain)))
+            .collect();
+        let now = self.clock.since_boot();
+        self.limits
+            .update_quietly(|limits| limits.list_members(now, &members));
+    }
+
+    /// Records that all VMs of the fleet have been listed.
+    pub(super) fn set_fleet_known(&self) {
+        self.list_limit_members();
+        self.limits
+            .update_quietly(|limits| limits.set_fleet_known());
+    }
+}
--- a/crates/daemon/src/gateway/peers/mod.rs
+++ b/crates/daemon/src/gateway/peers/mod.rs
@@ -8,6 +8,7 @@
 
 mod follow;
 mod gossip;
+mod limits;
 mod register;
 mod renew;
 mod start;
@@ -16,6 +17,7 @@
 
 pub(crate) use follow::{follow_peers, is_behind};
 pub(crate) use gossip::run_gossip;
+pub(crate) use limits::run_limits;
 pub(crate) use register::{keep_registered, unregister};
 pub(crate) use renew::keep_proven;
 pub(crate) use start::{fetch_from_seeds, load_state};
--- a/crates/daemon/src/gateway/peers/register.rs
+++ b/crates/daemon/src/gateway/peers/register.rs
@@ -124,6 +124,7 @@
         }
     }
     update_fleet_size(gateway, now);
+    gateway.set_fleet_known();
     let turn = gateway.peers.get_turn(now, gateway.get_version());
     gateway.list.borrow_mut().set_turn(turn);
     gateway.peers.request_round();
--- a/crates/daemon/src/gateway/routing.rs
+++ b/crates/daemon/src/gateway/routing.rs
@@ -111,6 +111,7 @@
             self.declare(now, declared.clone(), classes);
         }
         self.proofs.borrow_mut().set_revision(table.get_version());
+        self.declare_limits(&table);
         *self.routes.borrow_mut() = Some(table);
         self.apply_all();
         self.notify_loaded();
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -4,7 +4,9 @@
 use super::callers::{ShutdownStage, run_callers};
 use super::feeds::follow_store;
 use super::metrics::answer_metrics;
-use super::peers::{follow_peers, keep_proven, keep_registered, run_gossip, run_state_server};
+use super::peers::{
+    follow_peers, keep_proven, keep_registered, run_gossip, run_limits, run_state_server,
+};
 use super::ready::answer_ready;
 use super::shutdown::shut_down;
 use super::sockets::GatewaySockets;
@@ -109,9 +111,13 @@
         let listener = TcpListener::from_std(listener)?;
         tokio::task::spawn_local(run_auxiliary(gateway.clone(), listener, answer_metrics));
     }
+    let limits_socket = socket.clone();
     spawn_supervised(&gateway, "gossip", move |gateway| {
         run_gossip(gateway, socket.clone())
     });
+    spawn_supervised(&gateway, "limits", move |gateway| {
+        run_limits(gateway, limits_socket.clone())
+    });
     spawn_supervised(&gateway, "state server", move |gateway| {
         run_state_server(gateway, state.clone())
     });
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -1,5 +1,6 @@
 //! Local state of a daemon on the platform.
 
+use super::admission::WorkspaceLimits;
 use super::connections::ConnectionPool;
 use super::crashes::CRASH_PERIOD;
 use super::list_reader::ListReader;
@@ -42,6 +43,7 @@
     /// The configuration in force as the store holds it, for peers that lack it.
     config_value: RefCell<Option<Bytes>>,
     pub(super) services: RefCell<Vec<ServiceEntry>>,
+    pub(super) limits: WorkspaceLimits,
     pub(super) quarantine: RefCell<Quarantine>,
     /// Schedule of the planned stop, after its signal.
     stop: Cell<Option<StopSchedule>>,
@@ -75,6 +77,7 @@
         Ok(Rc::new(Self {
             store: RefCell::new(store),
             headers: get_header_names(),
+            limits: WorkspaceLimits::new(clock.since_boot(), &settings),
             clock,
             journal,
             connections: ConnectionPool::default(),
@@ -124,6 +127,9 @@
         }
         let bound = get_list_bound(&settings);
         self.list.borrow_mut().set_bound(bound);
+        self.limits.update_quietly(|limits| {
+            limits.set_bound(settings.limit_window, settings.limit_bound);
+        });
         *self.settings.borrow_mut() = settings;
         self.apply_all();
     }
--- a/crates/wire/src/limits.rs
+++ b/crates/wire/src/limits.rs
@@ -72,8 +72,7 @@
     ///
     /// Fails if the bytes are not a datagram of this format.
     pub fn decode(bytes: &[u8]) -> Result<Self, WireError> {
-        let encoded =
-            EncodedLimits::decode(bytes).map_err(|error| malformed(error.to_string()))?;
+        let encoded = EncodedLimits::decode(bytes).map_err(|error| malformed(error.to_string()))?;
         if encoded.format != FORMAT {
             let detail = format!("limit format {} is not supported", encoded.format);
             return Err(WireError::new(WireErrorKind::Version, detail));
--- a/crates/wire/tests/limits.rs
+++ b/crates/wire/tests/limits.rs
@@ -73,7 +73,13 @@
 #[test]
 fn small_messages() {
     let workspace = WorkspaceKey::from_number(u64::MAX);
-    let ask = LimitMessage::Asks(u32::MAX, vec![TokenAsk { workspace, tokens: 9 }]);
+    let ask = LimitMessage::Asks(
+        u32::MAX,
+        vec![TokenAsk {
+            workspace,
+            tokens: 9,
+        }],
+    );
     let grant = TokenGrant {
         workspace,
         tokens: 9,
