--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -16,4 +16,5 @@
 mod peers;
 mod store_faults;
 mod test_env;
+mod withdrawn_keys;
 mod workspaces;
--- a/tests/gateway/workspaces.rs
+++ b/tests/gateway/workspaces.rs
@@ -6,24 +6,24 @@
 };
 use std::time::Duration;
 
-const KEY: &str = "492cqf75rjvz48wuakn2";
-const SECOND_KEY: &str = "ftimaj3nr26tta828m82";
-const OTHER_KEY: &str = "zz9plural0zalpha7777";
+pub(crate) const KEY: &str = "492cqf75rjvz48wuakn2";
+pub(crate) const SECOND_KEY: &str = "ftimaj3nr26tta828m82";
+pub(crate) const OTHER_KEY: &str = "zz9plural0zalpha7777";
 /// Header in which targets receive the name of the workspace.
 const NAME: &str = "gentianridge-tenant";
 
-const NORTH: WorkspaceValue<'static> = WorkspaceValue {
+pub(crate) const NORTH: WorkspaceValue<'static> = WorkspaceValue {
     name: "north",
     keys: &[KEY, SECOND_KEY],
     priority: 0,
 };
-const SOUTH: WorkspaceValue<'static> = WorkspaceValue {
+pub(crate) const SOUTH: WorkspaceValue<'static> = WorkspaceValue {
     name: "south",
     keys: &[OTHER_KEY],
     priority: 2,
 };
 
-fn put_workspaces(store: &FakeStore, version: u64, workspaces: &[WorkspaceValue<'_>]) {
+pub(crate) fn put_workspaces(store: &FakeStore, version: u64, workspaces: &[WorkspaceValue<'_>]) {
     let public = format!(",{}", write_public_path("open", "/open/", "idempotent"));
     let config = write_keyed_config(version, &public, workspaces);
     store.put("op", "config", config.as_bytes());
@@ -41,13 +41,13 @@
 }
 
 /// Sends a request with header lines and waits for the answer.
-async fn request_with(env: &TestEnv, headers: &str, path: &str, id: &str) -> Reply {
+pub(crate) async fn request_with(env: &TestEnv, headers: &str, path: &str, id: &str) -> Reply {
     let mut caller = env.vm.open().await.unwrap();
     caller.set_headers(headers);
     caller.request("GET", path, id).await.unwrap()
 }
 
-fn bearer(key: &str) -> String {
+pub(crate) fn bearer(key: &str) -> String {
     format!("authorization: Bearer {key}\r\n")
 }
 
