fix(core): a bucket of which nothing was spent is full, whatever its rate

Cause: the first tokens were counted from the boot of the machine, so a rate near zero began empty. Found by tests/gateway/fleet_limits.rs (token_given_back, tokens_of_peers). Change: such a bucket starts full.

--- a/crates/core/src/workspace/limits/bucket.rs
+++ b/crates/core/src/workspace/limits/bucket.rs
@@ -20,6 +20,14 @@
 }
 
 impl BucketStart {
+    /// Returns the start of a bucket that is full at `now`.
+    pub(super) fn full(now: Duration) -> Self {
+        Self {
+            since: now,
+            level: f64::INFINITY,
+        }
+    }
+
     /// Returns the start of a bucket that is empty at `now`.
     pub(super) fn empty(now: Duration) -> Self {
         Self {
--- a/crates/core/src/workspace/limits/declared.rs
+++ b/crates/core/src/workspace/limits/declared.rs
@@ -8,14 +8,14 @@
 pub(super) struct DeclaredLimit {
     pub(super) key: WorkspaceKey,
     pub(super) limit: RateLimit,
-    /// Time since which nothing is known of tokens that were spent before; zero if none
-    /// were.
-    pub(super) since: Duration,
+    /// Time since which nothing is known of tokens that were spent before; `None` if
+    /// none were.
+    pub(super) since: Option<Duration>,
     removed_at: Option<Duration>,
 }
 
 impl DeclaredLimit {
-    pub(super) fn new(key: WorkspaceKey, limit: RateLimit, since: Duration) -> Self {
+    pub(super) fn new(key: WorkspaceKey, limit: RateLimit, since: Option<Duration>) -> Self {
         Self {
             key,
             limit,
--- a/crates/core/src/workspace/limits/machine.rs
+++ b/crates/core/src/workspace/limits/machine.rs
@@ -21,8 +21,8 @@
     bound: RequestBound,
     members: LimitMembers,
     /// Time of the start, or of the last change that may have made this VM a holder:
-    /// nothing is known of tokens that were spent before. Zero if none were.
-    since: Duration,
+    /// nothing is known of tokens that were spent before. `None` if none were.
+    since: Option<Duration>,
     /// True if `since` is the start of this process.
     is_since_start: bool,
     is_first_start: bool,
@@ -55,7 +55,7 @@
             window: Duration::from_secs(1),
             bound: RequestBound::EXACT,
             members: LimitMembers::new(me),
-            since: if is_first_start { Duration::ZERO } else { now },
+            since: (!is_first_start).then_some(now),
             is_since_start: true,
             is_first_start,
             division: 0,
@@ -89,8 +89,8 @@
         let declared = limits.into_iter().map(|(key, limit)| {
             let since = match self.find_known(key) {
                 Some(known) if known.limit == limit => known.since,
-                None if !is_first => Duration::ZERO,
-                Some(_) | None => now,
+                None if !is_first => None,
+                Some(_) | None => Some(now),
             };
             DeclaredLimit::new(key, limit, since)
         });
@@ -115,7 +115,7 @@
         // The VMs that are added take the place of others; only where some are removed
         // may this VM hold what it did not hold before.
         if change.has_removed {
-            self.since = now;
+            self.since = Some(now);
             self.is_since_start = false;
         }
     }
@@ -410,7 +410,7 @@
                 index
             }
             Err(index) => {
-                let start = self.make_start(declared, &terms);
+                let start = self.make_start(now, &declared, terms.start_level);
                 let (division, members) = (self.division, &self.members);
                 let state = LimitState::new(now, declared, division, terms, members, start);
                 self.active.insert(index, Box::new(state));
@@ -420,16 +420,14 @@
     }
 
     /// Returns what is known of the tokens of a limit without state.
-    fn make_start(&self, declared: DeclaredLimit, terms: &LimitTerms) -> BucketStart {
-        let since = self.since.max(declared.since);
-        let is_since_start = self.is_since_start && since == self.since;
+    fn make_start(&self, now: Duration, declared: &DeclaredLimit, level: f64) -> BucketStart {
+        let Some(since) = self.since.max(declared.since) else {
+            return BucketStart::full(now);
+        };
+        let is_since_start = self.is_since_start && Some(since) == self.since;
         BucketStart {
             since,
-            level: if is_since_start {
-                terms.start_level
-            } else {
-                0.0
-            },
+            level: if is_since_start { level } else { 0.0 },
         }
     }
 
