--- a/crates/core/tests/limits_model/mod.rs
+++ b/crates/core/tests/limits_model/mod.rs
@@ -467,7 +467,11 @@
                     workspace.refused += u64::from(request.is_within);
                 }
                 Admission::Refused(_) => workspace.refused += u64::from(request.is_within),
-                Admission::Admitted(_) | Admission::Unlimited => workspace.admitted.push(self.now),
+                Admission::Admitted(token) => {
+                    self.vms[vm].spent.insert(workspace.key, token);
+                    workspace.admitted.push(self.now);
+                }
+                Admission::Unlimited => workspace.admitted.push(self.now),
             }
         }
     }
--- a/crates/core/tests/workspace_limits.rs
+++ b/crates/core/tests/workspace_limits.rs
@@ -205,8 +205,8 @@
     let limits = make_limits(workspaces, total);
     let mut model = Model::start(vms, &limits, seed, Mutant::None);
     model.run(seconds(30));
-    for workspace in 0..workspaces {
-        let rate = limits[workspace].per_second / 1.6;
+    for (workspace, limit) in limits.iter().enumerate() {
+        let rate = limit.per_second / 1.6;
         for part in 0..2 {
             let vm = model.rng.random_range(0..vms);
             let (from, to) = (seconds(part * 10), seconds(part * 10 + 10));
