--- a/crates/core/tests/fleet_limits.rs
+++ b/crates/core/tests/fleet_limits.rs
@@ -32,6 +32,60 @@
     assert!(repeats.len() > 300, "repeats within the limit are allowed");
 }
 
+/// Attempts begin to fail a quarter of a window after the traffic has risen, so that windows
+/// which hold the same repeats hold fewer and fewer requests once it has fallen. The requests
+/// of a window count as the limit counts them: its own, or those half a window or a window
+/// earlier.
+#[test]
+fn falling_traffic() {
+    let mut vms: Vec<Harness> = (0..5).map(|_| Harness::with_repeat_limit(5)).collect();
+    let start = Instant::now();
+    let mut firsts: Vec<Instant> = Vec::new();
+    let mut repeats: Vec<Instant> = Vec::new();
+    for step in 0..30_000_u64 {
+        let at = Duration::from_millis(step);
+        let period = if (10_000..20_000).contains(&step) {
+            10
+        } else {
+            500
+        };
+        if step % period != 0 {
+            continue;
+        }
+        let harness = &mut vms[(step / period % 5) as usize];
+        harness.now = start + at;
+        firsts.push(harness.now);
+        let is_failing = (12_500..24_000).contains(&step);
+        if is_failing {
+            let sheds = harness.try_send_and_shed().unwrap_or_default();
+            repeats.extend(std::iter::repeat_n(harness.now, sheds));
+        } else {
+            let sent = harness.send(SHORT);
+            harness.answer(sent);
+        }
+    }
+    let window = REPEAT_LIMIT.window;
+    let count = |times: &[Instant], from: Instant, to: Instant| {
+        times.iter().filter(|at| from <= **at && **at < to).count()
+    };
+    for begin in repeats.iter().copied() {
+        let end = begin + window;
+        let requests = [
+            count(&firsts, begin, end),
+            count(&firsts, begin - window / 2, end - window / 2),
+            count(&firsts, begin - window, begin),
+        ];
+        let most = requests.into_iter().max().unwrap_or_default();
+        let found = count(&repeats, begin, end);
+        assert!(
+            found as f64 <= 0.2 * most as f64 + f64::from(REPEAT_LIMIT.extra),
+            "{found} repeats of {requests:?} requests {:?} after the start",
+            begin - start
+        );
+    }
+    assert!(repeats.len() > 100, "{} repeats", repeats.len());
+}
+
 /// Each VM is replaced once by a VM that starts without the count of repeats so far.
 #[test]
 fn replaced_vms() {
