feat: emptied failure domains get nothing

Cause: rows `evacuate/DOMAIN` of the operators' table were not read.

Change: the feed takes all rows of the operators' table. The set of emptied domains with its version moves forward only, travels in every datagram, hello reply and reply with the state once a domain was ever emptied, and is sent at once when it is news. It is checked directly before each send and in the choice of targets. Work under way ends. Metrics, the status of targets and a log line show the set, its version and since when.

--- a/crates/cli/src/output/status.rs
+++ b/crates/cli/src/output/status.rs
@@ -120,6 +120,7 @@
         TargetCondition::Ejected => "ejected",
         TargetCondition::Leaving => "leaving",
         TargetCondition::Drained => "drained",
+        TargetCondition::Emptied => "emptied",
     };
     let age = target
         .report_age_ms
--- a/crates/config/src/fleet/sections.rs
+++ b/crates/config/src/fleet/sections.rs
@@ -104,6 +104,8 @@
         incarnation: 0,
         warm_up: None,
         paused_until: None,
+        cold_until: None,
+        is_emptied: false,
     };
     if target.slots == Some(0) {
         reader.report_conflict("slots", "0", "at least 1, or drain = yes to stop new work");
--- a/crates/core/benches/decision.rs
+++ b/crates/core/benches/decision.rs
@@ -40,6 +40,8 @@
                 incarnation: 0,
                 warm_up: None,
                 paused_until: None,
+                cold_until: None,
+                is_emptied: false,
             })
             .collect(),
         retry_percent: 10,
--- a/crates/core/src/discovery/directory.rs
+++ b/crates/core/src/discovery/directory.rs
@@ -1,7 +1,7 @@
 //! The targets in the local state of this VM.
 
 use super::{Incarnation, LeavingTargets, PausedTargets, TargetEntry, TargetListUpdate};
-use crate::TargetSpec;
+use crate::{DomainName, TargetSpec};
 use smol_str::SmolStr;
 use std::time::{Duration, Instant};
 
@@ -208,6 +208,20 @@
         (entry.incarnation == *incarnation).then(|| entry.service.clone())
     }
 
+    /// Returns the failure domain of an incarnation, if it is known.
+    pub fn get_domain(&self, incarnation: &Incarnation) -> Option<&DomainName> {
+        let index = self.find(&incarnation.id).ok()?;
+        let entry = &self.targets[index].entry;
+        (entry.incarnation == *incarnation).then_some(&entry.domain)
+    }
+
+    /// Adds the services that have targets in one of the failure domains.
+    pub fn collect_services(&self, domains: &[DomainName], services: &mut Vec<SmolStr>) {
+        let targets = self.targets.iter().map(|known| &known.entry);
+        let affected = targets.filter(|entry| domains.contains(&entry.domain));
+        services.extend(affected.map(|entry| entry.service.clone()));
+    }
+
     /// Returns the end of the pause that an incarnation requested.
     pub fn get_pause_end(&self, incarnation: &Incarnation) -> Option<Instant> {
         self.paused.get_end(incarnation)
--- a/crates/core/src/discovery/entry.rs
+++ b/crates/core/src/discovery/entry.rs
@@ -78,6 +78,8 @@
             incarnation: self.incarnation.born_ms,
             warm_up: Some(self.cold_left),
             paused_until: None,
+            cold_until: None,
+            is_emptied: false,
         }
     }
 }
--- a/crates/core/src/discovery/evacuations.rs
+++ b/crates/core/src/discovery/evacuations.rs
@@ -12,6 +12,26 @@
 }
 
 impl Evacuations {
+    /// Creates a set from domains in any order.
+    pub fn new(version: u64, mut domains: Vec<DomainName>) -> Self {
+        domains.sort();
+        domains.dedup();
+        Self { version, domains }
+    }
+
+    /// Returns the set after changes, in their order, that a read of the store returned;
+    /// true marks a domain as emptied.
+    pub fn after(&self, version: u64, changes: &[(DomainName, bool)]) -> Self {
+        let mut domains = self.domains.clone();
+        for (domain, is_emptied) in changes {
+            domains.retain(|other| other != domain);
+            if *is_emptied {
+                domains.push(domain.clone());
+            }
+        }
+        Self::new(version, domains)
+    }
+
     /// Returns true if the failure domain is emptied.
     pub fn contains(&self, domain: &str) -> bool {
         self.domains
--- a/crates/core/src/discovery/list.rs
+++ b/crates/core/src/discovery/list.rs
@@ -1,8 +1,8 @@
 //! The target list of one VM, from its own reads and from peers' updates.
 
 use super::{
-    Directory, Incarnation, ReadTurn, RefreshTimer, TargetEntry, TargetListRead, TargetListUpdate,
-    UpdateContent, UpdateOutcome,
+    Directory, EmptiedDomains, Evacuations, Incarnation, ReadTurn, RefreshTimer, TargetEntry,
+    TargetListRead, TargetListUpdate, UpdateContent, UpdateOutcome,
 };
 use crate::TargetSpec;
 use smol_str::SmolStr;
@@ -26,6 +26,8 @@
     Withdrawn,
     /// The target has requested a pause that has not ended.
     Paused,
+    /// Operators have emptied the failure domain of the target.
+    Emptied,
     /// The list is so old that the target may have left since.
     Outdated,
 }
@@ -46,6 +48,7 @@
     /// True if the list lacks a change that no incremental read is certain to
     /// contain.
     has_diverged: bool,
+    emptied: EmptiedDomains,
 }
 
 /// Construction and timer.
@@ -56,6 +59,7 @@
             directory: Directory::new(),
             refresh_timer: RefreshTimer::new(bound),
             has_diverged: false,
+            emptied: EmptiedDomains::default(),
         }
     }
 
@@ -289,7 +293,37 @@
 
     /// Returns the targets of a service, draining ones included.
     pub fn get_targets(&self, service: &str, connections: u16) -> Vec<TargetSpec> {
-        self.directory.get_targets(service, connections)
+        let mut targets = self.directory.get_targets(service, connections);
+        for target in &mut targets {
+            target.is_emptied = self.emptied.get().contains(&target.domain);
+        }
+        targets
+    }
+
+    /// Applies a set of emptied failure domains that this VM read or a peer sent; returns
+    /// true if it changes any domain.
+    pub fn apply_evacuations(
+        &mut self,
+        now: Instant,
+        evacuations: Evacuations,
+        changed: &mut Vec<SmolStr>,
+    ) -> bool {
+        let Some(domains) = self.emptied.apply(now, evacuations) else {
+            return false;
+        };
+        self.directory.collect_services(&domains, changed);
+        !domains.is_empty()
+    }
+
+    /// Returns what this VM knows of emptied failure domains.
+    pub fn get_emptied(&self) -> &EmptiedDomains {
+        &self.emptied
+    }
+
+    /// Returns true if the failure domain of an incarnation is emptied.
+    pub fn is_emptied(&self, incarnation: &Incarnation) -> bool {
+        let domain = self.directory.get_domain(incarnation);
+        domain.is_some_and(|domain| self.emptied.get().contains(domain))
     }
 
     /// Checks whether a request may be sent to a target now.
@@ -299,6 +333,8 @@
     pub fn check_send(&self, now: Instant, incarnation: &Incarnation) -> SendCheck {
         if !self.directory.is_active(incarnation) {
             SendCheck::Withdrawn
+        } else if self.is_emptied(incarnation) {
+            SendCheck::Emptied
         } else if self.is_paused(now, incarnation) {
             SendCheck::Paused
         } else if self.refresh_timer.is_outdated(now) {
--- a/crates/core/src/discovery/mod.rs
+++ b/crates/core/src/discovery/mod.rs
@@ -3,6 +3,7 @@
 //! docs/decisions/0013-platform.md lists the cases.
 
 mod directory;
+mod emptied_domains;
 mod entry;
 mod evacuations;
 mod leaving;
@@ -14,6 +15,7 @@
 mod update_log;
 
 pub use directory::Directory;
+pub use emptied_domains::EmptiedDomains;
 pub use entry::{Incarnation, TargetEntry};
 pub use evacuations::Evacuations;
 pub use leaving::LeavingTargets;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,9 +24,9 @@
 pub use clock::{Clock, HybridClock, HybridTime};
 pub use code::{ResultCode, RunState};
 pub use discovery::{
-    AppliedRead, Directory, Evacuations, Incarnation, LeavingTargets, PausedTargets, ReadTurn,
-    RefreshTimer, SendCheck, TargetEntry, TargetList, TargetListRead, TargetListUpdate,
-    UpdateContent, UpdateLog, UpdateOutcome,
+    AppliedRead, Directory, EmptiedDomains, Evacuations, Incarnation, LeavingTargets,
+    PausedTargets, ReadTurn, RefreshTimer, SendCheck, TargetEntry, TargetList, TargetListRead,
+    TargetListUpdate, UpdateContent, UpdateLog, UpdateOutcome,
 };
 pub use event::{Event, EventKind, EventRing};
 pub use ledger::{
--- a/crates/core/src/service/calls.rs
+++ b/crates/core/src/service/calls.rs
@@ -54,7 +54,11 @@
 
     pub(super) fn check_admission(&self, now: Instant, call: &Call) -> Option<ResultCode> {
         if !self.targets.iter().any(Target::is_usable) {
-            return Some(ResultCode::NoTarget);
+            return Some(if self.is_emptied() {
+                ResultCode::DomainsEmptied
+            } else {
+                ResultCode::NoTarget
+            });
         }
         let class = &self.classes[call.class];
         if class.is_full() {
@@ -169,7 +173,34 @@
         call.state == CallState::Waiting && self.classes[call.class].remove(entry)
     }
 
+    /// Returns true if operators have emptied the failure domains of all targets that could
+    /// be used.
+    pub fn is_emptied(&self) -> bool {
+        let mut targets = self.targets.iter();
+        !targets.clone().any(Target::is_usable) && targets.any(Target::is_held_by_evacuation)
+    }
+
+    /// Refuses all waiting calls: how long their targets get nothing is not known.
+    fn refuse_emptied(&mut self, out: &mut Vec<Output>) {
+        let mut position = 0;
+        while let Some(key) = self.classes.get_key(position) {
+            while let Some(front) = self.classes[key].pop_front() {
+                let may_have_run = self.calls.get(front.call).is_some_and(|c| c.may_have_run);
+                let code = if may_have_run {
+                    ResultCode::AttemptFailed
+                } else {
+                    ResultCode::DomainsEmptied
+                };
+                self.refuse(front.call, code, out);
+            }
+            position += 1;
+        }
+    }
+
     pub(super) fn expire(&mut self, now: Instant, out: &mut Vec<Output>) {
+        if self.count_waiting() > 0 && self.is_emptied() {
+            self.refuse_emptied(out);
+        }
         let pause_left = self.get_pause_left(now);
         let mut position = 0;
         while let Some(key) = self.classes.get_key(position) {
--- a/crates/core/src/service/machine.rs
+++ b/crates/core/src/service/machine.rs
@@ -36,7 +36,8 @@
 /// #         priority: 0, max_attempts: 4 }],
 /// #     targets: vec![TargetSpec { name: "r1".into(), addr: "127.0.0.1:9001".parse().unwrap(),
 /// #         domain: "d1".into(), slots: Some(3), connections: 200, weight: 100, drain: false, note: None,
-/// #         incarnation: 0, warm_up: None, paused_until: None }],
+/// #         incarnation: 0, warm_up: None, paused_until: None,
+/// #         cold_until: None, is_emptied: false }],
 /// # };
 /// let now = Instant::now();
 /// let mut service = Service::new(spec, 7);
--- a/crates/core/src/service/status.rs
+++ b/crates/core/src/service/status.rs
@@ -16,6 +16,8 @@
     Leaving,
     /// The file in force drains the target.
     Drained,
+    /// Operators have emptied the failure domain of the target.
+    Emptied,
 }
 
 /// State of one target in the view of one VM.
--- a/crates/core/src/service/target.rs
+++ b/crates/core/src/service/target.rs
@@ -93,6 +93,16 @@
 
     /// Returns true if the target may receive requests, regardless of ejection.
     pub(crate) fn is_usable(&self) -> bool {
+        self.is_usable_otherwise() && !self.spec.is_emptied
+    }
+
+    /// Returns true if only the evacuation of its failure domain keeps requests from the
+    /// target.
+    pub(crate) fn is_held_by_evacuation(&self) -> bool {
+        self.is_usable_otherwise() && self.spec.is_emptied
+    }
+
+    fn is_usable_otherwise(&self) -> bool {
         !self.is_removed && !self.is_leaving && !self.spec.drain && self.spec.weight > 0
     }
 
--- a/crates/core/src/service/view.rs
+++ b/crates/core/src/service/view.rs
@@ -164,6 +164,8 @@
             TargetCondition::Drained
         } else if self.is_leaving {
             TargetCondition::Leaving
+        } else if self.spec.is_emptied {
+            TargetCondition::Emptied
         } else if self.health.is_active() {
             TargetCondition::Active
         } else {
--- a/crates/core/src/spec/target.rs
+++ b/crates/core/src/spec/target.rs
@@ -43,6 +43,10 @@
     pub warm_up: Option<Duration>,
     /// Time until which this VM sends the target nothing, at its request.
     pub paused_until: Option<Instant>,
+    /// Time until which the target is cold by its entry, `None` if it was not cold.
+    pub cold_until: Option<Instant>,
+    /// True if operators have emptied the target's failure domain.
+    pub is_emptied: bool,
 }
 
 impl TargetSpec {
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -81,6 +81,8 @@
                 incarnation: 0,
                 warm_up: None,
                 paused_until: None,
+                cold_until: None,
+                is_emptied: false,
             })
             .collect(),
         retry_percent: 10,
--- a/crates/core/tests/leave_fleet.rs
+++ b/crates/core/tests/leave_fleet.rs
@@ -394,7 +394,7 @@
         let is_sent = match list.check_send(at, &incarnation) {
             SendCheck::Allowed => true,
             SendCheck::Outdated => self.mutant == Mutant::NoAgeLimit,
-            SendCheck::Withdrawn | SendCheck::Paused => false,
+            SendCheck::Withdrawn | SendCheck::Paused | SendCheck::Emptied => false,
         };
         let mut leaves = self.store.leaves.iter();
         let leave = leaves.find(|(left, _)| *left == incarnation);
--- a/crates/daemon/src/gateway/feeds.rs
+++ b/crates/daemon/src/gateway/feeds.rs
@@ -265,9 +265,10 @@
                 filter_history_gone(result)
             }
         };
+        let is_full = changed.is_none();
         let result = match changed {
             Some(result) => result,
-            None => store.get(Table::Operators, CONFIG_KEY).await,
+            None => store.get_all(Table::Operators).await,
         };
         self.gateway
             .metrics
@@ -278,6 +279,8 @@
                 for row in &changes.rows {
                     apply_config_row(&self.gateway, row);
                 }
+                let gateway = &self.gateway;
+                gateway.apply_evacuation_rows(&changes.rows, changes.version, is_full);
                 true
             }
             Err(error) => {
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -39,6 +39,9 @@
     outdated_sends: Counter<u64>,
     list_due: Gauge<f64>,
     list_age: Gauge<f64>,
+    emptied: Gauge<f64>,
+    emptied_version: Gauge<f64>,
+    emptied_time: Gauge<f64>,
     log_lines: Gauge<f64>,
 }
 
@@ -118,6 +121,21 @@
                 "gentianridge.list.age",
                 "Time since the read of the store that the list of targets reflects",
             ),
+            emptied: gauge(
+                &meter,
+                "gentianridge.domains.emptied",
+                "Failure domains that operators have emptied",
+            ),
+            emptied_version: gauge(
+                &meter,
+                "gentianridge.domains.emptied.version",
+                "Version of the store at which the emptied failure domains were read",
+            ),
+            emptied_time: gauge(
+                &meter,
+                "gentianridge.domains.emptied.time",
+                "Time since this VM learned of the domain that was emptied first, 0 without one",
+            ),
             list_due: gauge(
                 &meter,
                 "gentianridge.list.due",
@@ -218,6 +236,7 @@
         if let Some(age) = gateway.list.borrow().get_age(now) {
             self.list_age.record(age.as_secs_f64(), &[]);
         }
+        self.observe_emptied(gateway);
         if let Some(due) = gateway.get_list_due() {
             let ahead = due.saturating_duration_since(now).as_secs_f64();
             let behind = now.saturating_duration_since(due).as_secs_f64();
@@ -236,6 +255,18 @@
         self.exposition.render()
     }
 
+    fn observe_emptied(&self, gateway: &Gateway) {
+        let list = gateway.list.borrow();
+        let domains = list.get_emptied();
+        let now = gateway.clock.now();
+        let first = domains.get_since().map(|(_, since)| since).min();
+        let time = first.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        self.emptied.record(domains.get().domains.len() as f64, &[]);
+        self.emptied_version
+            .record(domains.get().version as f64, &[]);
+        self.emptied_time.record(time.as_secs_f64(), &[]);
+    }
+
     fn observe_services(&self, gateway: &Gateway) {
         gateway.for_each_service(|service| {
             let (status, waiting) =
@@ -248,6 +279,7 @@
                 ("ejected", TargetCondition::Ejected),
                 ("leaving", TargetCondition::Leaving),
                 ("drained", TargetCondition::Drained),
+                ("emptied", TargetCondition::Emptied),
             ];
             for (name, condition) in conditions {
                 let count = status.iter().filter(|t| t.condition == condition).count();
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod connections;
 mod counted;
 mod crashes;
+mod evacuations;
 mod exchange;
 mod feeds;
 mod list_reader;
--- a/crates/daemon/src/gateway/peers/follow.rs
+++ b/crates/daemon/src/gateway/peers/follow.rs
@@ -140,6 +140,9 @@
             .borrow_mut()
             .record_heartbeat(now, view);
     }
+    if let Some(evacuations) = reply.evacuations {
+        gateway.apply_evacuations(evacuations, "peer");
+    }
     let mut is_progress = false;
     if let Some(config) = reply.config {
         is_progress |= apply_config(gateway, &config.value, "peer");
--- a/crates/daemon/src/gateway/peers/gossip.rs
+++ b/crates/daemon/src/gateway/peers/gossip.rs
@@ -85,7 +85,9 @@
         datagram.leaving = self.gateway.peers.leaving.borrow_mut().next_round();
         datagram.paused = self.gateway.peers.paused.borrow_mut().next_round();
         datagram.list = self.gateway.peers.next_list_update(now);
-        let has_news = datagram.list.is_some() || !datagram.leaving.is_empty();
+        let has_news = self.gateway.peers.next_evacuation_round()
+            || datagram.list.is_some()
+            || !datagram.leaving.is_empty();
         let kind = if has_news { RoundKind::Urgent } else { kind };
         let bytes = encode_within_limit(&mut datagram);
         for addr in round.peers {
@@ -161,6 +163,9 @@
         if is_change {
             update_members(gateway, now);
         }
+        if let Some(evacuations) = datagram.evacuations {
+            gateway.apply_evacuations(evacuations, "peer");
+        }
         gateway.apply_crash_records(&datagram.crashes);
         for digest in datagram.leaving {
             gateway.record_leaving(digest, "peer");
@@ -205,7 +210,7 @@
         list: None,
         leaving: Vec::new(),
         paused: Vec::new(),
-        evacuations: None,
+        evacuations: gateway.list.borrow().get_emptied().get_message(),
         proof: None,
         peers,
         summaries,
--- a/crates/daemon/src/gateway/peers/state_exchange.rs
+++ b/crates/daemon/src/gateway/peers/state_exchange.rs
@@ -106,7 +106,7 @@
         }),
         list: make_list(gateway, request),
         peers: Vec::new(),
-        evacuations: None,
+        evacuations: gateway.list.borrow().get_emptied().get_message(),
         proof: None,
     };
     if request.needs_peers {
--- a/crates/daemon/src/gateway/peers/table.rs
+++ b/crates/daemon/src/gateway/peers/table.rs
@@ -39,6 +39,8 @@
     list_holder: Cell<Option<SocketAddr>>,
     config_holder: Cell<Option<(u64, SocketAddr)>>,
     queued: RefCell<Option<QueuedUpdate>>,
+    /// Rounds left in which a change of the emptied failure domains is urgent.
+    evacuation_rounds: Cell<u8>,
     pub(super) leaving: RefCell<NoticeQueue>,
     pub(super) paused: RefCell<NoticeQueue>,
     seq: Cell<u64>,
@@ -59,6 +61,7 @@
             list_holder: Cell::new(None),
             config_holder: Cell::new(None),
             queued: RefCell::new(None),
+            evacuation_rounds: Cell::new(0),
             leaving: RefCell::default(),
             paused: RefCell::default(),
             seq: Cell::new(0),
@@ -84,6 +87,22 @@
         self.request_round();
     }
 
+    /// Queues a change of the emptied failure domains, and requests a round.
+    ///
+    /// Every datagram holds them; this lets the next ones use the bytes kept for what is
+    /// urgent.
+    pub(crate) fn queue_evacuations(&self) {
+        self.evacuation_rounds.set(UPDATE_ROUNDS);
+        self.request_round();
+    }
+
+    /// Returns true if this round sends a recent change of the emptied failure domains.
+    pub(super) fn next_evacuation_round(&self) -> bool {
+        let left = self.evacuation_rounds.get();
+        self.evacuation_rounds.set(left.saturating_sub(1));
+        left > 0
+    }
+
     /// Requests a round at once, to send an urgent change.
     pub(crate) fn request_round(&self) {
         self.round_requested.notify_one();
--- a/crates/daemon/src/gateway/samples.rs
+++ b/crates/daemon/src/gateway/samples.rs
@@ -66,8 +66,9 @@
         .list
         .borrow()
         .check_send(gateway.clock.now(), &incarnation);
-    if matches!(check, SendCheck::Withdrawn | SendCheck::Paused) {
-        return Ok(());
+    match check {
+        SendCheck::Withdrawn | SendCheck::Paused | SendCheck::Emptied => return Ok(()),
+        SendCheck::Allowed | SendCheck::Outdated => {}
     }
     let mut request = Request::new(Full::<Bytes>::default());
     *request.uri_mut() = path.parse()?;
--- a/crates/daemon/src/gateway/send_check.rs
+++ b/crates/daemon/src/gateway/send_check.rs
@@ -34,6 +34,7 @@
                 SendCheck::Allowed => return Ok(()),
                 SendCheck::Withdrawn => return Err("the target is leaving"),
                 SendCheck::Paused => return Err("the target requested a pause"),
+                SendCheck::Emptied => return Err("the failure domain is emptied"),
                 SendCheck::Outdated => {}
             }
             let is_answering = !self.list_reader.is_failing(now);
--- a/examples/measure/model.rs
+++ b/examples/measure/model.rs
@@ -225,6 +225,8 @@
             incarnation: 0,
             warm_up: None,
             paused_until: None,
+            cold_until: None,
+            is_emptied: false,
         }
     }
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod crashes;
 mod discovery;
 mod downloads;
+mod evacuations;
 mod late_requests;
 mod leaving;
 mod limits;
