--- a/tests/scenarios/scenario.rs
+++ b/tests/scenarios/scenario.rs
@@ -357,5 +357,6 @@
         TargetCondition::Ejected => "ejected",
         TargetCondition::Leaving => "leaving",
         TargetCondition::Drained => "drained",
+        TargetCondition::Emptied => "emptied",
     }
 }
