test(daemon): callers outside the limits, against a daemon process

Callers that the operators do not control send many requests that stop short of their end and stay connected. The tests open such crowds against a daemon in a process of its own, with 64 MB of memory and 256 or 768 descriptors stated in its settings, and check that it lives, that its peak memory and its descriptors stay below these, and that it answers an ordinary request of each kind.

The settings read `[memory] megabytes` and `descriptors`, which nothing uses yet, so that the same settings start both builds.

--- a/crates/config/src/gateway/parse.rs
+++ b/crates/config/src/gateway/parse.rs
@@ -10,7 +10,7 @@
 use std::num::NonZeroU16;
 use std::time::Duration;
 
-const SECTIONS: [&str; 9] = [
+const SECTIONS: [&str; 10] = [
     "vm",
     "listen",
     "store",
@@ -19,6 +19,7 @@
     "repeats",
     "workspaces",
     "cold",
+    "memory",
     "log",
 ];
 
@@ -80,6 +81,7 @@
         }
         "workspaces" => read_workspaces(reader, settings),
         "cold" => read_bound(reader, &mut settings.cold_bound),
+        "memory" => read_memory(reader, settings),
         _ => (settings.log_level, settings.log_format) = read_log(reader),
     }
 }
@@ -102,6 +104,14 @@
     read_count(reader, "slack", &mut bound.slack);
 }
 
+/// Reads the memory and the descriptors that this process may use.
+fn read_memory(reader: &mut SectionReader<'_>, settings: &mut GatewaySettings) {
+    let expected = "a whole number above 0";
+    let parse = |text: &str| text.parse().ok().filter(|number| *number > 0);
+    settings.memory_megabytes = reader.optional_non_empty("megabytes", expected, parse);
+    settings.descriptors = reader.optional_non_empty("descriptors", expected, parse);
+}
+
 /// Reads how to find other VMs. `seed_port` replaces the ports of the seeds, if a
 /// platform lists the VMs with another port than the one for messages of peers.
 fn read_fleet(reader: &mut SectionReader<'_>, settings: &mut GatewaySettings) {
--- a/crates/config/src/gateway/values.rs
+++ b/crates/config/src/gateway/values.rs
@@ -51,6 +51,10 @@
     pub cold_bound: RequestBound,
     /// Maximum load requests per second to each target, over the fleet.
     pub probes_per_target: u16,
+    /// Memory of the VM in megabytes; without it, the one that the system reports.
+    pub memory_megabytes: Option<u32>,
+    /// File descriptors of the process; without it, the limit that the system reports.
+    pub descriptors: Option<u32>,
     /// Lowest level of log lines: error, warn, info, debug or trace.
     pub log_level: SmolStr,
     /// Format of the log lines.
@@ -115,6 +119,8 @@
             limit_bound: RequestBound::EXACT,
             cold_bound: RequestBound::EXACT,
             probes_per_target: 0,
+            memory_megabytes: None,
+            descriptors: None,
             log_level: "info".into(),
             log_format: LogFormat::Text,
         }
--- a/crates/config/tests/gateway_settings.rs
+++ b/crates/config/tests/gateway_settings.rs
@@ -77,3 +77,17 @@
     let settings = parse_gateway_settings(&VALID.replace("0.2", "0.159")).unwrap();
     assert_eq!(settings.repeats.percent, 15);
 }
+
+#[test]
+fn memory_limits() {
+    let stated = format!("{VALID}[memory]\nmegabytes = 112\ndescriptors = 2870\n");
+    let settings = parse_gateway_settings(&stated).unwrap();
+    assert_eq!(settings.memory_megabytes, Some(112));
+    assert_eq!(settings.descriptors, Some(2_870));
+    let empty = format!("{VALID}[memory]\nmegabytes =\ndescriptors = {{{{limits.max_fds}}}}\n");
+    let settings = parse_gateway_settings(&empty).unwrap();
+    assert_eq!(settings.memory_megabytes, None);
+    assert_eq!(settings.descriptors, None);
+    let zero = format!("{VALID}[memory]\nmegabytes = 0\n");
+    assert!(parse_gateway_settings(&zero).is_err());
+}
--- /dev/null
+++ b/crates/daemon/tests/outsiders/env.rs
@@ -0,0 +1,94 @@
+//! A daemon with a store and targets, for one test at a time.
+
+use crate::vm_process::{VmLimits, VmProcess};
+use gentianridge_testkit::{
+    CART, CallerConnection, FakeStore, FakeTarget, Reply, TargetEntryValue, write_config,
+};
+use std::time::Duration;
+use tokio::sync::{Mutex, MutexGuard};
+use tokio::time::Instant;
+
+/// Held by the test that runs, so that memory and descriptors are those of one crowd.
+static TURN: Mutex<()> = Mutex::const_new(());
+
+/// Limits of the configuration on what a caller may send.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RequestLimits {
+    pub(crate) head: usize,
+    pub(crate) body: usize,
+}
+
+pub(crate) struct Env {
+    pub(crate) vm: VmProcess,
+    pub(crate) target: FakeTarget,
+    _store: FakeStore,
+    _turn: MutexGuard<'static, ()>,
+}
+
+impl Env {
+    /// Time within which a daemon has to become ready.
+    const READY_TIMEOUT: Duration = Duration::from_secs(20);
+
+    pub(crate) async fn start(name: &str, vm: VmLimits, requests: RequestLimits) -> Self {
+        let turn = TURN.lock().await;
+        let store = FakeStore::start().await.unwrap();
+        let config = write_config(1, "")
+            .replace(
+                "\"max_header_bytes\":16384",
+                &format!("\"max_header_bytes\":{}", requests.head),
+            )
+            .replace(
+                "\"max_body_bytes\":1000",
+                &format!("\"max_body_bytes\":{}", requests.body),
+            );
+        store.put("op", "config", config.as_bytes());
+        let target = FakeTarget::start("t0").await.unwrap();
+        let entry = target.make_entry(&TargetEntryValue {
+            service: CART.into(),
+            zone: "d1".into(),
+            is_draining: false,
+            born: 1,
+        });
+        store.put("servers", target.get_id(), &entry);
+        let vm = VmProcess::start(name, store.get_addr(), vm);
+        let env = Self {
+            vm,
+            target,
+            _store: store,
+            _turn: turn,
+        };
+        env.wait_ready().await;
+        env
+    }
+
+    async fn wait_ready(&self) {
+        let end = Instant::now() + Self::READY_TIMEOUT;
+        while self.check_readiness().await != Some(200) {
+            assert!(Instant::now() < end, "the daemon is not ready");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    async fn check_readiness(&self) -> Option<u16> {
+        let mut connection = CallerConnection::open(self.vm.get_ready()).await.ok()?;
+        let reply = connection.request("GET", "/api/readiness", "ready").await;
+        reply.ok().map(|reply| reply.status)
+    }
+
+    /// Sends an ordinary request on a new connection.
+    pub(crate) async fn request(&self, method: &str, path: &str, id: &str) -> Reply {
+        let caller = CallerConnection::open(self.vm.get_callers()).await;
+        caller.unwrap().request(method, path, id).await.unwrap()
+    }
+
+    /// Checks the limits of the VM and that it serves an ordinary request of each kind.
+    pub(crate) async fn check(&mut self) {
+        self.vm.check_limits();
+        for (method, path, id) in [("GET", "/look/x", "look"), ("POST", "/once/x", "once")] {
+            let reply = self.request(method, path, id).await;
+            assert_eq!(reply.status, 200, "{method}: {}", reply.body);
+        }
+        assert_eq!(self.target.count_runs("once"), 1);
+        self.vm.check_limits();
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/outsiders/main.rs
@@ -0,0 +1,13 @@
+//! Callers outside the limits of the configuration, against a daemon in a process of its own.
+//!
+//! Each test opens a crowd of such callers, keeps it open, and checks that the process lives,
+//! that its memory and its descriptors stay below those of its VM, and that an ordinary
+//! request is answered.
+
+mod answers;
+mod bodies;
+mod connections;
+mod crowd;
+mod env;
+mod heads;
+mod vm_process;
--- a/crates/testkit/src/gateway/target.rs
+++ b/crates/testkit/src/gateway/target.rs
@@ -370,6 +370,7 @@
         TargetBehavior::Unsigned => reply(200, &echo, &body),
         TargetBehavior::PlainRefusal => reply(503, &echo, &body),
         TargetBehavior::LargeBody => reply(200, &signed, &"x".repeat(FakeTarget::LARGE_BODY)),
+        TargetBehavior::SizedBody(size) => reply(200, &signed, &"x".repeat(size)),
         TargetBehavior::TruncatedLargeBody => {
             let complete = reply(200, &signed, &"x".repeat(FakeTarget::LARGE_BODY));
             let part = &complete.as_bytes()[..FakeTarget::LARGE_BODY / 8];
--- a/crates/testkit/src/gateway/target_behavior.rs
+++ b/crates/testkit/src/gateway/target_behavior.rs
@@ -26,6 +26,8 @@
     Crash,
     /// Runs the request and answers with a body of [`FakeTarget::LARGE_BODY`](super::FakeTarget::LARGE_BODY) bytes.
     LargeBody,
+    /// Runs the request and answers with a body of the given number of bytes.
+    SizedBody(usize),
     /// Runs the request, sends the head of a large body and a part of it, and closes the
     /// connection.
     TruncatedLargeBody,
