feat(gateway): one account of the memory and connections that callers hold

Callers that the operators do not control ended a process: bodies were buffered whole, with no total, a connection that was open cost nothing in any sum, and an answer that nobody read kept a target's slot, because the deadline of a forwarded answer was looked at only when the caller had read what was before it.

The core has an account of all bytes held for callers (connections, unfinished heads, bodies, buffered answers), sized from the VM's memory and descriptors, as stated by the settings or reported by the system. Memory is reserved before it is allocated. When the account is full, the caller that makes the least progress is closed; if all make progress, the newcomer is refused with 1011, before anything is sent. Short requests keep a quarter for themselves. Connections have a bound below the descriptors; idle ones give way first.

Bodies are held in blocks that are copied once, so that neither a growing buffer nor tiny chunks multiply them. A body that is longer than a quarter of the account is forwarded as it arrives, with back pressure and on a connection of its own that ends with it: no retry, no hedge, nothing else where its rest is due. Bodies have a lowest rate, unread answers a longest time, and the slot of a target is free once it has sent its answer completely.

--- a/crates/config/src/gateway/parse.rs
+++ b/crates/config/src/gateway/parse.rs
@@ -4,13 +4,13 @@
 use crate::document::Document;
 use crate::reader::{SectionReader, read_sections};
 use crate::settings::read_log;
-use crate::{FaultReport, parse_fractional_duration};
+use crate::{FaultReport, parse_fractional_duration, parse_size};
 use gentianridge_core::RequestBound;
 use std::net::SocketAddr;
 use std::num::NonZeroU16;
 use std::time::Duration;
 
-const SECTIONS: [&str; 10] = [
+const SECTIONS: [&str; 11] = [
     "vm",
     "listen",
     "store",
@@ -20,6 +20,7 @@
     "workspaces",
     "cold",
     "memory",
+    "callers",
     "log",
 ];
 
@@ -82,6 +83,7 @@
         "workspaces" => read_workspaces(reader, settings),
         "cold" => read_bound(reader, &mut settings.cold_bound),
         "memory" => read_memory(reader, settings),
+        "callers" => read_callers(reader, settings),
         _ => (settings.log_level, settings.log_format) = read_log(reader),
     }
 }
@@ -112,6 +114,18 @@
     settings.descriptors = reader.optional_non_empty("descriptors", expected, parse);
 }
 
+/// Reads how slow callers may be.
+fn read_callers(reader: &mut SectionReader<'_>, settings: &mut GatewaySettings) {
+    read_duration(reader, "body_idle", &mut settings.body_idle);
+    read_duration(reader, "answer_idle", &mut settings.answer_idle);
+    read_count(reader, "flows", &mut settings.max_flows);
+    let expected = "a size a second such as 1KiB";
+    let rate = reader.optional_non_empty("min_rate", expected, |text| {
+        parse_size(text).and_then(|rate| u32::try_from(rate).ok())
+    });
+    settings.min_rate = rate.unwrap_or(settings.min_rate);
+}
+
 /// Reads how to find other VMs. `seed_port` replaces the ports of the seeds, if a
 /// platform lists the VMs with another port than the one for messages of peers.
 fn read_fleet(reader: &mut SectionReader<'_>, settings: &mut GatewaySettings) {
--- a/crates/config/src/gateway/values.rs
+++ b/crates/config/src/gateway/values.rs
@@ -55,6 +55,14 @@
     pub memory_megabytes: Option<u32>,
     /// File descriptors of the process; without it, the limit that the system reports.
     pub descriptors: Option<u32>,
+    /// Longest time without a byte of a request body.
+    pub body_idle: Duration,
+    /// Rate in bytes per second below which a request body counts as stalled.
+    pub min_rate: u32,
+    /// Longest time for which a caller may read nothing of an answer.
+    pub answer_idle: Duration,
+    /// Largest number of bodies that are forwarded as they arrive.
+    pub max_flows: u16,
     /// Lowest level of log lines: error, warn, info, debug or trace.
     pub log_level: SmolStr,
     /// Format of the log lines.
@@ -76,6 +84,16 @@
         extra: 0,
     };
 
+    /// Default of `body_idle`: several repeats of a lost packet.
+    const BODY_IDLE: Duration = Duration::from_secs(5);
+    /// Default of `min_rate`: a thousandth of a link of 10 Mbit/s.
+    const MIN_RATE: u32 = 1_024;
+    /// Default of `answer_idle`: longer than any deadline of a caller.
+    const ANSWER_IDLE: Duration = Duration::from_secs(30);
+    /// Default of `max_flows`: each one occupies a slot of a target for as long as its caller
+    /// takes.
+    const MAX_FLOWS: u16 = 4;
+
     /// Default of `evacuate`.
     const EVACUATE: Duration = Duration::from_secs(5);
     /// Default of `limit_window`.
@@ -121,6 +139,10 @@
             probes_per_target: 0,
             memory_megabytes: None,
             descriptors: None,
+            body_idle: Self::BODY_IDLE,
+            min_rate: Self::MIN_RATE,
+            answer_idle: Self::ANSWER_IDLE,
+            max_flows: Self::MAX_FLOWS,
             log_level: "info".into(),
             log_format: LogFormat::Text,
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 mod event;
 mod ledger;
 mod membership;
+mod memory;
 mod probe;
 mod quarantine;
 mod revision;
@@ -37,6 +38,7 @@
     ByteBudget, GossipState, Heartbeat, HeartbeatSummary, Membership, NoticeQueue, PeerState,
     PeerView, PlatformState, RoundPeers, StallDetector, TargetNotice, TargetNotices,
 };
+pub use memory::{HolderKey, HolderPhase, MemoryAccount, MemoryBudget, MemoryDecision};
 pub use probe::{ProbeBudget, is_probe_owner};
 pub use quarantine::{CrashRecord, Quarantine, QuarantineChange};
 pub use revision::{
--- a/crates/daemon/src/gateway/answer.rs
+++ b/crates/daemon/src/gateway/answer.rs
@@ -1,6 +1,8 @@
 //! Answers to callers: forwarded from a target, or refusals by this daemon.
 
+use super::activity::{Activity, AnswerWatch};
 use super::connections::Connection;
+use super::memory::Reservation;
 use crate::caller::headers::{CODE, RUN, copy_end_to_end};
 use crate::service::ServiceHandle;
 use bytes::Bytes;
@@ -10,6 +12,7 @@
 use std::collections::VecDeque;
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
@@ -32,10 +35,18 @@
         }
     }
 
-    /// Converts the answer into the response to the caller; `slot` is freed
-    /// when the body is dropped.
-    pub(crate) fn into_response(mut self, slot: SlotGuard) -> Response<AnswerBody> {
-        self.body.slot = Some(slot);
+    /// Converts the answer into the response to the caller.
+    ///
+    /// `slot` is freed when the target has sent all of it, so that a caller who does not
+    /// read occupies no slot of a target that is done.
+    pub(crate) fn into_response(
+        mut self,
+        slot: SlotGuard,
+        activity: &Rc<Activity>,
+    ) -> Response<AnswerBody> {
+        let deadline = self.body.rest.as_ref().map(|rest| rest.ends_at);
+        self.body.slot = Some(slot).filter(|_| deadline.is_some());
+        self.body.watch = Some(activity.watch_answer(deadline));
         let mut response = Response::new(self.body);
         *response.status_mut() = self.status;
         copy_end_to_end(&self.headers, response.headers_mut());
@@ -62,6 +73,9 @@
     chunks: VecDeque<Bytes>,
     rest: Option<StreamedRest>,
     slot: Option<SlotGuard>,
+    /// Memory of the buffered chunks.
+    _memory: Option<Reservation>,
+    watch: Option<AnswerWatch>,
 }
 
 /// The unread rest of a long body, with the connection that it arrives on.
@@ -72,19 +86,31 @@
     _connection: Connection,
     /// Time at which the body is broken off, since a target may send without end.
     deadline: Pin<Box<Sleep>>,
+    ends_at: Instant,
 }
 
 impl AnswerBody {
-    pub(crate) fn complete(chunks: Vec<Bytes>) -> Self {
+    pub(crate) fn complete(chunks: Vec<Bytes>, memory: Reservation) -> Self {
+        Self {
+            _memory: Some(memory),
+            ..Self::refusal(chunks)
+        }
+    }
+
+    /// Creates the body of a refusal, which takes next to no memory.
+    fn refusal(chunks: Vec<Bytes>) -> Self {
         Self {
             chunks: chunks.into(),
             rest: None,
             slot: None,
+            _memory: None,
+            watch: None,
         }
     }
 
     pub(crate) fn streamed(
         chunks: Vec<Bytes>,
+        memory: Reservation,
         body: Incoming,
         connection: Connection,
         deadline: Instant,
@@ -93,11 +119,11 @@
             body,
             _connection: connection,
             deadline: Box::pin(tokio::time::sleep_until(deadline.into())),
+            ends_at: deadline,
         };
         Self {
-            chunks: chunks.into(),
             rest: Some(rest),
-            slot: None,
+            ..Self::complete(chunks, memory)
         }
     }
 }
@@ -122,6 +148,7 @@
         let frame = ready!(Pin::new(&mut rest.body).poll_frame(cx));
         if frame.is_none() {
             self.rest = None;
+            self.slot = None;
         }
         Poll::Ready(frame.map(|frame| frame.map_err(io::Error::other)))
     }
@@ -154,7 +181,7 @@
     let status =
         StatusCode::from_u16(code.http_status()).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
     let text = format!("{} {}\n", code.number(), code.text());
-    let mut response = Response::new(AnswerBody::complete(vec![text.into()]));
+    let mut response = Response::new(AnswerBody::refusal(vec![text.into()]));
     *response.status_mut() = status;
     let headers = response.headers_mut();
     headers.insert(
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -162,6 +162,9 @@
         &self,
         target: &AttemptTarget,
     ) -> Result<(Connection, Response<Incoming>), Failure> {
+        if self.request.body.is_flowing() {
+            return self.send_flow(target).await;
+        }
         let now = self.gateway.clock.now();
         let reuse = match self.kind {
             ClassKind::Once => ReusePolicy::AnsweredWithin(Self::MAX_IDLE_FOR_ONCE),
@@ -190,6 +193,30 @@
         }
     }
 
+    /// Sends a body that is forwarded as it arrives, on a connection of its own: its start
+    /// cannot be sent again, and a target that answers early must get nothing else where the
+    /// rest of the body is due.
+    async fn send_flow(
+        &self,
+        target: &AttemptTarget,
+    ) -> Result<(Connection, Response<Incoming>), Failure> {
+        let mut connection = self.open(target).await?;
+        connection.set_single_use();
+        match self.send_on(target, &mut connection).await {
+            Ok(response) => Ok((connection, response)),
+            Err(SendFailure::NothingSent) => Err(make_failure(
+                Outcome::Refused,
+                "the new connection closed before any byte was sent",
+            )),
+            // The target is not at fault.
+            Err(SendFailure::Final(_)) if self.request.body.is_broken() => Err(make_failure(
+                Outcome::TimedOut,
+                "the caller did not send the rest of the body",
+            )),
+            Err(SendFailure::Final(failure)) => Err(failure),
+        }
+    }
+
     async fn open(&self, target: &AttemptTarget) -> Result<Connection, Failure> {
         let now = self.gateway.clock.now();
         let limit = (self.objective / Self::CONNECT_DIVISOR).max(Self::MIN_CONNECT_TIMEOUT);
@@ -313,6 +340,7 @@
     ) -> Result<Answer, Failure> {
         let (head, mut body) = response.into_parts();
         let mut chunks: Vec<Bytes> = Vec::new();
+        let mut memory = self.request.memory.reserve_nothing();
         let mut size = 0;
         while size <= Self::MAX_BUFFERED_BODY {
             let frame = timeout_at(self.deadline.into(), body.frame())
@@ -323,8 +351,12 @@
             match frame {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
-                        size += data.len();
+                        let added = data.len();
+                        size += added;
                         chunks.push(data);
+                        if !memory.try_grow(added) {
+                            break;
+                        }
                     }
                 }
                 Some(Err(error)) => {
@@ -337,13 +369,13 @@
                     if connection.record_answer(now, &head.headers) {
                         self.gateway.keep_connection(target.incarnation, connection);
                     }
-                    let body = AnswerBody::complete(chunks);
+                    let body = AnswerBody::complete(chunks, memory);
                     return Ok(Answer::new(head.status, head.headers, body));
                 }
             }
         }
         // The body owns the connection, which is closed after the body.
-        let body = AnswerBody::streamed(chunks, body, connection, self.deadline);
+        let body = AnswerBody::streamed(chunks, memory, body, connection, self.deadline);
         Ok(Answer::new(head.status, head.headers, body))
     }
 }
--- a/crates/daemon/src/gateway/call.rs
+++ b/crates/daemon/src/gateway/call.rs
@@ -79,7 +79,7 @@
             class: cx.class,
             kind: cx.kind,
             deadline: cx.deadline,
-            is_replayable: true,
+            is_replayable: !cx.request.body.is_flowing(),
             workspace: cx.workspace,
         };
         let (key, rx) = cx.service.arrive(arrival);
--- a/crates/daemon/src/gateway/callers.rs
+++ b/crates/daemon/src/gateway/callers.rs
@@ -3,6 +3,7 @@
 use super::activity::{Activity, TimeoutKind};
 use super::counted::{ByteCounts, CountedStream};
 use super::exchange::handle_request;
+use super::memory::ConnectionMemory;
 use super::state::Gateway;
 use futures_util::FutureExt;
 use gentianridge_core::ResultCode;
@@ -43,8 +44,11 @@
     tasks: TaskTracker,
 ) {
     let stages = shutdown.clone();
-    let spawn = |stream| {
-        tasks.spawn_local(serve(gateway.clone(), stream, stages.clone()));
+    let spawn = |stream: TcpStream| match gateway.memory.open() {
+        Some(memory) => {
+            tasks.spawn_local(serve(gateway.clone(), stream, memory, stages.clone()));
+        }
+        None => gateway.record_closed("connections"),
     };
     loop {
         tokio::select! {
@@ -69,6 +73,7 @@
 async fn serve(
     gateway: Rc<Gateway>,
     stream: TcpStream,
+    memory: ConnectionMemory,
     mut shutdown: watch::Receiver<ShutdownStage>,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
@@ -76,17 +81,22 @@
         return;
     }
     let counts = Rc::new(ByteCounts::default());
-    let activity = Rc::new(Activity::new(gateway.clock.now(), counts.clone()));
+    let activity = Rc::new(Activity::new(
+        gateway.clock.now(),
+        counts.clone(),
+        Rc::new(memory),
+    ));
+    let evicted = activity.get_memory().get_evicted().clone();
     let service = service_fn(|request| {
         let gateway = gateway.clone();
         let activity = activity.clone();
         async move {
             activity.start_request();
             let _busy = BusyGuard {
-                activity,
+                activity: activity.clone(),
                 gateway: gateway.clone(),
             };
-            handle_request(gateway, request).await
+            handle_request(gateway, activity, request).await
         }
     });
     let buffer = gateway.get_limits().max_header_bytes.max(MIN_BUFFER);
@@ -98,20 +108,26 @@
     let timer = tokio::time::sleep(Duration::ZERO);
     tokio::pin!(timer);
     let mut is_closing = false;
+    let mut is_evicted = false;
     loop {
         let stage = *shutdown.borrow_and_update();
         let event = poll_fn(|cx| {
             if let Poll::Ready(end) = connection.as_mut().poll(cx) {
                 return Poll::Ready(ConnectionEvent::Ended(end));
             }
-            if is_closing {
-                // The rest of the last answer is being written.
-                return Poll::Pending;
-            }
             // The poll may have read the start of a head or ended a request,
             // either of which changes the timeout.
             let now = gateway.clock.now();
-            let Some((kind, at)) = activity.get_timeout(now, gateway.get_limits(), stage) else {
+            if !activity.update_memory(now) {
+                return Poll::Ready(ConnectionEvent::Evicted);
+            }
+            let answer_idle = gateway.get_settings().answer_idle;
+            let waiting = activity.get_timeout(now, gateway.get_limits(), stage);
+            // While it closes, the rest of the last answer is being written.
+            let waiting = waiting.filter(|_| !is_closing);
+            let answering = activity.get_answer_timeout(answer_idle);
+            let due = [waiting, answering].into_iter().flatten();
+            let Some((kind, at)) = due.min_by_key(|(_, at)| *at) else {
                 return Poll::Pending;
             };
             if timer.deadline() != at.into() {
@@ -135,11 +151,28 @@
                     log::warn!(target: "request", "request head incomplete after the header timeout");
                     return;
                 }
+                ConnectionEvent::TimedOut(TimeoutKind::Answer) => {
+                    gateway.record_closed("unread answer");
+                    return;
+                }
+                ConnectionEvent::Evicted => {
+                    gateway.record_closed("memory");
+                    return;
+                }
                 ConnectionEvent::TimedOut(TimeoutKind::Idle) => {
                     connection.as_mut().graceful_shutdown();
                     is_closing = true;
                 }
             },
+            () = evicted.cancelled(), if !is_evicted => {
+                gateway.record_closed("gave way");
+                if !activity.is_busy() {
+                    return;
+                }
+                // The request that is being read gets a refusal first.
+                connection.as_mut().graceful_shutdown();
+                is_evicted = true;
+            }
             Ok(()) = shutdown.changed() => {
                 if activity.is_busy() {
                     connection.as_mut().graceful_shutdown();
@@ -156,6 +189,8 @@
 enum ConnectionEvent {
     Ended(hyper::Result<()>),
     TimedOut(TimeoutKind),
+    /// There is no memory for the connection.
+    Evicted,
 }
 
 struct BusyGuard {
@@ -168,3 +203,13 @@
         self.activity.end_request(self.gateway.clock.now());
     }
 }
+
+/// Closed connections.
+impl Gateway {
+    /// Counts and logs a connection that is closed to protect this VM. The log bounds the
+    /// lines per second.
+    fn record_closed(&self, reason: &'static str) {
+        self.metrics.record_closed_caller(reason);
+        log::warn!(target: "callers", reason = reason; "a caller's connection is closed");
+    }
+}
--- a/crates/daemon/src/gateway/connections/connection.rs
+++ b/crates/daemon/src/gateway/connections/connection.rs
@@ -1,9 +1,8 @@
 //! A connection to a target.
 
+use crate::gateway::body::OutgoingBody;
 use crate::gateway::counted::{ByteCounts, CountedStream};
-use bytes::Bytes;
 use http::{HeaderMap, HeaderName, Request, Response, header};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -12,6 +11,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
@@ -27,10 +27,23 @@
 /// A connection that carries one request at a time.
 #[derive(Debug)]
 pub(crate) struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<OutgoingBody>,
     counts: Rc<ByteCounts>,
     answered_at: Instant,
     idle_limit: Duration,
+    task: AbortHandle,
+    /// True if the connection must end with this value, in the middle of a request too.
+    is_single_use: bool,
+}
+
+impl Drop for Connection {
+    /// Closes a single-use connection, so that its target gets neither a shortened body nor
+    /// another request where the rest of the body is due.
+    fn drop(&mut self) {
+        if self.is_single_use {
+            self.task.abort();
+        }
+    }
 }
 
 impl Connection {
@@ -40,6 +53,9 @@
     /// Part of the stated keep-alive timeout that is left unused, since the
     /// target starts its timer earlier and its close takes time to arrive.
     const IDLE_MARGIN: Duration = Duration::from_secs(1);
+    /// Largest buffer of the HTTP library in bytes, for each direction. It bounds what is
+    /// held of an answer that its caller does not read.
+    const MAX_BUFFER: usize = 64 * 1024;
 
     /// Opens a connection.
     pub(crate) async fn open(addr: SocketAddr, now: Instant) -> io::Result<Self> {
@@ -48,10 +64,11 @@
         let counts = Rc::new(ByteCounts::default());
         let io = TokioIo::new(CountedStream::new(stream, counts.clone()));
         let (sender, connection) = Builder::new()
+            .max_buf_size(Self::MAX_BUFFER)
             .handshake(io)
             .await
             .map_err(io::Error::other)?;
-        tokio::task::spawn_local(async move {
+        let task = tokio::task::spawn_local(async move {
             // The request under way fails too, and `is_usable` returns false.
             if let Err(error) = connection.await {
                 log::debug!("connection to {addr} ended: {error}");
@@ -62,13 +79,20 @@
             counts,
             answered_at: now,
             idle_limit: Self::DEFAULT_IDLE_LIMIT,
+            task: task.abort_handle(),
+            is_single_use: false,
         })
     }
 
+    /// Makes the connection end when this value is dropped.
+    pub(crate) fn set_single_use(&mut self) {
+        self.is_single_use = true;
+    }
+
     /// Sends a request and waits for the head of the answer.
     pub(crate) async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<OutgoingBody>,
     ) -> Result<Response<Incoming>, SendError> {
         let before = self.counts.get_written();
         match self.sender.send_request(request).await {
@@ -83,7 +107,7 @@
     pub(crate) fn record_answer(&mut self, now: Instant, headers: &HeaderMap) -> bool {
         self.answered_at = now;
         self.idle_limit = get_idle_limit(headers);
-        !is_closing(headers)
+        !self.is_single_use && !is_closing(headers)
     }
 
     /// Waits until the connection can take another request.
--- a/crates/daemon/src/gateway/counted.rs
+++ b/crates/daemon/src/gateway/counted.rs
@@ -13,6 +13,7 @@
 pub(crate) struct ByteCounts {
     read: Cell<u64>,
     written: Cell<u64>,
+    is_write_blocked: Cell<bool>,
 }
 
 impl ByteCounts {
@@ -23,6 +24,11 @@
     pub(crate) fn get_written(&self) -> u64 {
         self.written.get()
     }
+
+    /// Returns true if the last write has to wait until the peer reads.
+    pub(crate) fn is_write_blocked(&self) -> bool {
+        self.is_write_blocked.get()
+    }
 }
 
 /// TCP stream whose byte counts can be read while hyper owns the stream.
@@ -41,6 +47,7 @@
     }
 
     fn count_written(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        self.counts.is_write_blocked.set(result.is_pending());
         if let Poll::Ready(Ok(bytes)) = result {
             add(&self.counts.written, bytes);
         }
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -1,5 +1,6 @@
 //! One HTTP exchange with a caller, from the request to the answer.
 
+use super::activity::Activity;
 use super::answer::{AnswerBody, make_refusal};
 use super::call::{Call, CallContext, CallEnd};
 use super::request::CallerRequest;
@@ -27,11 +28,12 @@
 /// hyper drops this future when the caller closes the connection.
 pub(crate) async fn handle_request(
     gateway: Rc<Gateway>,
+    activity: Rc<Activity>,
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Infallible> {
     let arrived = gateway.clock.now();
     let id = get_text(request.headers(), &gateway.headers.attempt_id).unwrap_or_default();
-    let mut response = match exchange(&gateway, arrived, request).await {
+    let mut response = match exchange(&gateway, &activity, arrived, request).await {
         Ok(response) => response,
         Err(code) => {
             gateway.metrics.record_refusal(code);
@@ -59,13 +61,14 @@
 
 async fn exchange(
     gateway: &Rc<Gateway>,
+    activity: &Rc<Activity>,
     arrived: Instant,
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, ResultCode> {
     let (decision, request) = tokio::select! {
         biased;
         () = gateway.wait_answers_due() => return Err(ResultCode::Stopping),
-        received = receive(gateway, request) => received?,
+        received = receive(gateway, activity, request) => received?,
     };
     if gateway.is_quarantined(request.fingerprint) {
         return Err(ResultCode::CrashesTargets);
@@ -76,8 +79,9 @@
         ClassKind::Interactive | ClassKind::Background => Call::start(cx.clone()).run().await,
     };
     log_request(&decision, &cx, &end);
+    cx.request.body.discard_rest();
     match end.result {
-        Ok((answer, slot)) => Ok(answer.into_response(slot)),
+        Ok((answer, slot)) => Ok(answer.into_response(slot, activity)),
         Err(code) => {
             gateway.metrics.record_refusal(code);
             Ok(make_refusal(code, Some(get_retry_after(&cx, code))))
@@ -88,12 +92,15 @@
 /// Routes a request and reads its body.
 async fn receive(
     gateway: &Rc<Gateway>,
+    activity: &Activity,
     request: Request<Incoming>,
 ) -> Result<(RouteDecision, CallerRequest), ResultCode> {
     gateway.wait_loaded().await;
     let decision = gateway.route(&request)?;
     let max_body = gateway.get_limits().max_body_bytes;
-    let request = CallerRequest::read(gateway, request, max_body).await?;
+    let memory = activity.get_memory().clone();
+    let request = CallerRequest::read(gateway, memory, request, max_body).await?;
+    activity.end_reading();
     Ok((decision, request))
 }
 
--- /dev/null
+++ b/crates/daemon/src/gateway/memory/mod.rs
@@ -0,0 +1,10 @@
+//! Memory that is held for callers, reserved before it is used.
+
+mod connection;
+mod keeper;
+mod reservation;
+mod system;
+
+pub(crate) use connection::ConnectionMemory;
+pub(crate) use keeper::MemoryKeeper;
+pub(crate) use reservation::{FlowPermit, Reservation};
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of a daemon on the platform.
 
+use super::memory::MemoryKeeper;
 use super::state::Gateway;
 use crate::telemetry::{Exposition, LineCounts, counter, gauge, time_histogram};
 use gentianridge_core::{AttemptKind, ResultCode, TargetCondition};
@@ -40,6 +41,9 @@
     list_due: Gauge<f64>,
     list_age: Gauge<f64>,
     log_lines: Gauge<f64>,
+    closed_callers: Counter<u64>,
+    caller_memory: Gauge<f64>,
+    caller_connections: Gauge<f64>,
 }
 
 impl GatewayMetrics {
@@ -124,6 +128,21 @@
                 "Time until this VM reads the list of targets; negative when overdue",
             ),
             log_lines: gauge(&meter, "gentianridge.log.lines", "Log lines by fate"),
+            closed_callers: counter(
+                &meter,
+                "gentianridge.callers.closed",
+                "Callers' connections closed to protect this VM, by reason",
+            ),
+            caller_memory: gauge(
+                &meter,
+                "gentianridge.callers.memory",
+                "Bytes held for callers, in use and at most",
+            ),
+            caller_connections: gauge(
+                &meter,
+                "gentianridge.callers.connections",
+                "Callers' connections, open and at most",
+            ),
             lines,
             exposition,
         })
@@ -169,6 +188,11 @@
         self.connections.add(1, &[KeyValue::new("use", use_)]);
     }
 
+    pub(crate) fn record_closed_caller(&self, reason: &'static str) {
+        self.closed_callers
+            .add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     pub(crate) fn record_sample(&self) {
         self.samples.add(1, &[]);
     }
@@ -233,9 +257,23 @@
                     .record(count as f64, &[KeyValue::new("fate", fate)]);
             }
         }
+        self.observe_memory(&gateway.memory);
         self.exposition.render()
     }
 
+    fn observe_memory(&self, memory: &MemoryKeeper) {
+        let budget = memory.get_budget();
+        let (used, connections) = memory.get_use();
+        for (kind, bytes, count) in [
+            ("used", used, connections),
+            ("limit", budget.capacity, budget.max_connections),
+        ] {
+            let label = [KeyValue::new("kind", kind)];
+            self.caller_memory.record(bytes as f64, &label);
+            self.caller_connections.record(count as f64, &label);
+        }
+    }
+
     fn observe_services(&self, gateway: &Gateway) {
         gateway.for_each_service(|service| {
             let (status, waiting) =
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -1,28 +1,32 @@
-//! A caller's request, read completely before it is forwarded.
+//! A caller's request, read before it is forwarded.
 
+use super::body::{OutgoingBody, RequestBody, read_body};
+use super::memory::ConnectionMemory;
 use super::state::Gateway;
 use crate::caller::headers::{copy_end_to_end, get_text};
-use bytes::{Bytes, BytesMut};
 use gentianridge_core::ResultCode;
 use http::{HeaderMap, HeaderValue, Method, Request, Uri, header};
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use smol_str::SmolStr;
+use std::rc::Rc;
 use std::time::Duration;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
 
-/// A request that can be sent more than once.
+/// A request that was read as far as it is held.
 ///
 /// The body is read before a target is chosen. A slot is then never held for a
 /// slow caller, a target that answers early cannot mistake later bytes on the
 /// connection for the rest of the body, and a request that was not run can be
-/// sent to another target.
+/// sent to another target. Only a body that is longer than what may be held is forwarded
+/// as it arrives: docs/decisions/0021-memory-for-callers.md.
 #[derive(Debug)]
 pub(crate) struct CallerRequest {
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: RequestBody,
+    /// Account of the caller's connection.
+    pub(crate) memory: Rc<ConnectionMemory>,
     /// The caller's attempt ID, empty if the header is missing.
     pub(crate) id: SmolStr,
     /// Time that the caller still waits, if the header states it.
@@ -32,17 +36,15 @@
 }
 
 impl CallerRequest {
-    /// Longest time without data while a body is read.
-    const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
-
-    /// Reads a complete request.
+    /// Reads a request.
     pub(crate) async fn read(
         gateway: &Gateway,
+        memory: Rc<ConnectionMemory>,
         request: Request<Incoming>,
         max_body: usize,
     ) -> Result<Self, ResultCode> {
         let (head, body) = request.into_parts();
-        let body = read_body(body, max_body).await?;
+        let body = read_body(gateway, &memory, body, max_body).await?;
         let names = &gateway.headers;
         let mut headers = HeaderMap::with_capacity(head.headers.len() + 3);
         copy_end_to_end(&head.headers, &mut headers);
@@ -58,6 +60,7 @@
             uri: head.uri,
             headers,
             body,
+            memory,
             time_left,
         })
     }
@@ -68,8 +71,8 @@
         gateway: &Gateway,
         target: &str,
         time_left: Duration,
-    ) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    ) -> Request<OutgoingBody> {
+        let mut request = Request::new(self.body.make_outgoing());
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = to_origin_form(&self.uri);
         let headers = request.headers_mut();
@@ -80,16 +83,23 @@
         if let Ok(value) = HeaderValue::from_str(target) {
             headers.insert(names.expected_target.clone(), value);
         }
-        if self.has_content_length() {
-            headers.insert(header::CONTENT_LENGTH, HeaderValue::from(self.body.len()));
+        match self.body.get_length() {
+            Some(length) if self.has_content_length(length) => {
+                headers.insert(header::CONTENT_LENGTH, HeaderValue::from(length));
+            }
+            Some(_) => {}
+            None => {
+                let chunked = HeaderValue::from_static("chunked");
+                headers.insert(header::TRANSFER_ENCODING, chunked);
+            }
         }
         request
     }
 
     /// Returns true if the request needs a `Content-Length`, which is left out
     /// for methods without a body.
-    fn has_content_length(&self) -> bool {
-        !self.body.is_empty()
+    fn has_content_length(&self, length: u64) -> bool {
+        length > 0
             || !matches!(
                 self.method,
                 Method::GET | Method::HEAD | Method::DELETE | Method::OPTIONS
@@ -97,41 +107,17 @@
     }
 }
 
-fn make_fingerprint(method: &Method, uri: &Uri, body: &[u8]) -> u64 {
+fn make_fingerprint(method: &Method, uri: &Uri, body: &RequestBody) -> u64 {
     let path = uri.path_and_query().map_or("/", |path| path.as_str());
     let seed = xxh3_64_with_seed(method.as_str().as_bytes(), 0);
-    xxh3_64_with_seed(body, xxh3_64_with_seed(path.as_bytes(), seed))
+    let mut hasher = Xxh3::with_seed(xxh3_64_with_seed(path.as_bytes(), seed));
+    for block in body.get_identity() {
+        hasher.update(block);
+    }
+    hasher.digest()
 }
 
 fn to_origin_form(uri: &Uri) -> Uri {
     let path = uri.path_and_query().map_or("/", |path| path.as_str());
     path.parse().unwrap_or_else(|_| uri.clone())
 }
-
-async fn read_body(mut body: Incoming, max: usize) -> Result<Bytes, ResultCode> {
-    if body.size_hint().lower() > max as u64 {
-        return Err(ResultCode::TooLarge);
-    }
-    let mut buf = BytesMut::new();
-    while !body.is_end_stream() {
-        let frame = tokio::time::timeout(CallerRequest::BODY_IDLE_TIMEOUT, body.frame())
-            .await
-            .map_err(|_| ResultCode::SlowCaller)?;
-        match frame {
-            Some(Ok(frame)) => {
-                if let Some(data) = frame.data_ref() {
-                    buf.extend_from_slice(data);
-                }
-            }
-            Some(Err(error)) => {
-                log::debug!("request body truncated: {error}");
-                return Err(ResultCode::BadRequest);
-            }
-            None => break,
-        }
-        if buf.len() > max {
-            return Err(ResultCode::TooLarge);
-        }
-    }
-    Ok(buf.freeze())
-}
--- a/crates/daemon/src/gateway/samples.rs
+++ b/crates/daemon/src/gateway/samples.rs
@@ -1,15 +1,15 @@
 //! Load requests to targets.
 
+use super::body::OutgoingBody;
 use super::connections::{Connection, ReusePolicy};
 use super::state::Gateway;
 use crate::caller::headers::get_text;
 use crate::service::ServiceHandle;
 use anyhow::Context;
-use bytes::Bytes;
 use gentianridge_adapter::{HeaderNames, parse_load};
 use gentianridge_core::{Incarnation, SendCheck, TargetKey};
 use http::{HeaderMap, HeaderValue, Request, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -69,7 +69,7 @@
     if matches!(check, SendCheck::Withdrawn | SendCheck::Paused) {
         return Ok(());
     }
-    let mut request = Request::new(Full::<Bytes>::default());
+    let mut request = Request::new(OutgoingBody::empty());
     *request.uri_mut() = path.parse()?;
     let host = HeaderValue::from_str(&addr.to_string())?;
     request.headers_mut().insert(header::HOST, host);
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -3,6 +3,7 @@
 use super::connections::ConnectionPool;
 use super::crashes::CRASH_PERIOD;
 use super::list_reader::ListReader;
+use super::memory::MemoryKeeper;
 use super::metrics::GatewayMetrics;
 use super::peers::Peers;
 use super::services::ServiceEntry;
@@ -29,6 +30,7 @@
     pub(crate) connections: ConnectionPool,
     pub(crate) peers: Peers,
     pub(crate) metrics: GatewayMetrics,
+    pub(crate) memory: Rc<MemoryKeeper>,
     pub(super) routes: RefCell<Option<RouteTable>>,
     pub(super) list: RefCell<TargetList>,
     pub(super) list_reader: ListReader,
@@ -69,6 +71,7 @@
         Ok(Rc::new(Self {
             store: RefCell::new(store),
             headers: get_header_names(),
+            memory: MemoryKeeper::new(&settings, clock.clone()),
             clock,
             journal,
             connections: ConnectionPool::default(),
@@ -116,6 +119,7 @@
         }
         let bound = get_list_bound(&settings);
         self.list.borrow_mut().set_bound(bound);
+        self.memory.apply_settings(&settings);
         *self.settings.borrow_mut() = settings;
         self.apply_all();
     }
