test(gateway): bodies that are forwarded as they arrive

Bodies longer than what a VM holds reach a target exactly as sent, with a stated length and chunked; a target that answers or refuses early gets no other bytes where the rest is due; a caller that stops or leaves ends the target's connection; a lost target leads to 502 without a second send, also on idempotent routes.

The stand-in for a target reads chunked bodies, keeps the bodies of its runs, and answers before the body on demand. A request whose body ends early counts as arrived and cancelled there, not as run: no HTTP server runs one. Until now the daemon never sent such a request, so no earlier check loses by it.

--- a/crates/daemon/tests/outsiders/main.rs
+++ b/crates/daemon/tests/outsiders/main.rs
@@ -10,4 +10,5 @@
 mod crowd;
 mod env;
 mod heads;
+mod uploads;
 mod vm_process;
--- a/crates/testkit/src/gateway/http.rs
+++ b/crates/testkit/src/gateway/http.rs
@@ -5,7 +5,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-/// A request or a response; the body is read only if the head has a `content-length`.
+/// A request or a response; the body is read if the head has a `content-length` or is
+/// chunked.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub(crate) struct Message {
     /// Request line or status line.
@@ -13,7 +14,7 @@
     /// Names, in lower case, and values.
     pub(crate) headers: Vec<(String, String)>,
     pub(crate) body: Vec<u8>,
-    /// False if the connection ended before `content-length` bytes arrived.
+    /// False if the connection ended before the end of the body.
     pub(crate) is_complete: bool,
 }
 
@@ -44,6 +45,15 @@
 
     /// Reads one message; returns `None` if the connection ends before its head does.
     pub(crate) async fn read(&mut self) -> io::Result<Option<Message>> {
+        let Some(mut message) = self.read_head().await? else {
+            return Ok(None);
+        };
+        self.read_body(&mut message).await?;
+        Ok(Some(message))
+    }
+
+    /// Reads the head of a message.
+    pub(crate) async fn read_head(&mut self) -> io::Result<Option<Message>> {
         let end = loop {
             if let Some(at) = find(&self.buf, b"\r\n\r\n") {
                 break at + 4;
@@ -56,7 +66,15 @@
             }
         };
         let head: Vec<u8> = self.buf.drain(..end).collect();
-        let mut message = parse_head(&String::from_utf8_lossy(&head));
+        Ok(Some(parse_head(&String::from_utf8_lossy(&head))))
+    }
+
+    /// Reads the body of a message as far as it arrives.
+    pub(crate) async fn read_body(&mut self, message: &mut Message) -> io::Result<()> {
+        if message.get("transfer-encoding") == Some("chunked") {
+            message.is_complete = self.read_chunks(&mut message.body).await?;
+            return Ok(());
+        }
         let length = message.get("content-length").and_then(|v| v.parse().ok());
         let length: usize = length.unwrap_or(0);
         message.is_complete = true;
@@ -68,7 +86,45 @@
         }
         let body_length = length.min(self.buf.len());
         message.body = self.buf.drain(..body_length).collect();
-        Ok(Some(message))
+        Ok(())
+    }
+
+    /// Reads chunks until the last one; returns false if the connection ends before it.
+    async fn read_chunks(&mut self, body: &mut Vec<u8>) -> io::Result<bool> {
+        loop {
+            let Some(line) = self.read_until(b"\r\n").await? else {
+                return Ok(false);
+            };
+            let line = String::from_utf8_lossy(&line).into_owned();
+            let digits = line.split(';').next().unwrap_or_default().trim();
+            let size = usize::from_str_radix(digits, 16)
+                .map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
+            while self.buf.len() < size + 2 {
+                if !self.fill().await? {
+                    return Ok(false);
+                }
+            }
+            body.extend(self.buf.drain(..size));
+            self.buf.drain(..2);
+            if size == 0 {
+                return Ok(true);
+            }
+        }
+    }
+
+    /// Returns the bytes before `pattern` and removes both, `None` if the connection ends
+    /// before it.
+    async fn read_until(&mut self, pattern: &[u8]) -> io::Result<Option<Vec<u8>>> {
+        loop {
+            if let Some(at) = find(&self.buf, pattern) {
+                let found = self.buf.drain(..at).collect();
+                self.buf.drain(..pattern.len());
+                return Ok(Some(found));
+            }
+            if !self.fill().await? {
+                return Ok(None);
+            }
+        }
     }
 
     /// Waits until the peer closes the connection, and buffers the bytes that it still sends.
@@ -88,7 +144,7 @@
 
     /// Appends received bytes to the buffer; returns false at the end of the connection.
     async fn fill(&mut self) -> io::Result<bool> {
-        let mut chunk = [0; 4096];
+        let mut chunk = [0; 16 * 1024];
         let size = self.stream.read(&mut chunk).await?;
         self.buf.extend_from_slice(&chunk[..size]);
         Ok(size > 0)
--- a/crates/testkit/src/gateway/target.rs
+++ b/crates/testkit/src/gateway/target.rs
@@ -42,6 +42,7 @@
     time_left_ms: u64,
     /// Path and query.
     request_target: String,
+    body: Vec<u8>,
     started_at: Instant,
 }
 
@@ -153,6 +154,13 @@
         runs.iter().filter(|run| run.id == id).count()
     }
 
+    /// Returns the body of the request with the id, `None` if it did not run.
+    pub fn get_body(&self, id: &str) -> Option<Vec<u8>> {
+        let runs = self.shared.runs.lock();
+        let run = runs.iter().find(|run| run.id == id)?;
+        Some(run.body.clone())
+    }
+
     /// Returns how many requests the target ran.
     pub fn count_all_runs(&self) -> usize {
         self.shared.runs.lock().len()
@@ -259,13 +267,60 @@
 async fn serve(stream: TcpStream, shared: Arc<Shared>) {
     let mut messages = MessageStream::new(stream);
     let mut last = String::new();
-    while let Ok(Some(request)) = messages.read().await {
+    while let Ok(Some(mut request)) = messages.read_head().await {
+        let is_early = is_early(&request, &shared);
+        if is_early && !answer_early(&mut messages, &request, &shared).await {
+            return;
+        }
+        let is_read = messages.read_body(&mut request).await.is_ok();
+        if !is_read || !request.is_complete {
+            // It has arrived, and no server runs it.
+            let id = request.get("gentianridge-attempt-id").unwrap_or_default();
+            shared.arrivals.lock().push(id.to_owned());
+            shared.cancelled.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
+        if is_early {
+            continue;
+        }
         if !answer(&mut messages, &request, &shared, &mut last).await {
             return;
         }
     }
 }
 
+/// Returns true if the target answers the request before it reads the body.
+fn is_early(request: &Message, shared: &Shared) -> bool {
+    let behavior = *shared.behavior.lock();
+    let is_early = matches!(
+        behavior,
+        TargetBehavior::EarlyAnswer | TargetBehavior::EarlyRefusal
+    );
+    is_early && !request.start_line.starts_with("GET /health ")
+}
+
+/// Time from an early answer until the target reads the body.
+const LATE_READ: Duration = Duration::from_millis(200);
+
+/// Answers a request before its body is read; returns false if the connection has to be
+/// closed.
+async fn answer_early(messages: &mut MessageStream, request: &Message, shared: &Shared) -> bool {
+    let id = request.get("gentianridge-attempt-id").unwrap_or_default();
+    let echo = make_echo(shared, id);
+    let is_refusal = *shared.behavior.lock() == TargetBehavior::EarlyRefusal;
+    let text = if is_refusal {
+        reply(503, &format!("{echo}gentianridge-not-executed: 1\r\n"), "")
+    } else {
+        let signed = format!("{echo}gentianridge-response-signature: {}\r\n", shared.id);
+        reply(200, &signed, "early")
+    };
+    if messages.write(text.as_bytes()).await.is_err() {
+        return false;
+    }
+    tokio::time::sleep(LATE_READ).await;
+    true
+}
+
 /// Writes a refusal and keeps it in `last`, if the target sends it once more later.
 async fn refuse(
     messages: &mut MessageStream,
@@ -403,9 +458,11 @@
             return false;
         }
         TargetBehavior::DuplicateAnswer => reply(200, &signed, &body).repeat(2),
-        TargetBehavior::Normal | TargetBehavior::NotRun | TargetBehavior::Silent => {
-            reply(status, &signed, &body)
-        }
+        TargetBehavior::Normal
+        | TargetBehavior::NotRun
+        | TargetBehavior::Silent
+        | TargetBehavior::EarlyAnswer
+        | TargetBehavior::EarlyRefusal => reply(status, &signed, &body),
     };
     let copies = *shared.late_copies.lock();
     if copies == LateCopies::BeforeLoadAnswers {
@@ -459,6 +516,7 @@
             .nth(1)
             .unwrap_or_default()
             .into(),
+        body: request.body.clone(),
         started_at: Instant::now(),
     });
     shared.running.fetch_add(1, Ordering::Relaxed);
--- a/crates/testkit/src/gateway/target_behavior.rs
+++ b/crates/testkit/src/gateway/target_behavior.rs
@@ -28,6 +28,12 @@
     LargeBody,
     /// Runs the request and answers with a body of the given number of bytes.
     SizedBody(usize),
+    /// Runs the request and answers before it reads the body, keeps the connection and reads
+    /// the body later.
+    EarlyAnswer,
+    /// Refuses with 503 before it reads the body, states that the request has not run, and
+    /// reads the body later.
+    EarlyRefusal,
     /// Runs the request, sends the head of a large body and a part of it, and closes the
     /// connection.
     TruncatedLargeBody,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod crashes;
 mod discovery;
 mod downloads;
+mod flows;
 mod late_requests;
 mod leaving;
 mod limits;
--- a/tests/gateway/test_env.rs
+++ b/tests/gateway/test_env.rs
@@ -25,7 +25,11 @@
         Self::start_with(targets, |settings| settings.grace = grace).await
     }
 
-    async fn start_with(targets: usize, change: impl FnOnce(&mut GatewaySettings)) -> Self {
+    /// Starts the environment with changed settings of the daemon.
+    pub(crate) async fn start_with(
+        targets: usize,
+        change: impl FnOnce(&mut GatewaySettings),
+    ) -> Self {
         let store = FakeStore::start().await.unwrap();
         put_config(&store, 1, "");
         let mut started = Vec::new();
