--- a/crates/testkit/src/gateway/target.rs
+++ b/crates/testkit/src/gateway/target.rs
@@ -274,9 +274,10 @@
         }
         let is_read = messages.read_body(&mut request).await.is_ok();
         if !is_read || !request.is_complete {
-            // It has arrived, and no server runs it.
-            let id = request.get("gentianridge-attempt-id").unwrap_or_default();
-            shared.arrivals.lock().push(id.to_owned());
+            // No server runs it.
+            if !is_early {
+                record_arrival(&request, &shared);
+            }
             shared.cancelled.fetch_add(1, Ordering::Relaxed);
             return;
         }
@@ -289,6 +290,11 @@
     }
 }
 
+fn record_arrival(request: &Message, shared: &Shared) {
+    let id = request.get("gentianridge-attempt-id").unwrap_or_default();
+    shared.arrivals.lock().push(id.to_owned());
+}
+
 /// Returns true if the target answers the request before it reads the body.
 fn is_early(request: &Message, shared: &Shared) -> bool {
     let behavior = *shared.behavior.lock();
@@ -306,6 +312,7 @@
 /// closed.
 async fn answer_early(messages: &mut MessageStream, request: &Message, shared: &Shared) -> bool {
     let id = request.get("gentianridge-attempt-id").unwrap_or_default();
+    record_arrival(request, shared);
     let echo = make_echo(shared, id);
     let is_refusal = *shared.behavior.lock() == TargetBehavior::EarlyRefusal;
     let text = if is_refusal {
@@ -389,7 +396,7 @@
         let text = reply(421, &format!("gentianridge-attempt-id: {id}\r\n"), "");
         return messages.write(text.as_bytes()).await.is_ok();
     }
-    shared.arrivals.lock().push(id.to_owned());
+    record_arrival(request, shared);
     let behavior = *shared.behavior.lock();
     let echo = make_echo(shared, id);
     let signed = format!("{echo}gentianridge-response-signature: {}\r\n", shared.id);
