--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod discovery;
 mod downloads;
 mod evacuations;
+mod flows;
 mod late_requests;
 mod leaving;
 mod limits;
