--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -1,5 +1,6 @@
 //! One HTTP exchange with a caller, from the request to the answer.
 
+use super::activity::Activity;
 use super::admission::LimitPermit;
 use super::answer::{AnswerBody, make_refusal};
 use super::call::{Call, CallContext, CallEnd};
@@ -49,11 +50,12 @@
 /// hyper drops this future when the caller closes the connection.
 pub(crate) async fn handle_request(
     gateway: Rc<Gateway>,
+    activity: Rc<Activity>,
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Infallible> {
     let arrived = gateway.clock.now();
     let id = get_text(request.headers(), &gateway.headers.attempt_id).unwrap_or_default();
-    let mut response = match exchange(&gateway, arrived, request).await {
+    let mut response = match exchange(&gateway, &activity, arrived, request).await {
         Ok(response) => response,
         Err(refusal) => {
             let code = refusal.code;
@@ -85,13 +87,14 @@
 
 async fn exchange(
     gateway: &Rc<Gateway>,
+    activity: &Rc<Activity>,
     arrived: Instant,
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, EarlyRefusal> {
     let (decision, request, permit) = tokio::select! {
         biased;
         () = gateway.wait_answers_due() => return Err(ResultCode::Stopping.into()),
-        received = receive(gateway, request) => received?,
+        received = receive(gateway, activity, request) => received?,
     };
     if gateway.is_quarantined(request.fingerprint) {
         return Err(ResultCode::CrashesTargets.into());
@@ -103,8 +106,9 @@
         ClassKind::Interactive | ClassKind::Background => Call::start(cx.clone()).run().await,
     };
     log_request(&decision, &cx, &end);
+    cx.request.body.discard_rest();
     match end.result {
-        Ok((answer, slot)) => Ok(answer.into_response(slot)),
+        Ok((answer, slot)) => Ok(answer.into_response(slot, activity)),
         Err(code) => {
             gateway.metrics.record_refusal(code);
             if let Some(permit) = permit.filter(|_| code.run_state() == RunState::NotRun) {
@@ -118,13 +122,16 @@
 /// Routes a request, admits it by the limit of its workspace and reads its body.
 async fn receive(
     gateway: &Rc<Gateway>,
+    activity: &Activity,
     request: Request<Incoming>,
 ) -> Result<(RouteDecision, CallerRequest, Option<LimitPermit>), EarlyRefusal> {
     gateway.wait_loaded().await;
     let decision = gateway.route(&request)?;
     let permit = gateway.admit(&decision).await?;
     let max_body = gateway.get_limits().max_body_bytes;
-    let mut request = CallerRequest::read(gateway, request, max_body).await?;
+    let memory = activity.get_memory().clone();
+    let mut request = CallerRequest::read(gateway, memory, request, max_body).await?;
+    activity.end_reading();
     if decision.needs_identity {
         let workspace = decision.workspace.as_ref();
         let name = workspace.map(|workspace| workspace.name.as_str());
--- a/crates/daemon/src/gateway/feeds.rs
+++ b/crates/daemon/src/gateway/feeds.rs
@@ -269,9 +269,10 @@
                 filter_history_gone(result)
             }
         };
+        let is_full = changed.is_none();
         let result = match changed {
             Some(result) => result,
-            None => store.get(Table::Operators, CONFIG_KEY).await,
+            None => store.get_all(Table::Operators).await,
         };
         self.gateway
             .metrics
@@ -286,6 +287,8 @@
                 if self.is_config_valid {
                     self.gateway.record_config_read(sent);
                 }
+                let gateway = &self.gateway;
+                gateway.apply_evacuation_rows(&changes.rows, changes.version, is_full);
                 true
             }
             Err(error) => {
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of a daemon on the platform.
 
+use super::memory::MemoryKeeper;
 use super::state::Gateway;
 use crate::telemetry::{Exposition, LineCounts, counter, gauge, time_histogram};
 use gentianridge_core::{AttemptKind, FleetLimits, ResultCode, TargetCondition};
@@ -50,7 +51,13 @@
     list_due: Gauge<f64>,
     list_age: Gauge<f64>,
     proof_age: Gauge<f64>,
+    emptied: Gauge<f64>,
+    emptied_version: Gauge<f64>,
+    emptied_time: Gauge<f64>,
     log_lines: Gauge<f64>,
+    closed_callers: Counter<u64>,
+    caller_memory: Gauge<f64>,
+    caller_connections: Gauge<f64>,
 }
 
 impl GatewayMetrics {
@@ -145,12 +152,42 @@
                 "gentianridge.config.proof.age",
                 "Greatest time since the configuration in force was the newest one in the store",
             ),
+            emptied: gauge(
+                &meter,
+                "gentianridge.domains.emptied",
+                "Failure domains that operators have emptied",
+            ),
+            emptied_version: gauge(
+                &meter,
+                "gentianridge.domains.emptied.version",
+                "Version of the store at which the emptied failure domains were read",
+            ),
+            emptied_time: gauge(
+                &meter,
+                "gentianridge.domains.emptied.time",
+                "Time since this VM learned of the domain that was emptied first, 0 without one",
+            ),
             list_due: gauge(
                 &meter,
                 "gentianridge.list.due",
                 "Time until this VM reads the list of targets; negative when overdue",
             ),
             log_lines: gauge(&meter, "gentianridge.log.lines", "Log lines by fate"),
+            closed_callers: counter(
+                &meter,
+                "gentianridge.callers.closed",
+                "Callers' connections closed to protect this VM, by reason",
+            ),
+            caller_memory: gauge(
+                &meter,
+                "gentianridge.callers.memory",
+                "Bytes held for callers, in use and at most",
+            ),
+            caller_connections: gauge(
+                &meter,
+                "gentianridge.callers.connections",
+                "Callers' connections, open and at most",
+            ),
             lines,
             exposition,
         })
@@ -196,6 +233,11 @@
         self.connections.add(1, &[KeyValue::new("use", use_)]);
     }
 
+    pub(crate) fn record_closed_caller(&self, reason: &'static str) {
+        self.closed_callers
+            .add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     pub(crate) fn record_sample(&self) {
         self.samples.add(1, &[]);
     }
@@ -271,6 +313,7 @@
         if let Some(age) = gateway.get_proof_age() {
             self.proof_age.record(age.as_secs_f64(), &[]);
         }
+        self.observe_emptied(gateway);
         if let Some(due) = gateway.get_list_due() {
             let ahead = due.saturating_duration_since(now).as_secs_f64();
             let behind = now.saturating_duration_since(due).as_secs_f64();
@@ -286,9 +329,35 @@
                     .record(count as f64, &[KeyValue::new("fate", fate)]);
             }
         }
+        self.observe_memory(&gateway.memory);
         self.exposition.render()
     }
 
+    fn observe_emptied(&self, gateway: &Gateway) {
+        let list = gateway.list.borrow();
+        let domains = list.get_emptied();
+        let now = gateway.clock.now();
+        let first = domains.get_since().map(|(_, since)| since).min();
+        let time = first.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        self.emptied.record(domains.get().domains.len() as f64, &[]);
+        self.emptied_version
+            .record(domains.get().version as f64, &[]);
+        self.emptied_time.record(time.as_secs_f64(), &[]);
+    }
+
+    fn observe_memory(&self, memory: &MemoryKeeper) {
+        let budget = memory.get_budget();
+        let (used, connections) = memory.get_use();
+        for (kind, bytes, count) in [
+            ("used", used, connections),
+            ("limit", budget.capacity, budget.max_connections),
+        ] {
+            let label = [KeyValue::new("kind", kind)];
+            self.caller_memory.record(bytes as f64, &label);
+            self.caller_connections.record(count as f64, &label);
+        }
+    }
+
     fn observe_services(&self, gateway: &Gateway) {
         gateway.for_each_service(|service| {
             let (status, waiting) =
@@ -301,6 +370,7 @@
                 ("ejected", TargetCondition::Ejected),
                 ("leaving", TargetCondition::Leaving),
                 ("drained", TargetCondition::Drained),
+                ("emptied", TargetCondition::Emptied),
             ];
             for (name, condition) in conditions {
                 let count = status.iter().filter(|t| t.condition == condition).count();
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -4,6 +4,7 @@
 use super::connections::ConnectionPool;
 use super::crashes::CRASH_PERIOD;
 use super::list_reader::ListReader;
+use super::memory::MemoryKeeper;
 use super::metrics::GatewayMetrics;
 use super::peers::Peers;
 use super::services::ServiceEntry;
@@ -32,6 +33,7 @@
     pub(crate) connections: ConnectionPool,
     pub(crate) peers: Peers,
     pub(crate) metrics: GatewayMetrics,
+    pub(crate) memory: Rc<MemoryKeeper>,
     pub(super) routes: RefCell<Option<RouteTable>>,
     /// How recently the configuration in force was the newest one.
     pub(super) proofs: RefCell<Proofs>,
@@ -78,6 +80,7 @@
             store: RefCell::new(store),
             headers: get_header_names(),
             limits: WorkspaceLimits::new(clock.since_boot(), &settings),
+            memory: MemoryKeeper::new(&settings, clock.clone()),
             clock,
             journal,
             connections: ConnectionPool::default(),
@@ -130,6 +133,7 @@
         self.limits.update_quietly(|limits| {
             limits.set_bound(settings.limit_window, settings.limit_bound);
         });
+        self.memory.apply_settings(&settings);
         *self.settings.borrow_mut() = settings;
         self.apply_all();
     }
