--- a/crates/core/tests/workspace_limits.rs
+++ b/crates/core/tests/workspace_limits.rs
@@ -2,11 +2,17 @@
 
 mod limits_model;
 
-use gentianridge_core::{LimitTerms, RateLimit, RequestBound};
+use gentianridge_core::{
+    FleetLimits, LimitMember, LimitTerms, RateLimit, RequestBound, WorkspaceKey,
+};
 use limits_model::{BOUND, Links, Model, Mutant, WINDOW};
 use rand::RngExt;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
+/// Address of VMs that receive nothing.
+const ADDR: SocketAddr = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9));
+
 const fn seconds(count: u64) -> Duration {
     Duration::from_secs(count)
 }
@@ -287,6 +293,38 @@
     assert_eq!(model.get_most_bytes(), 0);
 }
 
+/// Bytes of 10,000 limits that are declared, and of those that are in use on a VM that
+/// holds none of them.
+#[test]
+fn memory_of_workspaces() {
+    const WORKSPACES: usize = 10_000;
+    let limits = make_limits(WORKSPACES, 1_000.0);
+    let keys = (0..WORKSPACES).map(|index| WorkspaceKey::from_name(&format!("w{index}")));
+    let declared: Vec<_> = keys.zip(limits).collect();
+    let keys: Vec<_> = declared.iter().map(|(key, _)| *key).collect();
+    let members: Vec<LimitMember> = (0..40)
+        .map(|index| LimitMember::new(&format!("vm-{index}").into(), ADDR, true))
+        .collect();
+    let mut vm = FleetLimits::new(seconds(1), &"vm-40".into(), 1, true);
+    let counted = allocation_counter::measure(|| {
+        vm.list_members(seconds(1), &members);
+        vm.set_fleet_known();
+        vm.declare(seconds(1), declared);
+    });
+    let idle = counted.bytes_current as f64 / WORKSPACES as f64;
+    let counted = allocation_counter::measure(|| {
+        for key in &keys {
+            vm.admit(seconds(2), *key);
+            vm.take_messages();
+        }
+    });
+    let active = counted.bytes_current as f64 / WORKSPACES as f64;
+    println!("{idle} bytes a declared workspace, {active} more one in use");
+    assert_eq!(vm.count_active(), WORKSPACES);
+    assert!(idle <= 100.0, "{idle} bytes a declared workspace");
+    assert!(active <= 1_000.0, "{active} bytes a workspace in use");
+}
+
 /// Without a tolerance, the tokens stay within the limit itself.
 #[test]
 fn exact_bound() {
