--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -189,6 +189,9 @@
     cx.gateway
         .metrics
         .record_request(&decision.route, decision.kind.as_str(), status, took);
+    if let Some(workspace) = &decision.workspace {
+        cx.gateway.metrics.record_workspace(&workspace.name, code);
+    }
     log::log!(
         target: "request",
         level,
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -1,13 +1,15 @@
 //! Metrics of a daemon on the platform.
 
 use super::state::Gateway;
+use super::workspace_labels::WorkspaceLabels;
 use crate::telemetry::{Exposition, LineCounts, counter, gauge, time_histogram};
-use gentianridge_core::{AttemptKind, ResultCode, TargetCondition};
+use gentianridge_core::{AttemptKind, ResultCode, RunState, TargetCondition};
 use http::StatusCode;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
+use smol_str::SmolStr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,6 +26,8 @@
     attempts: Histogram<f64>,
     sends: Counter<u64>,
     refusals: Counter<u64>,
+    workspace_requests: Counter<u64>,
+    workspace_labels: WorkspaceLabels,
     connections: Counter<u64>,
     samples: Counter<u64>,
     store_calls: Counter<u64>,
@@ -65,6 +69,12 @@
             ),
             sends: counter(&meter, "gentianridge.attempts", "Attempts by kind"),
             refusals: counter(&meter, "gentianridge.refusals", "Refusals by result code"),
+            workspace_requests: counter(
+                &meter,
+                "gentianridge.workspace.requests",
+                "Requests of each workspace by outcome",
+            ),
+            workspace_labels: WorkspaceLabels::default(),
             connections: counter(
                 &meter,
                 "gentianridge.connections",
@@ -166,6 +176,21 @@
         self.attempts.record(took.as_secs_f64(), &labels);
     }
 
+    /// Counts a request of a workspace; `code` is that of a refusal or failure.
+    pub(crate) fn record_workspace(&self, name: &SmolStr, code: Option<ResultCode>) {
+        let outcome = match code.map(ResultCode::run_state) {
+            None => "answered",
+            Some(RunState::NotRun) => "refused",
+            Some(_) => "failed",
+        };
+        let label = self.workspace_labels.get(name).to_string();
+        let labels = [
+            KeyValue::new("workspace", label),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.workspace_requests.add(1, &labels);
+    }
+
     pub(crate) fn record_refusal(&self, code: ResultCode) {
         self.refusals
             .add(1, &[KeyValue::new("code", i64::from(code.number()))]);
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -31,6 +31,7 @@
 mod sockets;
 mod state;
 mod targets;
+mod workspace_labels;
 
 pub use run::{run_gateway, run_gateway_until};
 pub use sockets::GatewaySockets;
--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -9,7 +9,7 @@
 use gentianridge_config::parse_fleet;
 use gentianridge_core::{
     Arrival, ClassKey, ClassKind, Event, EventKind, EventRing, Heartbeat, HybridClock, LoadReport,
-    Membership, Output, PeerView, Service, is_probe_owner,
+    Membership, Output, PeerView, Service, WorkspaceSpec, WorkspaceTable, is_probe_owner,
 };
 use gentianridge_wire::PeerMessage;
 use std::fmt::Write;
@@ -19,6 +19,8 @@
 const SERVICES: usize = 54;
 const TARGETS: usize = 840;
 const FLEETS: [usize; 3] = [5, 50, 500];
+const WORKSPACES: [usize; 3] = [72, 1_000, 10_000];
+const KEYS_PER_WORKSPACE: usize = 2;
 const EVENTS: usize = 8_192;
 const ITERATIONS: u32 = 200_000;
 
@@ -33,6 +35,9 @@
         measure_fleet(vms);
     }
     measure_events();
+    for workspaces in WORKSPACES {
+        measure_workspaces(workspaces);
+    }
 }
 
 fn write_file(services: usize, targets: usize) -> String {
@@ -58,6 +63,42 @@
     text
 }
 
+/// Prints what the keys of workspaces take, and how long the lookup of one lasts.
+fn measure_workspaces(count: usize) {
+    let make_key = |index: usize| format!("{:020x}", index * 7_919);
+    let specs: Vec<WorkspaceSpec> = (0..count)
+        .map(|index| WorkspaceSpec {
+            name: format!("workspace{index}").into(),
+            api_keys: (0..KEYS_PER_WORKSPACE)
+                .map(|key| make_key(index * KEYS_PER_WORKSPACE + key).into())
+                .collect(),
+            priority: Some(0),
+            limit: None,
+        })
+        .collect();
+    let memory = allocation_counter::measure(|| {
+        std::hint::black_box(WorkspaceTable::new(specs.clone()));
+    });
+    let started = Instant::now();
+    let table = WorkspaceTable::new(specs);
+    let built = started.elapsed();
+    let keys: Vec<String> = (0..count).map(make_key).collect();
+    let time_lookups = |prefix: &str| {
+        let keys: Vec<String> = keys.iter().map(|key| format!("{prefix}{key}")).collect();
+        let started = Instant::now();
+        for index in 0..ITERATIONS as usize {
+            std::hint::black_box(table.find_by_key(&keys[index % count]));
+        }
+        started.elapsed() / ITERATIONS
+    };
+    let (held, unknown) = (time_lookups(""), time_lookups("x"));
+    println!(
+        "{count} workspaces with {KEYS_PER_WORKSPACE} keys each: {} KB, built in {built:?}, a lookup \
+         {held:?}, of an unknown key {unknown:?}",
+        memory.bytes_max / 1_024
+    );
+}
+
 fn measure_file(text: &str) {
     let started = Instant::now();
     let rounds = 20;
