--- a/crates/daemon/src/gateway/peers/follow.rs
+++ b/crates/daemon/src/gateway/peers/follow.rs
@@ -142,6 +142,9 @@
             .record_heartbeat(now, view);
     }
     gateway.record_peer_proof(sent, reply.store_time, reply.proof);
+    if let Some(evacuations) = reply.evacuations {
+        gateway.apply_evacuations(evacuations, "peer");
+    }
     let mut is_progress = false;
     if let Some(config) = reply.config {
         let outcome = apply_config(gateway, &config.value, "peer");
