test(soak): keys that are withdrawn beside faults

Cause: the soak's real processes never saw keys. Change: in even seeds requests need keys, three of which are withdrawn beside a store or a link that is away beyond the bound and a pause as long; odd seeds and the other steps are as before. Checked: no run later than the bound, no wrong name, no key at a target, no refusal of a key in force, and that a 401 means not run. Version checks and requests after recovery carry a key that stays in force.

--- a/crates/testkit/src/gateway/target.rs
+++ b/crates/testkit/src/gateway/target.rs
@@ -178,6 +178,23 @@
         found.map(|(_, value)| value.clone()).collect()
     }
 
+    /// Returns the id of each run and the values of two headers that its request had; the
+    /// names are in lower case.
+    pub fn get_run_headers(
+        &self,
+        first: &str,
+        second: &str,
+    ) -> Vec<(String, Vec<String>, Vec<String>)> {
+        let runs = self.shared.runs.lock();
+        let get = |run: &Run, name: &str| {
+            let found = run.headers.iter().filter(|(key, _)| key == name);
+            found.map(|(_, value)| value.clone()).collect()
+        };
+        runs.iter()
+            .map(|run| (run.id.clone(), get(run, first), get(run, second)))
+            .collect()
+    }
+
     /// Returns the path and query of each run, in order.
     pub fn get_paths(&self) -> Vec<String> {
         let runs = self.shared.runs.lock();
--- a/crates/testkit/src/soak/check.rs
+++ b/crates/testkit/src/soak/check.rs
@@ -1,5 +1,6 @@
 //! Checks the promises on the observations of a run.
 
+use super::keys::{REVOKE, get_workspace};
 use super::record::{DisruptionKind, Record, RequestOutcome, SentRequest};
 use crate::FakeTarget;
 use std::collections::{BTreeMap, BTreeSet};
@@ -32,6 +33,12 @@
     TooManyRepeats(String),
     /// A daemon exited without a signal of the run.
     DaemonExited(String),
+    /// A request ran that was sent later than the bound after its key was withdrawn.
+    WithdrawnKey(String),
+    /// A request ran under the name of another workspace, or with its key.
+    WrongWorkspace(String),
+    /// A key in force was refused as unknown.
+    KeyRefused(String),
     /// Too few requests were served after all faults had ended.
     NotRecovered(String),
 }
@@ -52,6 +59,10 @@
 /// Share of the requests that must be served after all faults have ended.
 const MIN_RECOVERED_SHARE: f64 = 0.95;
 
+/// Headers in which targets receive the name of the workspace, and must receive no key.
+const WORKSPACE: &str = "gentianridge-tenant";
+const AUTHORIZATION: &str = "authorization";
+
 const ALL_DISRUPTIONS: [DisruptionKind; 3] = [
     DisruptionKind::Process,
     DisruptionKind::Stopping,
@@ -73,6 +84,7 @@
             violations.push(SoakViolation::UnknownRequest(id.clone()));
         }
     }
+    check_keys(record, &requests, targets, &mut violations);
     check_repeats(requests.len(), targets, &mut violations);
     check_versions(record, &mut violations);
     check_leaves(record, targets, &mut violations);
@@ -111,7 +123,7 @@
     };
     match &request.outcome {
         RequestOutcome::Reply(reply) => {
-            let states_not_run = matches!(reply.status, 408 | 421 | 429 | 503);
+            let states_not_run = matches!(reply.status, 401 | 408 | 421 | 429 | 503);
             if request.is_once && states_not_run && runs > 0 {
                 let text = format!("{id}: status {}, {runs} runs", reply.status);
                 violations.push(SoakViolation::RanAfterRefusal(text));
@@ -139,6 +151,45 @@
     }
 }
 
+fn check_keys(
+    record: &Record,
+    requests: &[SentRequest],
+    targets: &[FakeTarget],
+    violations: &mut Vec<SoakViolation>,
+) {
+    let withdrawals = record.withdrawals.lock();
+    let seen: Vec<(String, Vec<String>, Vec<String>)> = targets
+        .iter()
+        .flat_map(|target| target.get_run_headers(WORKSPACE, AUTHORIZATION))
+        .collect();
+    for request in requests {
+        let Some(key) = request.key else {
+            continue;
+        };
+        let withdrawn = withdrawals.iter().find(|(other, _)| *other == key);
+        let runs = seen.iter().filter(|(id, ..)| *id == request.id);
+        let late =
+            withdrawn.and_then(|(_, at)| request.sent_at.checked_duration_since(*at + REVOKE));
+        for (id, names, keys) in runs {
+            if let Some(late) = late {
+                let text = format!("{id} at vm-{}, {late:?} after the bound", request.vm);
+                violations.push(SoakViolation::WithdrawnKey(text));
+            }
+            if names[..] != [get_workspace(key)] || !keys.is_empty() {
+                let text = format!("{id}: {names:?}, {} keys", keys.len());
+                violations.push(SoakViolation::WrongWorkspace(text));
+            }
+        }
+        let is_unauthorized =
+            matches!(&request.outcome, RequestOutcome::Reply(reply) if reply.status == 401);
+        let was_in_force = withdrawn.is_none_or(|(_, at)| request.ended_at < *at);
+        if is_unauthorized && was_in_force {
+            let text = format!("{} at vm-{}", request.id, request.vm);
+            violations.push(SoakViolation::KeyRefused(text));
+        }
+    }
+}
+
 fn check_repeats(requests: usize, targets: &[FakeTarget], violations: &mut Vec<SoakViolation>) {
     let mut ids: Vec<String> = targets.iter().flat_map(|t| t.get_arrivals()).collect();
     let arrivals = ids.len();
--- a/crates/testkit/src/soak/load.rs
+++ b/crates/testkit/src/soak/load.rs
@@ -1,5 +1,6 @@
 //! The load of a run: callers, the balancer of the platform, and version checks.
 
+use super::keys::{LASTING_KEY, get_key};
 use super::plan::VMS;
 use super::record::{Record, RequestOutcome, SentRequest, VersionCheck};
 use crate::CallerConnection;
@@ -32,6 +33,8 @@
 pub(super) struct Fleet {
     pub(super) callers: Vec<SocketAddr>,
     pub(super) ready: Vec<SocketAddr>,
+    /// True if requests need keys.
+    pub(super) is_keyed: bool,
     /// How often the daemon of each VM was started.
     pub(super) starts: Vec<AtomicU32>,
     /// Whether the balancer sends callers to the VM.
@@ -46,6 +49,16 @@
         !self.is_stopped.load(Ordering::Relaxed)
     }
 
+    /// Opens a connection to a VM whose requests carry a key that stays in force, if they
+    /// need one.
+    pub(super) async fn open(&self, vm: usize) -> anyhow::Result<CallerConnection> {
+        let mut connection = CallerConnection::open(self.callers[vm]).await?;
+        if self.is_keyed {
+            connection.set_key(LASTING_KEY);
+        }
+        Ok(connection)
+    }
+
     /// Chooses a VM in rotation, or any VM if none is.
     fn choose_vm(&self, rng: &mut Pcg32) -> usize {
         let rotation = self.in_rotation.lock().clone();
@@ -86,6 +99,7 @@
     let mut rng = Pcg32::seed_from_u64(seed ^ (index as u64) << 32);
     let mut open_connection: Option<(usize, CallerConnection)> = None;
     let mut count = 0;
+    let key = fleet.is_keyed.then(|| get_key(index));
     while fleet.is_running() {
         let pause = Duration::from_millis(rng.random_range(10..90));
         tokio::time::sleep(pause).await;
@@ -94,9 +108,12 @@
             None => {
                 let vm = fleet.choose_vm(&mut rng);
                 let open = CallerConnection::open(fleet.callers[vm]);
-                let Ok(Ok(connection)) = timeout(CONNECT_TIMEOUT, open).await else {
+                let Ok(Ok(mut connection)) = timeout(CONNECT_TIMEOUT, open).await else {
                     continue;
                 };
+                if let Some(key) = key {
+                    connection.set_key(key);
+                }
                 open_connection = Some((vm, connection));
                 vm
             }
@@ -117,6 +134,7 @@
             id,
             is_once,
             vm,
+            key,
             sent_at,
             ended_at: Instant::now(),
             outcome,
@@ -166,7 +184,7 @@
         };
         let start = fleet.starts[vm].load(Ordering::Relaxed);
         let sent_at = Instant::now();
-        let status = request_version(fleet.callers[vm], version).await;
+        let status = request_version(&fleet, vm, version).await;
         let is_in_force = match status {
             Some(200) => true,
             Some(404) => false,
@@ -186,9 +204,9 @@
 }
 
 /// Returns the status of a request to the route that only `version` and later ones have.
-async fn request_version(addr: SocketAddr, version: u64) -> Option<u16> {
+async fn request_version(fleet: &Fleet, vm: usize, version: u64) -> Option<u16> {
     let request = async {
-        let mut connection = CallerConnection::open(addr).await.ok()?;
+        let mut connection = fleet.open(vm).await.ok()?;
         let id = format!("{}{version}", super::CHECK_ID_PREFIX);
         let path = format!("/v{version}/x");
         let reply = connection.request("GET", &path, &id).await;
--- a/crates/testkit/src/soak/plan.rs
+++ b/crates/testkit/src/soak/plan.rs
@@ -1,6 +1,7 @@
 //! The plan of a run: its steps, drawn from a seed.
 
 use super::LinkFault;
+use super::keys::{REVOKE, WITHDRAWABLE_KEYS, is_keyed};
 use crate::{StoreFault, TargetBehavior};
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
@@ -57,6 +58,8 @@
     Drain { target: usize },
     /// Operators add a route to the configuration.
     Configure,
+    /// Operators withdraw a key.
+    Withdraw,
 }
 
 /// Returns the steps of a run in order, each with its time since the start.
@@ -80,11 +83,42 @@
             plan.push((first + gap * vm as u32, step));
         }
     }
+    if is_keyed(seed) {
+        draw_withdrawals(seed, &mut plan);
+    }
     plan.sort_by_key(|(at, _)| *at);
     limit_drains(&mut plan);
     plan
 }
 
+/// Adds the withdrawal of each key, and times beyond the bound on withdrawn keys in which
+/// some VM, or all, reach no store. A generator of its own leaves the other steps as they
+/// are.
+fn draw_withdrawals(seed: u64, plan: &mut Vec<(Duration, Step)>) {
+    let mut rng = Pcg32::seed_from_u64(!seed);
+    for _ in WITHDRAWABLE_KEYS {
+        plan.push((STEP_PERIOD.mul_f64(rng.random()), Step::Withdraw));
+    }
+    let at = STEP_PERIOD.mul_f64(rng.random_range(0.0..0.5));
+    let time = REVOKE.mul_f64(rng.random_range(1.0..1.8));
+    let step = if rng.random_bool(0.5) {
+        Step::Store {
+            fault: StoreFault::Silent,
+            time,
+        }
+    } else {
+        Step::StoreLink {
+            vm: rng.random_range(0..VMS),
+            fault: LinkFault::Silent,
+            time,
+        }
+    };
+    plan.push((at, step));
+    let vm = rng.random_range(0..VMS);
+    let pause = Step::Pause { vm, time };
+    plan.push((STEP_PERIOD.mul_f64(rng.random()), pause));
+}
+
 /// Keeps at most the first [`MAX_DRAINS`] drains and one of each target: a drained
 /// target does not return, and the fleet needs targets to serve requests.
 fn limit_drains(plan: &mut Vec<(Duration, Step)>) {
--- a/crates/testkit/src/soak/process.rs
+++ b/crates/testkit/src/soak/process.rs
@@ -1,5 +1,6 @@
 //! Daemons as separate processes.
 
+use super::keys::REVOKE;
 use anyhow::Context;
 use rustix::process::{Pid, Signal, kill_process};
 use std::fs::File;
@@ -21,6 +22,8 @@
     ip: Ipv4Addr,
     index: usize,
     store: SocketAddr,
+    /// True if keys are accepted by proof.
+    is_keyed: bool,
     child: Option<Child>,
     starts: u32,
 }
@@ -32,6 +35,7 @@
         ip: Ipv4Addr,
         index: usize,
         store: SocketAddr,
+        is_keyed: bool,
     ) -> Self {
         Self {
             binary: binary.into(),
@@ -39,6 +43,7 @@
             ip,
             index,
             store,
+            is_keyed,
             child: None,
             starts: 0,
         }
@@ -74,12 +79,18 @@
     /// Writes the settings; `probes` is the value that a reload changes.
     pub(super) fn write_settings(&self, probes: u16) -> anyhow::Result<()> {
         let Self { ip, index, .. } = self;
+        let keys = if self.is_keyed {
+            let revoke = REVOKE.as_millis();
+            format!("[workspaces]\nstrict = true\nrevoke = {revoke}ms\n\n")
+        } else {
+            String::new()
+        };
         let text = format!(
             "[vm]\nname = vm-{index}\ndomain = d1\n\n\
              [listen]\ncallers = {ip}:{CALLERS_PORT}\nready = {ip}:{READY_PORT}\npeers = {ip}:{PEERS_PORT}\n\n\
              [store]\naddress = {}\n\n\
              [bounds]\ndrain = 2s\napply = 2s\ngrace = 6s\nprobes = {probes}\n\n\
-             [repeats]\nwindow = 10s\nratio = 0.2\nextra = 56\n\n\
+             [repeats]\nwindow = 10s\nratio = 0.2\nextra = 56\n\n{keys}\
              [log]\nlevel = info\nformat = json\n",
             self.store
         );
--- a/crates/testkit/src/soak/record.rs
+++ b/crates/testkit/src/soak/record.rs
@@ -23,6 +23,8 @@
     /// True if the request must not run twice.
     pub(super) is_once: bool,
     pub(super) vm: usize,
+    /// Key that it carried, if the run has keys.
+    pub(super) key: Option<&'static str>,
     pub(super) sent_at: Instant,
     pub(super) ended_at: Instant,
     pub(super) outcome: RequestOutcome,
@@ -71,6 +73,8 @@
     pub(super) disruptions: Mutex<Vec<Disruption>>,
     /// Configuration versions, each with the time at which the store contained it.
     pub(super) versions: Mutex<Vec<(u64, Instant)>>,
+    /// Withdrawn keys, each with the time at which the store contained the withdrawal.
+    pub(super) withdrawals: Mutex<Vec<(&'static str, Instant)>>,
     /// Draining targets, each with the time at which the store contained the announcement.
     pub(super) drains: Mutex<Vec<(usize, Instant)>>,
     pub(super) steps: Mutex<Vec<(Duration, Step)>>,
--- a/crates/testkit/src/soak/run.rs
+++ b/crates/testkit/src/soak/run.rs
@@ -1,14 +1,14 @@
 //! Run of a fleet of daemon processes: starts them, applies the steps and checks the promises.
 
 use super::check::{SoakViolation, check};
+use super::keys::{WITHDRAWABLE_KEYS, is_keyed, write_soak_config};
 use super::load::{Fleet, check_readiness, exchange, run_balancer, run_caller, run_version_checks};
 use super::plan::{Step, TARGETS, VMS, draw_plan};
 use super::process::VmProcess;
 use super::proxy::{FaultyLink, LinkFault};
 use super::record::{DisruptionKind, Record, RequestOutcome};
 use crate::{
-    CART, CallerConnection, FakeStore, FakeTarget, StoreFault, TargetBehavior, TargetEntryValue,
-    write_config, write_path,
+    CART, FakeStore, FakeTarget, StoreFault, TargetBehavior, TargetEntryValue, write_path,
 };
 use parking_lot::Mutex;
 use rustix::process::Signal;
@@ -151,7 +151,15 @@
             let link = FaultyLink::start(store.get_addr()).await?;
             let ip = Ipv4Addr::new(127, choose_second_octet(), options.slot, index as u8 + 1);
             let (binary, dir) = (&options.binary, &options.dir);
-            vms.push(VmProcess::new(binary, dir, ip, index, link.get_addr()));
+            let keyed = is_keyed(options.seed);
+            vms.push(VmProcess::new(
+                binary,
+                dir,
+                ip,
+                index,
+                link.get_addr(),
+                keyed,
+            ));
             store_links.push(link);
         }
         let run = Self {
@@ -159,6 +167,7 @@
                 callers: vms.iter().map(VmProcess::get_callers).collect(),
                 ready: vms.iter().map(VmProcess::get_ready).collect(),
                 starts: (0..VMS).map(|_| AtomicU32::new(1)).collect(),
+                is_keyed: is_keyed(options.seed),
                 in_rotation: Mutex::new(vec![true; VMS]),
                 is_stopped: AtomicBool::new(false),
             }),
@@ -226,8 +235,7 @@
         for vm in 0..VMS {
             for index in 0..RECOVERY_REQUESTS {
                 let id = format!("{}recovered-{vm}-{index}", super::CHECK_ID_PREFIX);
-                let open = CallerConnection::open(self.fleet.callers[vm]).await;
-                let Ok(mut connection) = open else {
+                let Ok(mut connection) = self.fleet.open(vm).await else {
                     continue;
                 };
                 let end = exchange(&mut connection, &id, false).await;
@@ -309,6 +317,7 @@
                 self.store.remove("servers", self.targets[target].get_id());
             }
             Step::Configure => self.add_route(),
+            Step::Withdraw => self.withdraw_key(),
         }
         Ok(())
     }
@@ -344,10 +353,35 @@
         );
         paths.push(',');
         paths.push_str(&path);
-        let text = write_config(*version, paths);
-        self.store.put("op", "config", text.as_bytes());
+        self.publish(*version, paths);
         self.record.versions.lock().push((*version, Instant::now()));
     }
+
+    /// Publishes a new configuration version without the first key that may be withdrawn.
+    fn withdraw_key(&self) {
+        let mut config = self.config.lock();
+        let (version, paths) = &mut *config;
+        let withdrawn = self.record.withdrawals.lock().len();
+        let Some(key) = WITHDRAWABLE_KEYS.get(withdrawn) else {
+            return;
+        };
+        *version += 1;
+        // The key counts as withdrawn from the publication on, not before.
+        self.publish_without(*version, paths, withdrawn + 1);
+        let withdrawal = (*key, Instant::now());
+        self.record.withdrawals.lock().push(withdrawal);
+    }
+
+    fn publish(&self, version: u64, paths: &str) {
+        let withdrawn = self.record.withdrawals.lock().len();
+        self.publish_without(version, paths, withdrawn);
+    }
+
+    fn publish_without(&self, version: u64, paths: &str, withdrawn: usize) {
+        let withdrawn = self.fleet.is_keyed.then_some(withdrawn);
+        let text = write_soak_config(version, paths, withdrawn);
+        self.store.put("op", "config", text.as_bytes());
+    }
 }
 
 /// Returns the second octet of the daemons' addresses, derived from the process id, so
