--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -3,6 +3,7 @@
 use super::connections::ConnectionPool;
 use super::crashes::CRASH_PERIOD;
 use super::list_reader::ListReader;
+use super::memory::MemoryKeeper;
 use super::metrics::GatewayMetrics;
 use super::peers::Peers;
 use super::services::ServiceEntry;
@@ -31,6 +32,7 @@
     pub(crate) connections: ConnectionPool,
     pub(crate) peers: Peers,
     pub(crate) metrics: GatewayMetrics,
+    pub(crate) memory: Rc<MemoryKeeper>,
     pub(super) routes: RefCell<Option<RouteTable>>,
     /// How recently the configuration in force was the newest one.
     pub(super) proofs: RefCell<Proofs>,
@@ -75,6 +77,7 @@
         Ok(Rc::new(Self {
             store: RefCell::new(store),
             headers: get_header_names(),
+            memory: MemoryKeeper::new(&settings, clock.clone()),
             clock,
             journal,
             connections: ConnectionPool::default(),
@@ -124,6 +127,7 @@
         }
         let bound = get_list_bound(&settings);
         self.list.borrow_mut().set_bound(bound);
+        self.memory.apply_settings(&settings);
         *self.settings.borrow_mut() = settings;
         self.apply_all();
     }
