--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -35,6 +35,7 @@
 mod sockets;
 mod state;
 mod targets;
+mod workspace_labels;
 
 pub use run::{run_gateway, run_gateway_until};
 pub use sockets::GatewaySockets;
