feat: cold targets share a rate over the fleet

Change: a cold target belongs to two VMs, chosen by their names among all known VMs; each has a part of the rate as a bucket of one request that starts empty, checked again directly before the send. Coldness is known from entries (also from one that says so again), from health answers, and suspected after an evacuation or a refused connection until the target says otherwise. The number of owners and their rate keep two whole sets of owners within the bound. Without a rate in the configuration nothing of this takes effect.

--- a/crates/cli/src/output/status.rs
+++ b/crates/cli/src/output/status.rs
@@ -121,6 +121,7 @@
         TargetCondition::Leaving => "leaving",
         TargetCondition::Drained => "drained",
         TargetCondition::Emptied => "emptied",
+        TargetCondition::Cold => "cold",
     };
     let age = target
         .report_age_ms
--- a/crates/core/src/discovery/directory.rs
+++ b/crates/core/src/discovery/directory.rs
@@ -18,6 +18,8 @@
     is_expired: bool,
     /// True if another process answered at the address.
     is_replaced: bool,
+    /// End of the time for which the target is cold by its entries.
+    cold_until: Option<Instant>,
 }
 
 impl KnownTarget {
@@ -36,6 +38,13 @@
         entry
     }
 
+    /// Returns true if the warm-up in an entry of the same process ends clearly after the
+    /// known one.
+    fn is_colder(&self, now: Instant, entry: &TargetEntry) -> bool {
+        let end = self.cold_until.map_or(now, |until| until.max(now));
+        now + entry.cold_left > end + Directory::COLD_TOLERANCE
+    }
+
     /// Copies to `entry` the state that lasts as long as the incarnation.
     ///
     /// A draining target does not stop draining. The warm-up time of the first
@@ -71,6 +80,10 @@
 }
 
 impl Directory {
+    /// Time by which the ends of one warm-up may differ that are computed from two entries,
+    /// because entries are read some time after they were written.
+    const COLD_TOLERANCE: Duration = Duration::from_secs(1);
+
     /// Time after the store's return within which live targets register again.
     pub const SETTLE_PERIOD: Duration = Duration::from_secs(2);
 
@@ -99,6 +112,7 @@
             .map(|known| {
                 let mut spec = known.entry.make_spec(connections);
                 spec.drain |= self.leaving.contains(&known.entry.incarnation);
+                spec.cold_until = known.cold_until;
                 spec.paused_until = self.paused.get_end(&known.entry.incarnation);
                 spec
             })
@@ -208,6 +222,43 @@
         (entry.incarnation == *incarnation).then(|| entry.service.clone())
     }
 
+    /// Records the warm-up time in an entry that was just applied, read at about `now`.
+    ///
+    /// Later reads of the same warm-up give a shorter time and change nothing.
+    pub fn record_cold(&mut self, now: Instant, entry: &TargetEntry, changed: &mut Vec<SmolStr>) {
+        if entry.cold_left.is_zero() {
+            return;
+        }
+        let Ok(index) = self.find(&entry.incarnation.id) else {
+            return;
+        };
+        let known = &mut self.targets[index];
+        if known.entry.incarnation == entry.incarnation && known.is_colder(now, entry) {
+            known.cold_until = Some(now + entry.cold_left);
+            changed.push(known.entry.service.clone());
+        }
+    }
+
+    /// Returns true if the entry says that a known target has become cold again.
+    pub fn is_cold_again(&self, now: Instant, entry: &TargetEntry) -> bool {
+        let known = self.find(&entry.incarnation.id).ok();
+        known.is_some_and(|index| {
+            let known = &self.targets[index];
+            known.entry.incarnation == entry.incarnation && known.is_colder(now, entry)
+        })
+    }
+
+    /// Sets the warm-up times in entries for a peer to what is left of them.
+    pub fn update_cold_left(&self, now: Instant, entries: &mut [TargetEntry]) {
+        for entry in entries {
+            if let Ok(index) = self.find(&entry.incarnation.id) {
+                let until = self.targets[index].cold_until;
+                entry.cold_left =
+                    until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
+            }
+        }
+    }
+
     /// Returns the failure domain of an incarnation, if it is known.
     pub fn get_domain(&self, incarnation: &Incarnation) -> Option<&DomainName> {
         let index = self.find(&incarnation.id).ok()?;
@@ -301,6 +352,7 @@
                     entry,
                     is_expired: false,
                     is_replaced: false,
+                    cold_until: None,
                 };
                 self.targets.insert(index, known);
             }
@@ -378,6 +430,9 @@
         let old = &known.entry;
         let is_same_process = entry.incarnation == old.incarnation && entry.addr == old.addr;
         known.is_replaced &= is_same_process;
+        if !is_same_process {
+            known.cold_until = None;
+        }
         let was_expired = std::mem::take(&mut known.is_expired);
         if was_expired || entry != *old {
             changed.push(old.service.clone());
--- a/crates/core/src/discovery/list.rs
+++ b/crates/core/src/discovery/list.rs
@@ -49,6 +49,8 @@
     /// contain.
     has_diverged: bool,
     emptied: EmptiedDomains,
+    /// True if a service has a rate for cold targets.
+    has_cold_rates: bool,
 }
 
 /// Construction and timer.
@@ -60,9 +62,16 @@
             refresh_timer: RefreshTimer::new(bound),
             has_diverged: false,
             emptied: EmptiedDomains::default(),
+            has_cold_rates: false,
         }
     }
 
+    /// Sets whether a service has a rate for cold targets. Only then peers get what is left
+    /// of warm-ups, and learn of targets that have become cold again.
+    pub fn set_cold_rates(&mut self, has_cold_rates: bool) {
+        self.has_cold_rates = has_cold_rates;
+    }
+
     /// Sets the bound on the age of the list.
     pub fn set_bound(&mut self, bound: Duration) {
         self.refresh_timer.set_bound(bound);
@@ -136,7 +145,10 @@
             removed.retain(|id| directory.is_listed(id));
             self.has_diverged = false;
         }
-        let is_change = |entry: &&TargetEntry| directory.is_change(entry);
+        let has_cold_rates = self.has_cold_rates;
+        let is_change = |entry: &&TargetEntry| {
+            directory.is_change(entry) || (has_cold_rates && directory.is_cold_again(now, entry))
+        };
         let mut update = TargetListUpdate {
             version: read.version,
             age: now.saturating_duration_since(sent_at),
@@ -241,8 +253,9 @@
 
     /// Returns the complete list for a peer, `None` as long as there is none.
     pub fn make_full_update(&self, now: Instant) -> Option<TargetListUpdate> {
-        let entries = self.directory.get_listed_entries();
+        let mut entries = self.directory.get_listed_entries();
         debug_assert_eq!(sum_digests(&entries), self.get_digest());
+        self.update_cold_left(now, &mut entries);
         Some(TargetListUpdate {
             version: self.get_version()?,
             age: self.get_age(now)?,
@@ -255,6 +268,13 @@
         })
     }
 
+    /// Sets the warm-up times in entries for a peer to what is left of them.
+    pub fn update_cold_left(&self, now: Instant, entries: &mut [TargetEntry]) {
+        if self.has_cold_rates {
+            self.directory.update_cold_left(now, entries);
+        }
+    }
+
     /// Records that the store could not be read.
     pub fn record_failure(&mut self) {
         self.refresh_timer.set_overdue();
@@ -274,6 +294,7 @@
     fn apply(&mut self, now: Instant, update: &TargetListUpdate, changed: &mut Vec<SmolStr>) {
         for entry in &update.entries {
             self.directory.put(entry.clone(), changed);
+            self.directory.record_cold(now, entry, changed);
         }
         for id in &update.removed {
             self.directory.remove(now, id, changed);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod clock;
 mod code;
+mod cold;
 mod discovery;
 mod event;
 mod ledger;
@@ -23,6 +24,7 @@
 
 pub use clock::{Clock, HybridClock, HybridTime};
 pub use code::{ResultCode, RunState};
+pub use cold::{ColdBudget, ColdFleet, ColdPlan, ColdState};
 pub use discovery::{
     AppliedRead, Directory, EmptiedDomains, Evacuations, Incarnation, LeavingTargets,
     PausedTargets, ReadTurn, RefreshTimer, SendCheck, TargetEntry, TargetList, TargetListRead,
--- a/crates/core/src/membership/gossip.rs
+++ b/crates/core/src/membership/gossip.rs
@@ -293,6 +293,16 @@
         known.filter(|vm| place(vm) < own_place).count()
     }
 
+    /// Returns the names of all other VMs that are known and not leaving, whether or not
+    /// they answer.
+    pub fn get_known(&self, now: Instant) -> Vec<VmName> {
+        let peers = self.membership.get_peers(now);
+        let staying = peers.filter(|(_, state)| *state != PeerState::Leaving);
+        let names = staying.map(|(view, _)| view.vm.clone());
+        let registered = self.unconfirmed.iter().map(|peer| peer.vm.clone());
+        names.chain(registered).collect()
+    }
+
     /// Returns true if this VM has to clean up after a VM that is gone.
     ///
     /// The owner is the live VM that follows the one that is gone in the order
--- a/crates/core/src/service/attempts.rs
+++ b/crates/core/src/service/attempts.rs
@@ -166,6 +166,9 @@
         outcome: Outcome,
         out: &mut Vec<Output>,
     ) {
+        if outcome == Outcome::Refused {
+            self.suspect_cold(now, target);
+        }
         if outcome.is_target_failure() {
             self.counters.failures += 1;
             self.handle_failure(now, target, out);
--- a/crates/core/src/service/calls.rs
+++ b/crates/core/src/service/calls.rs
@@ -69,7 +69,8 @@
         if !pause_left.is_zero() && now + pause_left + expected > call.useful_until {
             return Some(ResultCode::TargetsPaused);
         }
-        let finish = now + self.estimate_wait(class) + expected;
+        let wait = self.estimate_wait(class).max(self.get_cold_left(now));
+        let finish = now + wait + expected;
         if finish <= call.useful_until {
             return None;
         }
--- a/crates/core/src/service/dispatch.rs
+++ b/crates/core/src/service/dispatch.rs
@@ -75,6 +75,7 @@
     ) {
         let class = self.calls[key].class;
         let is_long = self.classes[class].spec.kind == ClassKind::Background;
+        let has_cold_claim = self.take_cold_claim(now, target);
         let attempt = self.attempts.insert(Attempt {
             call: key,
             class,
@@ -83,6 +84,7 @@
             started: now,
             is_delivered: false,
             is_long,
+            has_cold_claim,
         });
         self.calls[key].start(attempt, target);
         self.occupy(target, attempt, is_long);
--- a/crates/core/src/service/machine.rs
+++ b/crates/core/src/service/machine.rs
@@ -9,7 +9,9 @@
 use super::sampling::Sampler;
 use super::target::Target;
 use super::{AttemptKey, CallKey, ClassKey, Counters, Output};
-use crate::{ClassKind, DomainName, RepeatLimit, ServiceSpec, StopSchedule, VmName};
+use crate::{
+    ClassKind, ColdFleet, ColdPlan, DomainName, RepeatLimit, ServiceSpec, StopSchedule, VmName,
+};
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
 use slotmap::SlotMap;
@@ -76,6 +78,9 @@
     pub(super) last_short_arrival: Option<Instant>,
     /// Schedule of the planned stop of the VM, after its signal.
     pub(super) stop: Option<StopSchedule>,
+    /// How the rate of cold targets is shared, `None` if the service has none.
+    pub(super) cold_plan: Option<ColdPlan>,
+    pub(super) cold_fleet: ColdFleet,
 }
 
 /// Construction and changes of the declaration.
@@ -106,6 +111,8 @@
             short_demand: ShortDemand::new(),
             last_short_arrival: None,
             stop: None,
+            cold_plan: None,
+            cold_fleet: ColdFleet::default(),
             spec,
         };
         service.assign_long_slots();
@@ -124,6 +131,7 @@
         self.apply_repeat_limit(spec.repeats);
         self.spec = spec;
         self.apply_targets(now, targets);
+        self.assign_cold_owners(now);
         self.choose_subset();
         self.apply_classes(classes);
         self.assign_long_slots();
@@ -137,8 +145,15 @@
         for spec in specs {
             let known = self.targets.iter().position(|t| t.is_same_process(&spec));
             match known {
-                Some(index) => self.targets[index].update_spec(now, spec),
-                None => self.add_target(Target::new(spec, Some(now))),
+                Some(index) => self.targets[index].update_spec(now, spec, self.cold_plan),
+                None => {
+                    let mut target = Target::new(spec, Some(now));
+                    if let Some(until) = target.spec.cold_until.filter(|_| self.cold_plan.is_some())
+                    {
+                        target.cold.state(until);
+                    }
+                    self.add_target(target);
+                }
             }
         }
     }
@@ -238,11 +253,19 @@
             && self.spec.incarnation == spec.incarnation
     }
 
-    pub(super) fn update_spec(&mut self, now: Instant, spec: crate::TargetSpec) {
+    pub(super) fn update_spec(
+        &mut self,
+        now: Instant,
+        spec: crate::TargetSpec,
+        cold_plan: Option<ColdPlan>,
+    ) {
         let was_usable = self.is_usable() || self.is_removed;
         self.is_removed = false;
         self.limit.set_declared(spec.slots, spec.get_slots());
-        self.spec = spec;
+        let old = std::mem::replace(&mut self.spec, spec);
+        if let Some(plan) = cold_plan {
+            self.update_cold(now, &old, plan);
+        }
         if !was_usable && self.is_usable() {
             self.start_warming(now);
         }
--- a/crates/core/src/service/mod.rs
+++ b/crates/core/src/service/mod.rs
@@ -9,6 +9,7 @@
 mod calls;
 mod class;
 mod classes;
+mod cold;
 mod counters;
 mod demand;
 mod dispatch;
--- a/crates/core/src/service/pick.rs
+++ b/crates/core/src/service/pick.rs
@@ -244,7 +244,8 @@
         self.targets
             .iter()
             .position(|t| {
-                t.is_usable() && !t.is_paused(now) && t.own == 0 && t.health.is_trial_due(now)
+                let is_idle = t.own == 0 && t.cold.is_open(now);
+                t.is_usable() && !t.is_paused(now) && is_idle && t.health.is_trial_due(now)
             })
             .map(TargetKey::from_index)
     }
@@ -306,6 +307,20 @@
         target: &Target,
         allowed: AllowedCapacity,
     ) -> Option<(Capacity, f32)> {
+        if !target.cold.is_open(self.now) {
+            return None;
+        }
+        self.score_warm(target, allowed)
+    }
+
+    /// Returns the same as [`Self::score_target`], also for a target that may only be asked
+    /// whether it is cold.
+    pub(super) fn score_for_sample(&self, target: &Target) -> Option<(Capacity, f32)> {
+        let is_open = target.cold.is_open(self.now) || target.cold.is_suspected(self.now);
+        is_open.then(|| self.score_warm(target, AllowedCapacity::Free))?
+    }
+
+    fn score_warm(&self, target: &Target, allowed: AllowedCapacity) -> Option<(Capacity, f32)> {
         let is_ejected = !target.health.is_active() && !self.is_ejection_ignored;
         if is_ejected || target.is_paused(self.now) {
             return None;
--- a/crates/core/src/service/records.rs
+++ b/crates/core/src/service/records.rs
@@ -162,4 +162,6 @@
     pub(crate) is_delivered: bool,
     /// True if the attempt counts as background work on its target.
     pub(crate) is_long: bool,
+    /// True if the target was cold at the choice and a part of its rate was taken.
+    pub(crate) has_cold_claim: bool,
 }
--- a/crates/core/src/service/sampling.rs
+++ b/crates/core/src/service/sampling.rs
@@ -6,7 +6,7 @@
 //! few targets. The costs are in docs/decisions/0015-sampling.md.
 
 use super::class::{Class, HedgeCheck};
-use super::pick::{AllowedCapacity, get_jitter};
+use super::pick::get_jitter;
 use super::records::CallState;
 use super::{CallKey, ClassKey, Output, Service, TargetKey};
 use crate::Sampling;
@@ -86,6 +86,9 @@
     const MAX_ROUNDS: u8 = 12;
     /// Rounds of load requests for one hedge.
     const HEDGE_ROUNDS: u8 = 2;
+    /// Time between two load requests of this VM to a target that may be cold, so that the
+    /// requests of many VMs do not add to its work.
+    const SUSPECT_PAUSE: Duration = Duration::from_millis(250);
     /// VMs assumed while no other VM is in the live list.
     const ASSUMED_VMS: f32 = 50.0;
 
@@ -209,13 +212,12 @@
         for (index, target) in self.targets.iter().enumerate() {
             let is_candidate = target.is_usable()
                 && !call.has_tried(TargetKey::from_index(index))
-                && context
-                    .score_target(target, AllowedCapacity::Free)
-                    .is_some();
+                && context.score_for_sample(target).is_some();
             if !is_candidate {
                 continue;
             }
-            let found = match target.get_report(now, config.fresh) {
+            let is_open = target.cold.is_open(now);
+            let found = match target.get_report(now, config.fresh).filter(|_| is_open) {
                 None => BestWorkTime::Unknown,
                 Some(report) => match report.work_percent {
                     Some(percent) if f32::from(percent) / 100.0 > Self::GOOD_WORK_TIME => {
@@ -268,16 +270,22 @@
             .enumerate()
             .filter(|(index, target)| {
                 let has_fresh_report = target.get_report(now, config.fresh).is_some();
+                let is_open = target.cold.is_open(now);
+                let pause = if is_open {
+                    config.fresh
+                } else {
+                    Self::SUSPECT_PAUSE
+                };
                 let has_recent_request = target
                     .sampled_at
-                    .is_some_and(|at| now.saturating_duration_since(at) < config.fresh);
+                    .is_some_and(|at| now.saturating_duration_since(at) < pause);
                 target.is_usable()
-                    && !has_fresh_report
+                    && (!has_fresh_report || !is_open)
                     && !has_recent_request
                     && !call.has_tried(TargetKey::from_index(*index))
             })
             .filter_map(|(index, target)| {
-                let (_, score) = context.score_target(target, AllowedCapacity::Free)?;
+                let (_, score) = context.score_for_sample(target)?;
                 let score = score + self.get_affinity_penalty(target) + get_jitter(jitter, index);
                 Some((score, index))
             })
--- a/crates/core/src/service/status.rs
+++ b/crates/core/src/service/status.rs
@@ -18,6 +18,8 @@
     Drained,
     /// Operators have emptied the failure domain of the target.
     Emptied,
+    /// The target has just started, or may have, and gets a limited rate of requests.
+    Cold,
 }
 
 /// State of one target in the view of one VM.
--- a/crates/core/src/service/target.rs
+++ b/crates/core/src/service/target.rs
@@ -3,7 +3,7 @@
 use super::ejection::Health;
 use super::limit::Limit;
 use super::{AttemptKey, LoadReport};
-use crate::TargetSpec;
+use crate::{ColdState, TargetSpec};
 use std::time::{Duration, Instant};
 
 /// One VM's state of one target.
@@ -11,6 +11,8 @@
 pub(crate) struct Target {
     pub(crate) spec: TargetSpec,
     pub(crate) limit: Limit,
+    /// Whether the target is cold, if its service has a rate for cold targets.
+    pub(crate) cold: ColdState,
     pub(crate) health: Health,
     /// Attempts of this VM in flight.
     pub(crate) own: u16,
@@ -45,6 +47,7 @@
         Self {
             limit: Limit::new(spec.slots, spec.get_slots()),
             health: Health::new(),
+            cold: ColdState::default(),
             own: 0,
             own_long: 0,
             long_share: 0,
--- a/crates/core/src/service/view.rs
+++ b/crates/core/src/service/view.rs
@@ -47,6 +47,7 @@
         match self.classes.get(class) {
             Some(class) => self
                 .estimate_wait(class)
+                .max(self.get_cold_left(now))
                 .max(class.answer_times.get_median()),
             None => self.get_hold_time(),
         }
@@ -159,17 +160,19 @@
 }
 
 impl Target {
-    fn get_condition(&self) -> TargetCondition {
+    fn get_condition(&self, now: Instant) -> TargetCondition {
         if self.spec.drain || self.spec.weight == 0 {
             TargetCondition::Drained
         } else if self.is_leaving {
             TargetCondition::Leaving
         } else if self.spec.is_emptied {
             TargetCondition::Emptied
-        } else if self.health.is_active() {
-            TargetCondition::Active
-        } else {
+        } else if !self.health.is_active() {
             TargetCondition::Ejected
+        } else if self.cold.is_cold(now) {
+            TargetCondition::Cold
+        } else {
+            TargetCondition::Active
         }
     }
 }
@@ -184,7 +187,7 @@
     TargetStatus {
         name: target.spec.name.clone(),
         domain: target.spec.domain.clone(),
-        condition: target.get_condition(),
+        condition: target.get_condition(now),
         own: target.own,
         occupancy: target.get_occupancy(now, hold_time, fallback),
         slots: target.get_slots(now),
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -217,6 +217,12 @@
         if let Err(reason) = check.await {
             return Err(SendFailure::Final(make_failure(Outcome::Withdrawn, reason)));
         }
+        if !self.service.claim_send(self.attempt) {
+            return Err(SendFailure::Final(make_failure(
+                Outcome::Withdrawn,
+                "the target is cold and this VM's part of its rate is used up",
+            )));
+        }
         let now = self.gateway.clock.now();
         let time_left = self
             .gateway
--- a/crates/daemon/src/gateway/feeds.rs
+++ b/crates/daemon/src/gateway/feeds.rs
@@ -466,6 +466,7 @@
             addr = entry.addr.to_string().as_str(),
             born_ms = entry.incarnation.born_ms,
             is_draining = entry.is_draining,
+            cold_left_ms = entry.cold_left.as_millis() as u64,
             source = source,
             store_version = update.version;
             "target listed"
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -280,6 +280,7 @@
                 ("leaving", TargetCondition::Leaving),
                 ("drained", TargetCondition::Drained),
                 ("emptied", TargetCondition::Emptied),
+                ("cold", TargetCondition::Cold),
             ];
             for (name, condition) in conditions {
                 let count = status.iter().filter(|t| t.condition == condition).count();
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod auxiliary;
 mod call;
 mod callers;
+mod cold;
 mod connections;
 mod counted;
 mod crashes;
--- a/crates/daemon/src/gateway/peers/gossip.rs
+++ b/crates/daemon/src/gateway/peers/gossip.rs
@@ -256,6 +256,7 @@
         }
         update_fleet_size(gateway, now);
     }
+    gateway.update_cold_owners();
     let to_remove: Vec<VmName> = {
         let gossip = gateway.peers.gossip.borrow();
         gone.into_iter()
--- a/crates/daemon/src/gateway/peers/state_exchange.rs
+++ b/crates/daemon/src/gateway/peers/state_exchange.rs
@@ -128,11 +128,14 @@
     let since = request.list_version.filter(|_| !request.needs_full_list);
     let changes = since.and_then(|since| gateway.update_log.borrow().merge_since(since));
     let update = match changes.filter(|changes| changes.version == version) {
-        Some(changes) => TargetListUpdate {
-            age: list.get_age(now)?,
-            settle_left: list.get_settle_left(now),
-            ..changes
-        },
+        Some(mut changes) => {
+            list.update_cold_left(now, &mut changes.entries);
+            TargetListUpdate {
+                age: list.get_age(now)?,
+                settle_left: list.get_settle_left(now),
+                ..changes
+            }
+        }
         None => list.make_full_update(now)?,
     };
     Some(TargetListUpdate {
--- a/crates/daemon/src/gateway/peers/table.rs
+++ b/crates/daemon/src/gateway/peers/table.rs
@@ -226,6 +226,11 @@
         self.gossip.borrow().get_newest_revision()
     }
 
+    /// Returns the names of the other VMs that are known and not leaving.
+    pub(crate) fn get_known(&self, now: Instant) -> Vec<VmName> {
+        self.gossip.borrow().get_known(now)
+    }
+
     /// Returns the number of peers that are live.
     pub(crate) fn count_live(&self, now: Instant) -> usize {
         self.gossip.borrow().count_live(now)
--- a/crates/daemon/src/gateway/routing.rs
+++ b/crates/daemon/src/gateway/routing.rs
@@ -93,7 +93,9 @@
             author: "operator".into(),
             source: source.into(),
         });
-        for declared in table.get_services() {
+        let services = table.get_services();
+        self.set_cold_rates(services.iter().any(|service| service.cold.is_some()));
+        for declared in services {
             let classes = table.collect_classes(&declared.name);
             self.declare(now, declared.clone(), classes);
         }
--- a/crates/daemon/src/gateway/samples.rs
+++ b/crates/daemon/src/gateway/samples.rs
@@ -4,6 +4,7 @@
 use super::state::Gateway;
 use crate::caller::headers::get_text;
 use crate::service::ServiceHandle;
+use crate::telemetry::STATE_LOG_TARGET;
 use anyhow::Context;
 use bytes::Bytes;
 use gentianridge_adapter::{HeaderNames, parse_load};
@@ -94,12 +95,32 @@
     }
     let report = get_text(&head.headers, &gateway.headers.load).and_then(|text| parse_load(&text));
     let is_current = service.read(|machine, _| machine.is_same_target(target, addr, &incarnation));
+    if is_current {
+        record_cold(gateway, service, target, &head.headers);
+    }
     if let Some(report) = report.filter(|_| is_current) {
         service.report(target, None, report);
     }
     Ok(())
 }
 
+/// Records for how long the target says it is cold.
+fn record_cold(gateway: &Gateway, service: &ServiceHandle, target: TargetKey, headers: &HeaderMap) {
+    let text = get_text(headers, &gateway.headers.cold_ms);
+    let left = text.and_then(|text| text.trim().parse().ok());
+    let left = left.map_or(Duration::ZERO, Duration::from_millis);
+    if service.record_cold_answer(target, left) {
+        let name = service.read(|machine, _| machine.get_target(target).map(|t| t.name.clone()));
+        log::info!(
+            target: STATE_LOG_TARGET,
+            service = service.name.as_str(),
+            target = name.unwrap_or_default().as_str(),
+            cold_left_ms = left.as_millis() as u64;
+            "target says that it is cold"
+        );
+    }
+}
+
 /// Checks that an answer is the target's own answer to a load request, and not a late copy
 /// of its answer to a caller's request. The connection is closed otherwise, since the next
 /// answer on it would belong to this request.
--- a/crates/daemon/src/gateway/services.rs
+++ b/crates/daemon/src/gateway/services.rs
@@ -93,6 +93,7 @@
             // Peers may be known before the service is created.
             handle.set_fleet(vms, 0);
         }
+        self.apply_cold_fleet(&handle);
         if let Some(stop) = self.get_stop() {
             handle.stop(stop);
         }
@@ -170,6 +171,7 @@
             .map(|(class, _)| class.clone())
             .collect();
         let spec = self.make_spec(&entry.handle.name, classes, targets);
+        self.apply_cold_rate(&entry.handle, entry.declared.as_ref());
         entry.handle.apply(spec, 1);
     }
 }
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -1,5 +1,6 @@
 //! Local state of a daemon on the platform.
 
+use super::cold::ColdOwners;
 use super::connections::ConnectionPool;
 use super::crashes::CRASH_PERIOD;
 use super::list_reader::ListReader;
@@ -32,6 +33,7 @@
     pub(super) routes: RefCell<Option<RouteTable>>,
     pub(super) list: RefCell<TargetList>,
     pub(super) list_reader: ListReader,
+    pub(super) cold_owners: ColdOwners,
     pub(super) update_log: RefCell<UpdateLog>,
     /// The configuration in force as the store holds it, for peers that lack it.
     config_value: RefCell<Option<Bytes>>,
@@ -69,7 +71,6 @@
         Ok(Rc::new(Self {
             store: RefCell::new(store),
             headers: get_header_names(),
-            clock,
             journal,
             connections: ConnectionPool::default(),
             peers: Peers::new(settings.vm.clone(), settings.domain.clone()),
@@ -77,6 +78,7 @@
             routes: RefCell::new(None),
             list: RefCell::new(TargetList::new(get_list_bound(&settings))),
             list_reader: ListReader::default(),
+            cold_owners: ColdOwners::new(clock.now()),
             update_log: RefCell::default(),
             config_value: RefCell::new(None),
             services: RefCell::new(Vec::new()),
@@ -85,6 +87,7 @@
             answers_due: CancellationToken::new(),
             loaded: Notify::new(),
             settings: RefCell::new(settings),
+            clock,
         }))
     }
 
--- a/crates/daemon/src/service/handle.rs
+++ b/crates/daemon/src/service/handle.rs
@@ -3,8 +3,8 @@
 use super::{Command, TargetPools};
 use crate::telemetry::Journal;
 use gentianridge_core::{
-    Arrival, AttemptKey, CallKey, Clock, LoadReport, Outcome, Output, ProbeBudget, Service,
-    ServiceSpec, StopSchedule, TargetKey,
+    Arrival, AttemptKey, CallKey, Clock, ColdFleet, ColdPlan, LoadReport, Outcome, Output,
+    ProbeBudget, Service, ServiceSpec, StopSchedule, TargetKey,
 };
 use parking_lot::Mutex;
 use slotmap::SecondaryMap;
@@ -103,6 +103,29 @@
         self.with(|machine, now, out| machine.stop(now, schedule, out));
     }
 
+    pub(crate) fn set_cold_plan(&self, plan: Option<ColdPlan>) {
+        self.with(|machine, now, _| machine.set_cold_plan(now, plan));
+    }
+
+    pub(crate) fn set_cold_fleet(&self, fleet: ColdFleet) {
+        self.with(|machine, now, _| machine.set_cold_fleet(now, fleet));
+    }
+
+    /// Records for how long a target says it is cold; returns true if that is new.
+    pub(crate) fn record_cold_answer(&self, target: TargetKey, left: Duration) -> bool {
+        let mut is_new = false;
+        self.with(|machine, now, out| {
+            is_new = machine.record_cold_answer(now, target, left, out);
+        });
+        is_new
+    }
+
+    /// Returns true if an attempt may be sent now, see [`Service::claim_send`].
+    pub(crate) fn claim_send(&self, attempt: AttemptKey) -> bool {
+        let now = self.clock.now();
+        self.state.lock().machine.claim_send(now, attempt)
+    }
+
     pub(crate) fn set_fleet(&self, vms: u16, rank: u16) {
         self.with(|machine, now, out| machine.set_fleet(now, vms, rank, out));
     }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod announcements;
 mod answers;
 mod classes;
+mod cold_targets;
 mod configuration;
 mod crashes;
 mod discovery;
--- a/tests/scenarios/scenario.rs
+++ b/tests/scenarios/scenario.rs
@@ -358,5 +358,6 @@
         TargetCondition::Leaving => "leaving",
         TargetCondition::Drained => "drained",
         TargetCondition::Emptied => "emptied",
+        TargetCondition::Cold => "cold",
     }
 }
