refactor(core): known targets, emptied domains of the list and the mean of other VMs have files of their own

Change: moves only, and one rule: the first warm-up that an entry states is taken however short it is; the tolerance is for later entries of the same warm-up.

--- a/crates/core/src/discovery/directory.rs
+++ b/crates/core/src/discovery/directory.rs
@@ -1,62 +1,11 @@
 //! The targets in the local state of this VM.
 
+use super::known_target::KnownTarget;
 use super::{Incarnation, LeavingTargets, PausedTargets, TargetEntry, TargetListUpdate};
 use crate::{DomainName, TargetSpec};
 use smol_str::SmolStr;
 use std::time::{Duration, Instant};
 
-#[derive(Debug)]
-struct KnownTarget {
-    entry: TargetEntry,
-    /// Digest of the entry in the store, `None` if it was removed or cannot be
-    /// decoded. The entry in use differs from it if it holds lasting state or if
-    /// the one in the store belongs to an older incarnation.
-    listed: Option<u64>,
-    /// Entry in the store of an older incarnation, which is not used.
-    older: Option<Box<TargetEntry>>,
-    /// True if the entry was removed at a time when it may only have expired.
-    is_expired: bool,
-    /// True if another process answered at the address.
-    is_replaced: bool,
-    /// End of the time for which the target is cold by its entries.
-    cold_until: Option<Instant>,
-}
-
-impl KnownTarget {
-    /// Returns the entry as the store lists it.
-    ///
-    /// `is_draining` is the only lasting state that is part of an entry's digest.
-    fn get_listed_entry(&self) -> TargetEntry {
-        if let Some(older) = &self.older {
-            return (**older).clone();
-        }
-        let mut entry = self.entry.clone();
-        entry.is_draining = true;
-        if self.listed != Some(entry.get_digest()) {
-            entry.is_draining = false;
-        }
-        entry
-    }
-
-    /// Returns true if the warm-up in an entry of the same process ends clearly after the
-    /// known one.
-    fn is_colder(&self, now: Instant, entry: &TargetEntry) -> bool {
-        let end = self.cold_until.map_or(now, |until| until.max(now));
-        now + entry.cold_left > end + Directory::COLD_TOLERANCE
-    }
-
-    /// Copies to `entry` the state that lasts as long as the incarnation.
-    ///
-    /// A draining target does not stop draining. The warm-up time of the first
-    /// read is kept, because each later read gives a shorter one.
-    fn keep_lasting_state(&self, entry: &mut TargetEntry) {
-        if entry.incarnation == self.entry.incarnation {
-            entry.is_draining |= self.entry.is_draining;
-            entry.cold_left = self.entry.cold_left;
-        }
-    }
-}
-
 /// Targets by their registered name, and whether the list is readable.
 ///
 /// - If an entry is removed while the list is readable, its target has stopped.
@@ -80,10 +29,6 @@
 }
 
 impl Directory {
-    /// Time by which the ends of one warm-up may differ that are computed from two entries,
-    /// because entries are read some time after they were written.
-    const COLD_TOLERANCE: Duration = Duration::from_secs(1);
-
     /// Time after the store's return within which live targets register again.
     pub const SETTLE_PERIOD: Duration = Duration::from_secs(2);
 
@@ -226,14 +171,10 @@
     ///
     /// Later reads of the same warm-up give a shorter time and change nothing.
     pub fn record_cold(&mut self, now: Instant, entry: &TargetEntry, changed: &mut Vec<SmolStr>) {
-        if entry.cold_left.is_zero() {
-            return;
-        }
-        let Ok(index) = self.find(&entry.incarnation.id) else {
-            return;
-        };
-        let known = &mut self.targets[index];
-        if known.entry.incarnation == entry.incarnation && known.is_colder(now, entry) {
+        if self.is_cold_again(now, entry)
+            && let Ok(index) = self.find(&entry.incarnation.id)
+        {
+            let known = &mut self.targets[index];
             known.cold_until = Some(now + entry.cold_left);
             changed.push(known.entry.service.clone());
         }
--- a/crates/core/src/discovery/list.rs
+++ b/crates/core/src/discovery/list.rs
@@ -1,8 +1,8 @@
 //! The target list of one VM, from its own reads and from peers' updates.
 
 use super::{
-    Directory, EmptiedDomains, Evacuations, Incarnation, ReadTurn, RefreshTimer, TargetEntry,
-    TargetListRead, TargetListUpdate, UpdateContent, UpdateOutcome,
+    Directory, EmptiedDomains, Incarnation, ReadTurn, RefreshTimer, TargetEntry, TargetListRead,
+    TargetListUpdate, UpdateContent, UpdateOutcome,
 };
 use crate::TargetSpec;
 use smol_str::SmolStr;
@@ -43,14 +43,14 @@
 /// docs/decisions/0018-leaving-targets.md has the reasons.
 #[derive(Debug)]
 pub struct TargetList {
-    directory: Directory,
+    pub(super) directory: Directory,
     refresh_timer: RefreshTimer,
     /// True if the list lacks a change that no incremental read is certain to
     /// contain.
     has_diverged: bool,
-    emptied: EmptiedDomains,
+    pub(super) emptied: EmptiedDomains,
     /// True if a service has a rate for cold targets.
-    has_cold_rates: bool,
+    pub(super) has_cold_rates: bool,
 }
 
 /// Construction and timer.
@@ -66,12 +66,6 @@
         }
     }
 
-    /// Sets whether a service has a rate for cold targets. Only then peers get what is left
-    /// of warm-ups, and learn of targets that have become cold again.
-    pub fn set_cold_rates(&mut self, has_cold_rates: bool) {
-        self.has_cold_rates = has_cold_rates;
-    }
-
     /// Sets the bound on the age of the list.
     pub fn set_bound(&mut self, bound: Duration) {
         self.refresh_timer.set_bound(bound);
@@ -268,13 +262,6 @@
         })
     }
 
-    /// Sets the warm-up times in entries for a peer to what is left of them.
-    pub fn update_cold_left(&self, now: Instant, entries: &mut [TargetEntry]) {
-        if self.has_cold_rates {
-            self.directory.update_cold_left(now, entries);
-        }
-    }
-
     /// Records that the store could not be read.
     pub fn record_failure(&mut self) {
         self.refresh_timer.set_overdue();
@@ -321,32 +308,6 @@
         targets
     }
 
-    /// Applies a set of emptied failure domains that this VM read or a peer sent; returns
-    /// true if it changes any domain.
-    pub fn apply_evacuations(
-        &mut self,
-        now: Instant,
-        evacuations: Evacuations,
-        changed: &mut Vec<SmolStr>,
-    ) -> bool {
-        let Some(domains) = self.emptied.apply(now, evacuations) else {
-            return false;
-        };
-        self.directory.collect_services(&domains, changed);
-        !domains.is_empty()
-    }
-
-    /// Returns what this VM knows of emptied failure domains.
-    pub fn get_emptied(&self) -> &EmptiedDomains {
-        &self.emptied
-    }
-
-    /// Returns true if the failure domain of an incarnation is emptied.
-    pub fn is_emptied(&self, incarnation: &Incarnation) -> bool {
-        let domain = self.directory.get_domain(incarnation);
-        domain.is_some_and(|domain| self.emptied.get().contains(domain))
-    }
-
     /// Checks whether a request may be sent to a target now.
     ///
     /// The check belongs directly before the send: the request may have waited
--- a/crates/core/src/service/mod.rs
+++ b/crates/core/src/service/mod.rs
@@ -31,6 +31,7 @@
 mod subset;
 mod target;
 mod view;
+mod weighted_mean;
 
 pub use counters::Counters;
 pub use input::{Arrival, LoadReport, Outcome};
--- a/crates/core/src/service/pick.rs
+++ b/crates/core/src/service/pick.rs
@@ -6,6 +6,7 @@
 
 use super::records::CallState;
 use super::target::Target;
+use super::weighted_mean::WeightedMean;
 use super::{AttemptKind, CallKey, Service, TargetKey};
 use crate::ClassKind;
 use rand::Rng;
@@ -70,8 +71,6 @@
     const FREE_FRACTION: f32 = 0.5;
     /// Score weight of the share of slots in use, which spreads load over equal targets.
     const LOAD_WEIGHT: f32 = 0.3;
-    /// Sum of squared trust below which the reports are not used.
-    const MIN_TRUST_SUM: f32 = 0.5;
     /// Slowness above the service's mean from which a target counts as full.
     const FULL_SLOWNESS: f32 = 1.6;
     /// Score added for a target that the call has already tried.
@@ -359,29 +358,6 @@
     }
 }
 
-/// Mean of the requests of other VMs, weighted by the squared trust in the reports.
-#[derive(Debug, Default)]
-struct WeightedMean {
-    sum: f32,
-    weight: f32,
-}
-
-impl WeightedMean {
-    fn add_target(&mut self, target: &Target) {
-        let (mean, trust) = target.get_other_vms_load();
-        self.sum += mean * trust * trust;
-        self.weight += trust * trust;
-    }
-
-    fn get(&self) -> f32 {
-        if self.weight < Service::MIN_TRUST_SUM {
-            0.0
-        } else {
-            self.sum / self.weight
-        }
-    }
-}
-
 fn find_capacity(
     target: &Target,
     allowed: AllowedCapacity,
