--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 mod event;
 mod ledger;
 mod membership;
+mod memory;
 mod probe;
 mod quarantine;
 mod revision;
@@ -39,6 +40,7 @@
     ByteBudget, GossipState, Heartbeat, HeartbeatSummary, Membership, NoticeQueue, PeerState,
     PeerView, PlatformState, RoundPeers, StallDetector, TargetNotice, TargetNotices,
 };
+pub use memory::{HolderKey, HolderPhase, MemoryAccount, MemoryBudget, MemoryDecision};
 pub use probe::{ProbeBudget, is_probe_owner};
 pub use quarantine::{CrashRecord, Quarantine, QuarantineChange};
 pub use revision::{
@@ -58,4 +60,7 @@
     RouteMatch, Sampling, ServiceSpec, TargetSpec, VmName,
 };
 pub use stop_schedule::StopSchedule;
-pub use workspace::{ConfigProof, RateLimit, WorkspaceKey, WorkspaceSpec, WorkspaceTable};
+pub use workspace::{
+    ConfigProof, Proofs, RateLimit, StoreClock, StoreTime, WorkspaceFault, WorkspaceKey,
+    WorkspaceSpec, WorkspaceTable, parse_credential,
+};
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of a daemon on the platform.
 
+use super::memory::MemoryKeeper;
 use super::state::Gateway;
 use crate::telemetry::{Exposition, LineCounts, counter, gauge, time_histogram};
 use gentianridge_core::{AttemptKind, ResultCode, TargetCondition};
@@ -39,10 +40,14 @@
     outdated_sends: Counter<u64>,
     list_due: Gauge<f64>,
     list_age: Gauge<f64>,
+    proof_age: Gauge<f64>,
     emptied: Gauge<f64>,
     emptied_version: Gauge<f64>,
     emptied_time: Gauge<f64>,
     log_lines: Gauge<f64>,
+    closed_callers: Counter<u64>,
+    caller_memory: Gauge<f64>,
+    caller_connections: Gauge<f64>,
 }
 
 impl GatewayMetrics {
@@ -121,6 +126,11 @@
                 "gentianridge.list.age",
                 "Time since the read of the store that the list of targets reflects",
             ),
+            proof_age: gauge(
+                &meter,
+                "gentianridge.config.proof.age",
+                "Greatest time since the configuration in force was the newest one in the store",
+            ),
             emptied: gauge(
                 &meter,
                 "gentianridge.domains.emptied",
@@ -142,6 +152,21 @@
                 "Time until this VM reads the list of targets; negative when overdue",
             ),
             log_lines: gauge(&meter, "gentianridge.log.lines", "Log lines by fate"),
+            closed_callers: counter(
+                &meter,
+                "gentianridge.callers.closed",
+                "Callers' connections closed to protect this VM, by reason",
+            ),
+            caller_memory: gauge(
+                &meter,
+                "gentianridge.callers.memory",
+                "Bytes held for callers, in use and at most",
+            ),
+            caller_connections: gauge(
+                &meter,
+                "gentianridge.callers.connections",
+                "Callers' connections, open and at most",
+            ),
             lines,
             exposition,
         })
@@ -187,6 +212,11 @@
         self.connections.add(1, &[KeyValue::new("use", use_)]);
     }
 
+    pub(crate) fn record_closed_caller(&self, reason: &'static str) {
+        self.closed_callers
+            .add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     pub(crate) fn record_sample(&self) {
         self.samples.add(1, &[]);
     }
@@ -236,6 +266,9 @@
         if let Some(age) = gateway.list.borrow().get_age(now) {
             self.list_age.record(age.as_secs_f64(), &[]);
         }
+        if let Some(age) = gateway.get_proof_age() {
+            self.proof_age.record(age.as_secs_f64(), &[]);
+        }
         self.observe_emptied(gateway);
         if let Some(due) = gateway.get_list_due() {
             let ahead = due.saturating_duration_since(now).as_secs_f64();
@@ -252,6 +285,7 @@
                     .record(count as f64, &[KeyValue::new("fate", fate)]);
             }
         }
+        self.observe_memory(&gateway.memory);
         self.exposition.render()
     }
 
@@ -267,6 +301,19 @@
         self.emptied_time.record(time.as_secs_f64(), &[]);
     }
 
+    fn observe_memory(&self, memory: &MemoryKeeper) {
+        let budget = memory.get_budget();
+        let (used, connections) = memory.get_use();
+        for (kind, bytes, count) in [
+            ("used", used, connections),
+            ("limit", budget.capacity, budget.max_connections),
+        ] {
+            let label = [KeyValue::new("kind", kind)];
+            self.caller_memory.record(bytes as f64, &label);
+            self.caller_connections.record(count as f64, &label);
+        }
+    }
+
     fn observe_services(&self, gateway: &Gateway) {
         gateway.for_each_service(|service| {
             let (status, waiting) =
--- a/crates/daemon/src/gateway/routing.rs
+++ b/crates/daemon/src/gateway/routing.rs
@@ -2,8 +2,10 @@
 
 use super::state::Gateway;
 use crate::service::ServiceHandle;
+use crate::telemetry::STATE_LOG_TARGET;
 use gentianridge_core::{
     CallerLimits, ClassKey, ClassKind, EventKind, ResultCode, RouteTable, WorkspaceSpec,
+    WorkspaceTable,
 };
 use http::{Request, header};
 use rand::RngExt;
@@ -25,6 +27,9 @@
     pub(crate) objective: Duration,
     /// Workspace of the caller, if the configuration has workspaces.
     pub(crate) workspace: Option<Arc<WorkspaceSpec>>,
+    /// True if the configuration has workspaces: targets then learn the caller's from this
+    /// VM alone.
+    pub(crate) needs_identity: bool,
 }
 
 /// Routes in force.
@@ -61,10 +66,13 @@
         let key = table
             .find(host, request.uri().path())
             .ok_or(ResultCode::NoService)?;
+        let workspace = self.identify(table, key, request.headers())?;
         let name = table.next_service(key).ok_or(ResultCode::NoTarget)?;
         let route = table.get(key);
         let service = self.find_service(&name).ok_or(ResultCode::NoTarget)?;
-        let class_name = table.get_class_name(key);
+        let class_name = table
+            .get_class_name(key, workspace.as_deref())
+            .ok_or(ResultCode::NoTarget)?;
         let class = service
             .read(|machine, _| machine.find_class_by_name(class_name))
             .ok_or(ResultCode::NoTarget)?;
@@ -76,7 +84,8 @@
             kind: route.kind,
             timeout: route.timeout,
             objective: route.objective,
-            workspace: None,
+            needs_identity: table.get_workspaces().is_some(),
+            workspace,
         })
     }
 
@@ -93,12 +102,17 @@
             author: "operator".into(),
             source: source.into(),
         });
+        let workspaces = table.get_workspaces();
+        for fault in workspaces.map_or(&[][..], WorkspaceTable::get_faults) {
+            log::error!(target: STATE_LOG_TARGET, version = table.get_version(); "{fault}");
+        }
         let services = table.get_services();
         self.set_cold_rates(services.iter().any(|service| service.cold.is_some()));
         for declared in services {
             let classes = table.collect_classes(&declared.name);
             self.declare(now, declared.clone(), classes);
         }
+        self.proofs.borrow_mut().set_revision(table.get_version());
         *self.routes.borrow_mut() = Some(table);
         self.apply_all();
         self.notify_loaded();
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -4,6 +4,7 @@
 use super::connections::ConnectionPool;
 use super::crashes::CRASH_PERIOD;
 use super::list_reader::ListReader;
+use super::memory::MemoryKeeper;
 use super::metrics::GatewayMetrics;
 use super::peers::Peers;
 use super::services::ServiceEntry;
@@ -11,7 +12,9 @@
 use bytes::Bytes;
 use gentianridge_adapter::{HeaderNames, Store, get_header_names};
 use gentianridge_config::GatewaySettings;
-use gentianridge_core::{Clock, Quarantine, RouteTable, StopSchedule, TargetList, UpdateLog};
+use gentianridge_core::{
+    Clock, Proofs, Quarantine, RouteTable, StopSchedule, TargetList, UpdateLog,
+};
 use std::cell::{Cell, Ref, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -30,7 +33,12 @@
     pub(crate) connections: ConnectionPool,
     pub(crate) peers: Peers,
     pub(crate) metrics: GatewayMetrics,
+    pub(crate) memory: Rc<MemoryKeeper>,
     pub(super) routes: RefCell<Option<RouteTable>>,
+    /// How recently the configuration in force was the newest one.
+    pub(super) proofs: RefCell<Proofs>,
+    /// True if keys were accepted at the last look.
+    pub(super) was_serving_keys: Cell<bool>,
     pub(super) list: RefCell<TargetList>,
     pub(super) list_reader: ListReader,
     pub(super) cold_owners: ColdOwners,
@@ -71,11 +79,14 @@
         Ok(Rc::new(Self {
             store: RefCell::new(store),
             headers: get_header_names(),
+            memory: MemoryKeeper::new(&settings, clock.clone()),
             journal,
             connections: ConnectionPool::default(),
             peers: Peers::new(settings.vm.clone(), settings.domain.clone()),
             metrics: GatewayMetrics::new(lines)?,
             routes: RefCell::new(None),
+            proofs: RefCell::default(),
+            was_serving_keys: Cell::new(true),
             list: RefCell::new(TargetList::new(get_list_bound(&settings))),
             list_reader: ListReader::default(),
             cold_owners: ColdOwners::new(clock.now()),
@@ -119,6 +130,7 @@
         }
         let bound = get_list_bound(&settings);
         self.list.borrow_mut().set_bound(bound);
+        self.memory.apply_settings(&settings);
         *self.settings.borrow_mut() = settings;
         self.apply_all();
     }
@@ -186,6 +198,7 @@
         self.get_stop().is_none()
             && self.routes.borrow().is_some()
             && !self.list.borrow().is_empty()
+            && self.is_serving_keys()
     }
 }
 
