--- a/crates/core/src/service/mod.rs
+++ b/crates/core/src/service/mod.rs
@@ -9,6 +9,7 @@
 mod calls;
 mod class;
 mod classes;
+mod cold;
 mod counters;
 mod demand;
 mod dispatch;
@@ -30,6 +31,7 @@
 mod subset;
 mod target;
 mod view;
+mod weighted_mean;
 
 pub use counters::Counters;
 pub use input::{Arrival, LoadReport, Outcome};
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -280,8 +280,7 @@
         self.announcements.add(1, &labels);
     }
 
-    /// Counts a request of a workspace with a limit. Workspaces that come after
-    /// [`MAX_LIMIT_NAMES`] others share one label.
+    /// Counts a request of a workspace with a limit.
     pub(crate) fn record_limit(&self, workspace: &SmolStr, outcome: &'static str) {
         let label = self.workspace_labels.get(workspace).to_string();
         let labels = [
@@ -379,6 +378,7 @@
                 ("leaving", TargetCondition::Leaving),
                 ("drained", TargetCondition::Drained),
                 ("emptied", TargetCondition::Emptied),
+                ("cold", TargetCondition::Cold),
             ];
             for (name, condition) in conditions {
                 let count = status.iter().filter(|t| t.condition == condition).count();
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod body;
 mod call;
 mod callers;
+mod cold;
 mod connections;
 mod counted;
 mod crashes;
--- a/crates/daemon/src/gateway/peers/table.rs
+++ b/crates/daemon/src/gateway/peers/table.rs
@@ -238,6 +238,11 @@
         self.gossip.borrow().get_newest_revision()
     }
 
+    /// Returns the names of the other VMs that are known and not leaving.
+    pub(crate) fn get_staying(&self, now: Instant) -> Vec<VmName> {
+        self.gossip.borrow().get_staying(now)
+    }
+
     /// Returns the number of peers that are live.
     pub(crate) fn count_live(&self, now: Instant) -> usize {
         self.gossip.borrow().count_live(now)
