--- a/crates/core/src/service/sampling.rs
+++ b/crates/core/src/service/sampling.rs
@@ -33,6 +33,9 @@
 
 impl Sampler {
     const WORK_TIME_WEIGHT: f32 = 0.05;
+    /// Longest time whose unused load requests are kept. The bound of the platform holds
+    /// over a day, and the requests of few callers come in bunches.
+    const SAVED_TIME: Duration = Duration::from_secs(10);
 
     /// Records the relative work time of one report.
     pub(super) fn record_work_time(&mut self, percent: u16) {
@@ -42,13 +45,21 @@
 
     /// Consumes up to `wanted` load requests from the budget and returns their number.
     ///
-    /// The budget holds at most the load requests of one second.
+    /// The budget holds at most the load requests of `SAVED_TIME`. While it holds less than
+    /// those of a second, targets are asked one after the other: most of the time the first
+    /// one has a usual work time, and the others would be asked in vain.
     fn consume(&mut self, now: Instant, per_second: f32, wanted: usize) -> usize {
         let passed = self.refilled.map_or(Duration::from_secs(1), |at| {
             now.saturating_duration_since(at)
         });
         self.refilled = Some(now);
-        self.tokens = (self.tokens + per_second * passed.as_secs_f32()).min(per_second);
+        let most = per_second * Self::SAVED_TIME.as_secs_f32();
+        self.tokens = (self.tokens + per_second * passed.as_secs_f32()).min(most);
+        let wanted = if self.tokens < per_second {
+            wanted.min(1)
+        } else {
+            wanted
+        };
         let granted = wanted.min(self.tokens as usize);
         self.tokens -= granted as f32;
         granted
@@ -123,8 +134,11 @@
         let round = self.send_load_requests(now, config, key, out);
         let is_unanswered =
             best == BestWorkTime::Unknown && self.count_unanswered(now, config) == 0;
-        if round == RequestRound::NoCandidates && is_unanswered {
-            // Targets that did not answer the load request in time may still work.
+        let is_last_request = round == RequestRound::Sent(0) && self.count_waiting() <= 1;
+        if (round == RequestRound::NoCandidates || is_last_request) && is_unanswered {
+            // Targets that did not answer the load request in time may still work. Without
+            // budget nothing is learned by a wait, and an unknown target is usual more
+            // often than slow.
             return true;
         }
         // If no load request could be sent, the work times may still change.
