--- a/crates/core/benches/decision.rs
+++ b/crates/core/benches/decision.rs
@@ -85,6 +85,7 @@
             class: self.class,
             kind: ClassKind::Interactive,
             deadline: self.now + Duration::from_secs(3600),
+            time_left: None,
             is_replayable: true,
             workspace: None,
         };
--- /dev/null
+++ b/crates/core/src/service/admission/decide.rs
@@ -0,0 +1,149 @@
+//! Which calls wait, and which are refused.
+
+use super::super::class::Class;
+use super::super::records::Call;
+use super::super::target::Target;
+use super::super::{Arrival, CallKey, ClassKey, Output, Service};
+use crate::{ClassKind, ResultCode};
+use std::time::{Duration, Instant};
+
+/// Admission of calls.
+impl Service {
+    /// Creates the record of a call that arrives, with its rank.
+    pub(in super::super) fn make_call(
+        &mut self,
+        now: Instant,
+        arrival: Arrival,
+        key: ClassKey,
+    ) -> Call {
+        let waited = self.learn_patience(now, &arrival, key);
+        let class = &self.classes[key];
+        let spec = &class.spec;
+        let useful_until = match spec.objective {
+            Some(objective) => arrival.deadline.min(now + objective),
+            None => arrival.deadline,
+        };
+        // The objective counts from the caller's first attempt.
+        let first_due = useful_until.checked_sub(waited).unwrap_or(now);
+        let is_late = !waited.is_zero() && first_due < now + class.get_expected_time();
+        let due = if is_late { useful_until } else { first_due };
+        let mut call = Call::new(arrival, key, due, spec.max_attempts);
+        call.is_late = is_late;
+        call.turn = self
+            .turns
+            .preview(arrival.workspace, class.answer_times.get_hold_time());
+        if let Some(limit) = self.get_stop_limit(now, class, arrival.deadline) {
+            call.limit_to_stop(limit);
+        }
+        call
+    }
+
+    /// Learns from the time that the caller states to be left, and returns how long the
+    /// caller has waited before.
+    fn learn_patience(&mut self, now: Instant, arrival: &Arrival, key: ClassKey) -> Duration {
+        let Some(left) = arrival.time_left else {
+            return Duration::ZERO;
+        };
+        let is_calm = self.count_waiting() == 0
+            && self
+                .last_refusal
+                .is_none_or(|at| now.saturating_duration_since(at) > left);
+        let patience = &mut self.classes[key].patience;
+        let waited = patience.get_waited(left);
+        if is_calm {
+            patience.record(left);
+        }
+        waited
+    }
+
+    /// Returns the reason for which a new call is refused at once, if there is one.
+    pub(in super::super) fn check_admission(
+        &self,
+        now: Instant,
+        call: &Call,
+    ) -> Option<ResultCode> {
+        if !self.targets.iter().any(Target::is_usable) {
+            return Some(ResultCode::NoTarget);
+        }
+        let class = &self.classes[call.class];
+        if class.is_full() {
+            return Some(ResultCode::QueueFull);
+        }
+        let expected = class.get_expected_time();
+        let pause_left = self.get_pause_left(now);
+        if !pause_left.is_zero() && now + pause_left + expected > call.useful_until {
+            return Some(ResultCode::TargetsPaused);
+        }
+        let wait = self.estimate_wait(now, class, call.make_rank(expected));
+        if !is_hopeless(now, class, wait, call.useful_until) {
+            return None;
+        }
+        if call.is_cut_short() {
+            Some(ResultCode::Stopping)
+        } else {
+            Some(ResultCode::DeadlineUnreachable)
+        }
+    }
+
+    /// Refuses the waiting calls that cannot be answered in time any more, the last one of
+    /// the order first, so that their callers can use the time that they have left.
+    pub(in super::super) fn refuse_hopeless(
+        &mut self,
+        now: Instant,
+        code: ResultCode,
+        out: &mut Vec<Output>,
+    ) {
+        while let Some(key) = self.find_last_class(false) {
+            let class = &self.classes[key];
+            let Some(last) = class.back() else {
+                return;
+            };
+            let wait = self.estimate_last_wait(now, class);
+            if wait.is_zero() || !is_hopeless(now, class, wait, last.due) {
+                return;
+            }
+            self.refuse_waiting(now, last.call, code, out);
+        }
+    }
+
+    /// Refuses a waiting call; one that may have run is told so.
+    fn refuse_waiting(
+        &mut self,
+        now: Instant,
+        key: CallKey,
+        code: ResultCode,
+        out: &mut Vec<Output>,
+    ) {
+        self.remove_from_queue(key);
+        let Some(call) = self.calls.get(key) else {
+            return;
+        };
+        let code = if call.may_have_run {
+            ResultCode::AttemptFailed
+        } else if call.is_cut_short() {
+            ResultCode::Stopping
+        } else {
+            code
+        };
+        self.last_refusal = Some(now);
+        self.refuse(key, code, out);
+    }
+}
+
+/// Returns true if a call of the class that waits this long cannot be answered while the
+/// answer is useful.
+fn is_hopeless(now: Instant, class: &Class, wait: Duration, due: Instant) -> bool {
+    let work = if wait.is_zero() {
+        class.get_expected_time()
+    } else {
+        class.get_queued_time()
+    };
+    now + wait + work > due
+}
+
+impl Class {
+    /// Returns true if the class holds work that can wait.
+    pub(in super::super) fn is_background(&self) -> bool {
+        self.spec.kind == ClassKind::Background
+    }
+}
--- a/crates/core/src/service/attempts.rs
+++ b/crates/core/src/service/attempts.rs
@@ -276,6 +276,7 @@
         let call = &mut self.calls[key];
         let margin = self.classes[call.class].get_expected_time();
         if call.useful_until <= now + margin {
+            call.is_late = true;
             // `starts_until` is the deadline unless the VM stops.
             call.useful_until = call.deadline.min(call.starts_until + margin);
         }
--- a/crates/core/src/service/calls.rs
+++ b/crates/core/src/service/calls.rs
@@ -2,9 +2,8 @@
 
 use super::class::{Class, QueueEntry};
 use super::records::{Call, CallState};
-use super::target::Target;
 use super::{Arrival, CallKey, ClassKey, Output, Service};
-use crate::{ClassKind, ResultCode};
+use crate::ResultCode;
 use std::time::{Duration, Instant};
 
 /// Inputs from callers and timers.
@@ -18,26 +17,19 @@
             self.refuse(key, ResultCode::NoService, out);
             return key;
         };
-        let class = &self.classes[class_key];
-        if class.spec.kind != ClassKind::Background {
+        if !self.classes[class_key].is_background() {
             self.last_short_arrival = Some(now);
         }
-        let spec = &class.spec;
-        let useful_until = match spec.objective {
-            Some(objective) => arrival.deadline.min(now + objective),
-            None => arrival.deadline,
-        };
-        let mut call = Call::new(arrival, class_key, useful_until, spec.max_attempts);
-        if let Some(limit) = self.get_stop_limit(now, class, arrival.deadline) {
-            call.limit_to_stop(limit);
-        }
+        let call = self.make_call(now, arrival, class_key);
         let refusal = self.check_admission(now, &call);
         let key = self.calls.insert(call);
         if let Some(code) = refusal {
+            self.last_refusal = Some(now);
             self.refuse(key, code, out);
             return key;
         }
         self.enqueue(key);
+        self.refuse_hopeless(now, ResultCode::GaveWay, out);
         self.dispatch_waiting(now, out);
         key
     }
@@ -52,54 +44,6 @@
         self.classes.find_kind(arrival.kind)
     }
 
-    pub(super) fn check_admission(&self, now: Instant, call: &Call) -> Option<ResultCode> {
-        if !self.targets.iter().any(Target::is_usable) {
-            return Some(ResultCode::NoTarget);
-        }
-        let class = &self.classes[call.class];
-        if class.is_full() {
-            return Some(ResultCode::QueueFull);
-        }
-        let expected = class.get_expected_time();
-        let pause_left = self.get_pause_left(now);
-        if !pause_left.is_zero() && now + pause_left + expected > call.useful_until {
-            return Some(ResultCode::TargetsPaused);
-        }
-        let finish = now + self.estimate_wait(class) + expected;
-        if finish <= call.useful_until {
-            return None;
-        }
-        if call.is_cut_short() {
-            Some(ResultCode::Stopping)
-        } else {
-            Some(ResultCode::DeadlineUnreachable)
-        }
-    }
-
-    /// Estimates the waiting time of a new call of the class from the calls
-    /// ahead of it and the slots that this VM uses.
-    pub(super) fn estimate_wait(&self, class: &Class) -> Duration {
-        let is_background = class.spec.kind == ClassKind::Background;
-        let ahead: usize = self
-            .classes
-            .iter()
-            .filter(|(_, c)| (c.spec.kind == ClassKind::Background) == is_background)
-            .map(|(_, c)| c.len())
-            .sum();
-        if ahead == 0 {
-            return Duration::ZERO;
-        }
-        let slots = if is_background {
-            self.targets.iter().map(|t| u32::from(t.long_share)).sum()
-        } else {
-            self.own_total.max(self.get_fair_share())
-        };
-        class
-            .answer_times
-            .get_hold_time()
-            .mul_f32(ahead as f32 / slots.max(1) as f32)
-    }
-
     /// Removes a call whose caller has gone and cancels its attempts.
     pub fn cancel(&mut self, now: Instant, key: CallKey, out: &mut Vec<Output>) {
         self.remove_from_queue(key);
@@ -123,7 +67,7 @@
     /// Returns the time at which [`Self::tick`] has to be called at the latest.
     pub fn next_wake(&self, now: Instant) -> Option<Instant> {
         let classes = || self.classes.iter().map(|(_, class)| class);
-        let expiry = classes().filter_map(Class::front).map(|entry| entry.due);
+        let expiry = classes().filter_map(Class::get_first_due);
         let hedge = classes().filter_map(Class::next_check_at);
         let sample = classes().filter_map(|class| self.next_sample_wait_end(now, class));
         let mut wake = expiry.chain(hedge).chain(sample).min();
@@ -148,12 +92,16 @@
 
     pub(super) fn enqueue(&mut self, key: CallKey) {
         let call = &mut self.calls[key];
+        let class = &mut self.classes[call.class];
+        let rank = call.make_rank(class.get_expected_time());
         call.state = CallState::Waiting;
-        let entry = QueueEntry {
+        call.rank = Some(rank);
+        self.turns.take(call.workspace, call.turn);
+        class.insert(QueueEntry {
+            rank,
             due: call.useful_until,
             call: key,
-        };
-        self.classes[call.class].insert(entry);
+        });
     }
 
     /// Removes a waiting call from the queue of its class; returns false if it does not
@@ -162,11 +110,14 @@
         let Some(call) = self.calls.get(key) else {
             return false;
         };
-        let entry = QueueEntry {
-            due: call.useful_until,
-            call: key,
+        let Some(rank) = call.rank.filter(|_| call.state == CallState::Waiting) else {
+            return false;
         };
-        call.state == CallState::Waiting && self.classes[call.class].remove(entry)
+        let is_removed = self.classes[call.class].remove(rank, key);
+        if is_removed {
+            self.turns.give_back(call.workspace, call.turn);
+        }
+        is_removed
     }
 
     pub(super) fn expire(&mut self, now: Instant, out: &mut Vec<Output>) {
@@ -174,21 +125,26 @@
         let mut position = 0;
         while let Some(key) = self.classes.get_key(position) {
             let margin = pause_left + self.classes[key].get_expected_time();
-            while let Some(front) = self.classes[key].front() {
-                if front.due > now + margin {
-                    break;
-                }
-                self.classes[key].pop_front();
-                self.refuse_expired(front.call, pause_left, out);
+            while let Some(entry) = self.classes[key].pop_due(now + margin) {
+                self.refuse_expired(now, entry.call, pause_left, out);
             }
             position += 1;
         }
+        self.refuse_hopeless(now, ResultCode::DeadlineUnreachable, out);
     }
 
-    fn refuse_expired(&mut self, key: CallKey, pause_left: Duration, out: &mut Vec<Output>) {
+    fn refuse_expired(
+        &mut self,
+        now: Instant,
+        key: CallKey,
+        pause_left: Duration,
+        out: &mut Vec<Output>,
+    ) {
         let Some(call) = self.calls.get(key) else {
             return;
         };
+        self.turns.give_back(call.workspace, call.turn);
+        self.last_refusal = Some(now);
         let code = if call.may_have_run {
             ResultCode::AttemptFailed
         } else if call.is_cut_short() {
--- a/crates/core/src/service/class.rs
+++ b/crates/core/src/service/class.rs
@@ -1,14 +1,17 @@
 //! State of one class: its queue, its hedge checks and its answer times.
 
+use super::admission::{Patience, Rank};
 use super::answer_times::AnswerTimes;
 use super::{AttemptKey, CallKey};
 use crate::ClassSpec;
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-/// A call in the queue, which is ordered by the time until which an answer is useful.
+/// A call in the queue, which is ordered by rank.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct QueueEntry {
+    pub(crate) rank: Rank,
+    /// Time until which an answer is useful.
     pub(crate) due: Instant,
     pub(crate) call: CallKey,
 }
@@ -27,10 +30,13 @@
 pub(crate) struct Class {
     pub(crate) spec: ClassSpec,
     pub(crate) answer_times: AnswerTimes,
+    pub(crate) patience: Patience,
     pub(crate) hedge_checks: VecDeque<HedgeCheck>,
     /// Checks that wait for load samples, ordered by the time at which they are repeated.
     pub(crate) hedge_rechecks: VecDeque<(Instant, HedgeCheck)>,
     waiting: VecDeque<QueueEntry>,
+    /// Time before which no waiting call is due; it may be too early after a removal.
+    first_due: Option<Instant>,
 }
 
 impl Class {
@@ -40,7 +46,9 @@
             spec,
             hedge_checks: VecDeque::new(),
             hedge_rechecks: VecDeque::new(),
+            patience: Patience::default(),
             waiting: VecDeque::new(),
+            first_due: None,
         }
     }
 
@@ -56,6 +64,25 @@
         }
     }
 
+    /// Returns the rank of a first attempt that arrives now.
+    pub(crate) fn get_next_rank(&self, now: Instant) -> Rank {
+        Rank::of_next(now, self.spec.get_objective(), self.get_expected_time())
+    }
+
+    /// Expected answer time of a call that waits behind others, where more calls come than
+    /// can be served.
+    ///
+    /// With an objective, the wait may use up half of what the objective leaves over the
+    /// median. The slots are in use either way, and the other half is the room for answers
+    /// that take longer: an answer that comes late took its slot from one in time.
+    pub(crate) fn get_queued_time(&self) -> Duration {
+        let expected = self.get_expected_time();
+        match self.spec.objective {
+            Some(objective) => expected.max((objective + expected) / 2),
+            None => expected,
+        }
+    }
+
     /// Time after which an attempt counts as late.
     ///
     /// With an objective, a hedge is useful only if it can still meet it, so the
@@ -110,22 +137,55 @@
         self.waiting.front().copied()
     }
 
+    pub(crate) fn back(&self) -> Option<QueueEntry> {
+        self.waiting.back().copied()
+    }
+
     pub(crate) fn pop_front(&mut self) -> Option<QueueEntry> {
         self.waiting.pop_front()
     }
 
+    /// Returns the number of waiting calls that go before a new one with the rank.
+    pub(crate) fn count_before(&self, rank: Rank) -> usize {
+        self.waiting.partition_point(|other| other.rank <= rank)
+    }
+
+    /// Returns a time before which no waiting call is due, `None` if none waits.
+    pub(crate) fn get_first_due(&self) -> Option<Instant> {
+        self.first_due.filter(|_| !self.waiting.is_empty())
+    }
+
+    /// Removes and returns a call that is due at the time or earlier.
+    pub(crate) fn pop_due(&mut self, at: Instant) -> Option<QueueEntry> {
+        if self.get_first_due().is_none_or(|due| due > at) {
+            return None;
+        }
+        let found = self.waiting.iter().position(|entry| entry.due <= at);
+        match found {
+            Some(index) => self.waiting.remove(index),
+            None => {
+                self.first_due = self.waiting.iter().map(|entry| entry.due).min();
+                None
+            }
+        }
+    }
+
     pub(crate) fn insert(&mut self, entry: QueueEntry) {
-        let at = self.waiting.partition_point(|other| other.due <= entry.due);
+        let due = entry.due;
+        self.first_due = Some(self.get_first_due().map_or(due, |first| first.min(due)));
+        let at = self
+            .waiting
+            .partition_point(|other| other.rank <= entry.rank);
         self.waiting.insert(at, entry);
     }
 
-    pub(crate) fn remove(&mut self, entry: QueueEntry) -> bool {
-        let start = self.waiting.partition_point(|other| other.due < entry.due);
+    pub(crate) fn remove(&mut self, rank: Rank, call: CallKey) -> bool {
+        let start = self.waiting.partition_point(|other| other.rank < rank);
         let found = self
             .waiting
             .range(start..)
-            .take_while(|other| other.due == entry.due)
-            .position(|other| other.call == entry.call);
+            .take_while(|other| other.rank == rank)
+            .position(|other| other.call == call);
         match found {
             Some(offset) => self.waiting.remove(start + offset).is_some(),
             None => false,
--- a/crates/core/src/service/dispatch.rs
+++ b/crates/core/src/service/dispatch.rs
@@ -31,20 +31,6 @@
         }
     }
 
-    /// Returns the class whose first waiting call comes next: the one with the
-    /// smallest priority number, and among equals the earliest due time.
-    pub(super) fn find_next_class(&self, is_background: bool) -> Option<ClassKey> {
-        self.classes
-            .iter()
-            .filter(|(_, class)| (class.spec.kind == ClassKind::Background) == is_background)
-            .filter_map(|(key, class)| {
-                let front = class.front()?;
-                Some((class.spec.priority, front.due, key))
-            })
-            .min()
-            .map(|(_, _, key)| key)
-    }
-
     pub(super) fn dispatch_front(
         &mut self,
         now: Instant,
@@ -61,6 +47,7 @@
             return false;
         };
         self.classes[class].pop_front();
+        self.turns.serve(self.calls[front.call].turn);
         self.start(now, front.call, choice.target, choice.kind, out);
         true
     }
--- a/crates/core/src/service/input.rs
+++ b/crates/core/src/service/input.rs
@@ -2,7 +2,7 @@
 
 use super::ClassKey;
 use crate::{ClassKind, WorkspaceKey};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// A new call of a caller.
 #[derive(Debug, Clone, Copy)]
@@ -14,6 +14,8 @@
     pub kind: ClassKind,
     /// Time by which the first byte of the answer has to arrive.
     pub deadline: Instant,
+    /// Time that the caller says it still waits, if it does.
+    pub time_left: Option<Duration>,
     /// False if the request body cannot be sent a second time.
     pub is_replayable: bool,
     /// Workspace of the caller, if the configuration has workspaces.
--- a/crates/core/src/service/machine.rs
+++ b/crates/core/src/service/machine.rs
@@ -1,5 +1,6 @@
 //! The state machine of one service.
 
+use super::admission::Turns;
 use super::budget::Budget;
 use super::classes::Classes;
 use super::demand::ShortDemand;
@@ -45,6 +46,7 @@
 ///     class: service.find_class_by_name("lookup").unwrap(),
 ///     kind: ClassKind::Interactive,
 ///     deadline: now + Duration::from_secs(1),
+///     time_left: None,
 ///     is_replayable: true,
 ///     workspace: None,
 /// };
@@ -73,6 +75,10 @@
     pub(super) own_short: u32,
     pub(super) short_demand: ShortDemand,
     pub(super) last_short_arrival: Option<Instant>,
+    /// Time of the last refusal, which its caller may answer with another attempt.
+    pub(super) last_refusal: Option<Instant>,
+    /// Turns of workspaces at a full service.
+    pub(super) turns: Turns,
     /// Schedule of the planned stop of the VM, after its signal.
     pub(super) stop: Option<StopSchedule>,
 }
@@ -104,6 +110,8 @@
             own_short: 0,
             short_demand: ShortDemand::new(),
             last_short_arrival: None,
+            last_refusal: None,
+            turns: Turns::default(),
             stop: None,
             spec,
         };
--- a/crates/core/src/service/mod.rs
+++ b/crates/core/src/service/mod.rs
@@ -3,6 +3,7 @@
 //! Each service is a separate state machine, so a process can guard each with
 //! its own lock. The design is explained in docs/decisions/0002-routing.md.
 
+mod admission;
 mod answer_times;
 mod attempts;
 mod budget;
--- a/crates/core/src/service/records.rs
+++ b/crates/core/src/service/records.rs
@@ -1,9 +1,10 @@
 //! Calls and attempts of a service.
 
+use super::admission::{Rank, Turn};
 use super::stop::StopLimit;
 use super::{Arrival, AttemptKey, AttemptKind, CallKey, ClassKey, TargetKey};
-use crate::{ClassKind, ClassSpec};
-use std::time::Instant;
+use crate::{ClassKind, ClassSpec, WorkspaceKey};
+use std::time::{Duration, Instant};
 
 /// Attempts that one call may make.
 pub(crate) const MAX_ATTEMPTS: usize = ClassSpec::DEFAULT_MAX_ATTEMPTS as usize;
@@ -38,6 +39,13 @@
     pub(crate) deadline: Instant,
     /// Time until which an answer is useful and the call may stay in the queue.
     pub(crate) useful_until: Instant,
+    /// True if the answer can no longer meet the latency objective of the class.
+    pub(crate) is_late: bool,
+    pub(crate) workspace: Option<WorkspaceKey>,
+    /// Turn of the workspace at a full service.
+    pub(crate) turn: Turn,
+    /// Place in the queue while the call waits.
+    pub(crate) rank: Option<Rank>,
     max_attempts: usize,
     pub(crate) is_replayable: bool,
     pub(crate) state: CallState,
@@ -64,6 +72,10 @@
             kind: arrival.kind,
             deadline: arrival.deadline,
             useful_until,
+            is_late: false,
+            workspace: arrival.workspace,
+            turn: Turn::default(),
+            rank: None,
             max_attempts: usize::from(max_attempts).min(MAX_ATTEMPTS),
             is_replayable: arrival.is_replayable,
             state: CallState::Waiting,
@@ -76,6 +88,17 @@
         }
     }
 
+    /// Returns the place of the call among the waiting ones of its priority, for work that
+    /// usually takes this long.
+    pub(crate) fn make_rank(&self, work: Duration) -> Rank {
+        let useful_until = self.useful_until;
+        Rank {
+            is_late: self.is_late,
+            turn: self.turn.start,
+            start_by: useful_until.checked_sub(work).unwrap_or(useful_until),
+        }
+    }
+
     /// Moves the deadline and the time in the queue to those of a planned stop.
     pub(super) fn limit_to_stop(&mut self, limit: StopLimit) {
         self.deadline = limit.end;
--- a/crates/core/src/service/view.rs
+++ b/crates/core/src/service/view.rs
@@ -46,7 +46,7 @@
         }
         match self.classes.get(class) {
             Some(class) => self
-                .estimate_wait(class)
+                .estimate_wait(now, class, class.get_next_rank(now))
                 .max(class.answer_times.get_median()),
             None => self.get_hold_time(),
         }
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, unreachable_pub)]
 
+pub mod crowd;
+
 use gentianridge_core::{
     Arrival, AttemptKey, AttemptKind, CallKey, ClassKey, ClassKind, ClassSpec, EventKind,
     LoadReport, MethodSet, Outcome, Output, RepeatLimit, ResultCode, RouteMatch, Sampling, Service,
@@ -228,14 +230,34 @@
             class,
             kind,
             deadline: self.now + Duration::from_millis(millis),
+            time_left: None,
             is_replayable: true,
             workspace: None,
         };
+        self.arrive_call(arrival)
+    }
+
+    /// Submits a call.
+    pub fn arrive_call(&mut self, arrival: Arrival) -> CallKey {
         let call = self.service.arrive(self.now, arrival, &mut self.outputs);
         self.collect_outputs();
         call
     }
 
+    /// Submits a call whose caller states the time that it has left.
+    pub fn arrive_stating(&mut self, class: &str, left_ms: u64) -> CallKey {
+        let class = self.get_class(class);
+        let left = Duration::from_millis(left_ms);
+        self.arrive_call(Arrival {
+            class,
+            kind: self.service.get_class(class).expect("a class").kind,
+            deadline: self.now + left,
+            time_left: Some(left),
+            is_replayable: true,
+            workspace: None,
+        })
+    }
+
     /// Submits a call that is dispatched at once; returns its attempt.
     pub fn send(&mut self, class: &str) -> Sent {
         let call = self.arrive(class);
--- a/crates/core/tests/no_allocation.rs
+++ b/crates/core/tests/no_allocation.rs
@@ -19,6 +19,7 @@
             class,
             kind: ClassKind::Interactive,
             deadline: now + Duration::from_secs(1),
+            time_left: None,
             is_replayable: true,
             workspace: None,
         };
--- a/crates/daemon/src/caller/call.rs
+++ b/crates/daemon/src/caller/call.rs
@@ -83,6 +83,7 @@
             class: cx.class,
             kind: cx.kind,
             deadline: cx.deadline,
+            time_left: None,
             is_replayable: cx.request.is_replayable(),
             workspace: None,
         };
--- a/crates/daemon/src/gateway/call.rs
+++ b/crates/daemon/src/gateway/call.rs
@@ -79,6 +79,7 @@
             class: cx.class,
             kind: cx.kind,
             deadline: cx.deadline,
+            time_left: cx.request.time_left,
             is_replayable: true,
             workspace: cx.workspace,
         };
--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -97,6 +97,7 @@
                 class,
                 kind,
                 deadline: now + Duration::from_secs(60),
+                time_left: None,
                 is_replayable: true,
                 workspace: None,
             };
@@ -150,6 +151,7 @@
             class,
             kind,
             deadline: now + Duration::from_secs(1),
+            time_left: None,
             is_replayable: true,
             workspace: None,
         };
--- a/examples/measure/calls.rs
+++ b/examples/measure/calls.rs
@@ -59,6 +59,7 @@
             class,
             kind,
             deadline: now + deadline,
+            time_left: None,
             is_replayable: true,
             workspace: None,
         };
