fix(core): a wait for load samples ends where it can gain nothing

Cause: with 170 VMs before 11 or 13 targets the platform's bound leaves a VM three load requests a second, and one request took all three. The next one waited its objective out (lift-signoff: a quarter of the requests 190 ms of 300, in calm seconds too; terrain-scan: 340 to 460 ms) and was then sent to a target of unknown load.

--- a/crates/core/src/service/sampling.rs
+++ b/crates/core/src/service/sampling.rs
@@ -128,17 +128,18 @@
         }
         let has_time = self.has_time_for_round(now, config, key);
         if state.rounds >= Self::MAX_ROUNDS || !has_time {
-            // Without other waiting calls, a late answer is better than an idle slot.
-            return self.count_waiting() <= 1 || has_time;
+            return has_time || self.is_blind_send_useful(now, key);
         }
         let round = self.send_load_requests(now, config, key, out);
         let is_unanswered =
             best == BestWorkTime::Unknown && self.count_unanswered(now, config) == 0;
-        let is_last_request = round == RequestRound::Sent(0) && self.count_waiting() <= 1;
-        if (round == RequestRound::NoCandidates || is_last_request) && is_unanswered {
-            // Targets that did not answer the load request in time may still work. Without
-            // budget nothing is learned by a wait, and an unknown target is usual more
-            // often than slow.
+        if round == RequestRound::NoCandidates && is_unanswered {
+            // Targets that did not answer the load request in time may still work.
+            return true;
+        }
+        if round == RequestRound::Sent(0) && is_unanswered && self.is_blind_send_useful(now, key) {
+            // Without budget nothing is learned by a wait, and an unknown target is usual
+            // more often than slow.
             return true;
         }
         // If no load request could be sent, the work times may still change.
@@ -215,6 +216,19 @@
         (until > now).then_some(until)
     }
 
+    /// Returns true if a send to a target of unknown load is better than a further wait.
+    ///
+    /// Without other waiting calls, a late answer is better than an idle slot. While calls
+    /// are turned away there are no idle slots, and such a send would queue at a full
+    /// target; it is made only if this VM uses less than its share.
+    fn is_blind_send_useful(&self, now: Instant, key: CallKey) -> bool {
+        let objective = self.classes[self.calls[key].class].spec.get_objective();
+        let is_turning_away = self
+            .last_refusal
+            .is_some_and(|at| now.saturating_duration_since(at) < objective);
+        self.count_waiting() <= 1 && (!is_turning_away || self.own_total < self.get_fair_share())
+    }
+
     /// Returns the best relative work time among the targets with capacity for the call.
     fn find_best_work_time(&self, now: Instant, config: Sampling, key: CallKey) -> BestWorkTime {
         let context = self.make_scoring_context(now);
--- a/crates/core/tests/sampling.rs
+++ b/crates/core/tests/sampling.rs
@@ -196,6 +196,48 @@
     );
 }
 
+/// Load requests that were not needed are kept for the next seconds, since the few callers
+/// of a VM in a large fleet come in bunches.
+#[test]
+fn budget_saved() {
+    let mut spec = make_sampled_spec(6);
+    spec.probes_per_second = 4;
+    let mut harness = Harness::with_spec(spec);
+    harness.set_fleet(2, 0);
+    let (first, sampled) = arrive_sampled(&mut harness);
+    harness.report_work_percent(sampled[0], 100);
+    assert!(harness.is_sent(first));
+    harness.pause(5_000);
+    for _ in 0..3 {
+        harness.pause(SAMPLE_FRESH_MS + 1);
+        let (call, sampled) = arrive_sampled(&mut harness);
+        assert!(!sampled.is_empty(), "the budget of five seconds is left");
+        harness.report_work_percent(sampled[0], 100);
+        assert!(harness.is_sent(call));
+    }
+}
+
+/// When little of the budget is left, targets are asked one after the other.
+#[test]
+fn last_budget_one_by_one() {
+    let mut spec = make_sampled_spec(6);
+    spec.probes_per_second = 8;
+    let mut harness = Harness::with_spec(spec);
+    harness.set_fleet(2, 0);
+    let (_, sampled) = arrive_sampled(&mut harness);
+    assert_eq!(sampled.len(), 3);
+    harness.report_work_percent(sampled[0], 100);
+    harness.pause(SAMPLE_FRESH_MS + 1);
+    let (call, sampled) = arrive_sampled(&mut harness);
+    assert_eq!(sampled.len(), 1);
+    harness.report_work_percent(sampled[0], 500);
+    assert_eq!(harness.sampled.len(), 4, "nothing of the budget is left");
+    assert!(
+        harness.is_sent(call),
+        "without budget and without others that wait, the call does not wait either"
+    );
+}
+
 #[test]
 fn no_sampling_configured() {
     let mut harness = Harness::new(3, 2);
