--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 mod event;
 mod ledger;
 mod membership;
+mod memory;
 mod probe;
 mod quarantine;
 mod revision;
@@ -24,9 +25,9 @@
 pub use clock::{Clock, HybridClock, HybridTime};
 pub use code::{ResultCode, RunState};
 pub use discovery::{
-    AppliedRead, Directory, Evacuations, Incarnation, LeavingTargets, PausedTargets, ReadTurn,
-    RefreshTimer, SendCheck, TargetEntry, TargetList, TargetListRead, TargetListUpdate,
-    UpdateContent, UpdateLog, UpdateOutcome,
+    AppliedRead, Directory, EmptiedDomains, Evacuations, Incarnation, LeavingTargets,
+    PausedTargets, ReadTurn, RefreshTimer, SendCheck, TargetEntry, TargetList, TargetListRead,
+    TargetListUpdate, UpdateContent, UpdateLog, UpdateOutcome,
 };
 pub use event::{Event, EventKind, EventRing};
 pub use ledger::{
@@ -37,6 +38,7 @@
     ByteBudget, GossipState, Heartbeat, HeartbeatSummary, Membership, NoticeQueue, PeerState,
     PeerView, PlatformState, RoundPeers, StallDetector, TargetNotice, TargetNotices,
 };
+pub use memory::{HolderKey, HolderPhase, MemoryAccount, MemoryBudget, MemoryDecision};
 pub use probe::{ProbeBudget, is_probe_owner};
 pub use quarantine::{CrashRecord, Quarantine, QuarantineChange};
 pub use revision::{
@@ -56,4 +58,7 @@
     RouteMatch, Sampling, ServiceSpec, TargetSpec, VmName,
 };
 pub use stop_schedule::StopSchedule;
-pub use workspace::{ConfigProof, RateLimit, WorkspaceKey, WorkspaceSpec, WorkspaceTable};
+pub use workspace::{
+    ConfigProof, Proofs, RateLimit, StoreClock, StoreTime, WorkspaceFault, WorkspaceKey,
+    WorkspaceSpec, WorkspaceTable, parse_credential,
+};
--- a/crates/core/src/service/admission/decide.rs
+++ b/crates/core/src/service/admission/decide.rs
@@ -63,7 +63,11 @@
         call: &Call,
     ) -> Option<ResultCode> {
         if !self.targets.iter().any(Target::is_usable) {
-            return Some(ResultCode::NoTarget);
+            return Some(if self.is_emptied() {
+                ResultCode::DomainsEmptied
+            } else {
+                ResultCode::NoTarget
+            });
         }
         let class = &self.classes[call.class];
         if class.is_full() {
--- a/crates/core/src/service/calls.rs
+++ b/crates/core/src/service/calls.rs
@@ -2,6 +2,7 @@
 
 use super::class::{Class, QueueEntry};
 use super::records::{Call, CallState};
+use super::target::Target;
 use super::{Arrival, CallKey, ClassKey, Output, Service};
 use crate::ResultCode;
 use std::time::{Duration, Instant};
@@ -120,7 +121,38 @@
         is_removed
     }
 
+    /// Returns true if operators have emptied the failure domains of all targets that could
+    /// be used.
+    pub fn is_emptied(&self) -> bool {
+        let mut targets = self.targets.iter();
+        !targets.clone().any(Target::is_usable) && targets.any(Target::is_held_by_evacuation)
+    }
+
+    /// Refuses all waiting calls: how long their targets get nothing is not known.
+    fn refuse_emptied(&mut self, out: &mut Vec<Output>) {
+        let mut position = 0;
+        while let Some(key) = self.classes.get_key(position) {
+            while let Some(front) = self.classes[key].pop_front() {
+                let Some(call) = self.calls.get(front.call) else {
+                    continue;
+                };
+                self.turns.give_back(call.workspace, call.turn);
+                let may_have_run = call.may_have_run;
+                let code = if may_have_run {
+                    ResultCode::AttemptFailed
+                } else {
+                    ResultCode::DomainsEmptied
+                };
+                self.refuse(front.call, code, out);
+            }
+            position += 1;
+        }
+    }
+
     pub(super) fn expire(&mut self, now: Instant, out: &mut Vec<Output>) {
+        if self.count_waiting() > 0 && self.is_emptied() {
+            self.refuse_emptied(out);
+        }
         let pause_left = self.get_pause_left(now);
         let mut position = 0;
         while let Some(key) = self.classes.get_key(position) {
--- a/crates/daemon/src/gateway/call.rs
+++ b/crates/daemon/src/gateway/call.rs
@@ -80,7 +80,7 @@
             kind: cx.kind,
             deadline: cx.deadline,
             time_left: cx.request.time_left,
-            is_replayable: true,
+            is_replayable: !cx.request.body.is_flowing(),
             workspace: cx.workspace,
         };
         let (key, rx) = cx.service.arrive(arrival);
--- a/crates/testkit/src/gateway/target.rs
+++ b/crates/testkit/src/gateway/target.rs
@@ -42,6 +42,9 @@
     time_left_ms: u64,
     /// Path and query.
     request_target: String,
+    /// Names, in lower case, and values.
+    headers: Vec<(String, String)>,
+    body: Vec<u8>,
     started_at: Instant,
 }
 
@@ -153,6 +156,13 @@
         runs.iter().filter(|run| run.id == id).count()
     }
 
+    /// Returns the body of the request with the id, `None` if it did not run.
+    pub fn get_body(&self, id: &str) -> Option<Vec<u8>> {
+        let runs = self.shared.runs.lock();
+        let run = runs.iter().find(|run| run.id == id)?;
+        Some(run.body.clone())
+    }
+
     /// Returns how many requests the target ran.
     pub fn count_all_runs(&self) -> usize {
         self.shared.runs.lock().len()
@@ -166,6 +176,16 @@
         Some(Duration::from_millis(run.time_left_ms))
     }
 
+    /// Returns the values of a header that the request with the id had when it ran; `name`
+    /// is in lower case.
+    pub fn get_header_values(&self, id: &str, name: &str) -> Vec<String> {
+        let runs = self.shared.runs.lock();
+        let run = runs.iter().find(|run| run.id == id);
+        let headers = run.map_or(&[][..], |run| &run.headers);
+        let found = headers.iter().filter(|(key, _)| key == name);
+        found.map(|(_, value)| value.clone()).collect()
+    }
+
     /// Returns the path and query of each run, in order.
     pub fn get_paths(&self) -> Vec<String> {
         let runs = self.shared.runs.lock();
@@ -259,13 +279,67 @@
 async fn serve(stream: TcpStream, shared: Arc<Shared>) {
     let mut messages = MessageStream::new(stream);
     let mut last = String::new();
-    while let Ok(Some(request)) = messages.read().await {
+    while let Ok(Some(mut request)) = messages.read_head().await {
+        let is_early = is_early(&request, &shared);
+        if is_early && !answer_early(&mut messages, &request, &shared).await {
+            return;
+        }
+        let is_read = messages.read_body(&mut request).await.is_ok();
+        if !is_read || !request.is_complete {
+            // No server runs it.
+            if !is_early {
+                record_arrival(&request, &shared);
+            }
+            shared.cancelled.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
+        if is_early {
+            continue;
+        }
         if !answer(&mut messages, &request, &shared, &mut last).await {
             return;
         }
     }
 }
 
+fn record_arrival(request: &Message, shared: &Shared) {
+    let id = request.get("gentianridge-attempt-id").unwrap_or_default();
+    shared.arrivals.lock().push(id.to_owned());
+}
+
+/// Returns true if the target answers the request before it reads the body.
+fn is_early(request: &Message, shared: &Shared) -> bool {
+    let behavior = *shared.behavior.lock();
+    let is_early = matches!(
+        behavior,
+        TargetBehavior::EarlyAnswer | TargetBehavior::EarlyRefusal
+    );
+    is_early && !request.start_line.starts_with("GET /health ")
+}
+
+/// Time from an early answer until the target reads the body.
+const LATE_READ: Duration = Duration::from_millis(200);
+
+/// Answers a request before its body is read; returns false if the connection has to be
+/// closed.
+async fn answer_early(messages: &mut MessageStream, request: &Message, shared: &Shared) -> bool {
+    let id = request.get("gentianridge-attempt-id").unwrap_or_default();
+    record_arrival(request, shared);
+    let echo = make_echo(shared, id);
+    let is_refusal = *shared.behavior.lock() == TargetBehavior::EarlyRefusal;
+    let text = if is_refusal {
+        reply(503, &format!("{echo}gentianridge-not-executed: 1\r\n"), "")
+    } else {
+        let signed = format!("{echo}gentianridge-response-signature: {}\r\n", shared.id);
+        reply(200, &signed, "early")
+    };
+    if messages.write(text.as_bytes()).await.is_err() {
+        return false;
+    }
+    tokio::time::sleep(LATE_READ).await;
+    true
+}
+
 /// Writes a refusal and keeps it in `last`, if the target sends it once more later.
 async fn refuse(
     messages: &mut MessageStream,
@@ -334,7 +408,7 @@
         let text = reply(421, &format!("gentianridge-attempt-id: {id}\r\n"), "");
         return messages.write(text.as_bytes()).await.is_ok();
     }
-    shared.arrivals.lock().push(id.to_owned());
+    record_arrival(request, shared);
     let behavior = *shared.behavior.lock();
     let echo = make_echo(shared, id);
     let signed = format!("{echo}gentianridge-response-signature: {}\r\n", shared.id);
@@ -370,6 +444,7 @@
         TargetBehavior::Unsigned => reply(200, &echo, &body),
         TargetBehavior::PlainRefusal => reply(503, &echo, &body),
         TargetBehavior::LargeBody => reply(200, &signed, &"x".repeat(FakeTarget::LARGE_BODY)),
+        TargetBehavior::SizedBody(size) => reply(200, &signed, &"x".repeat(size)),
         TargetBehavior::TruncatedLargeBody => {
             let complete = reply(200, &signed, &"x".repeat(FakeTarget::LARGE_BODY));
             let part = &complete.as_bytes()[..FakeTarget::LARGE_BODY / 8];
@@ -402,9 +477,11 @@
             return false;
         }
         TargetBehavior::DuplicateAnswer => reply(200, &signed, &body).repeat(2),
-        TargetBehavior::Normal | TargetBehavior::NotRun | TargetBehavior::Silent => {
-            reply(status, &signed, &body)
-        }
+        TargetBehavior::Normal
+        | TargetBehavior::NotRun
+        | TargetBehavior::Silent
+        | TargetBehavior::EarlyAnswer
+        | TargetBehavior::EarlyRefusal => reply(status, &signed, &body),
     };
     let copies = *shared.late_copies.lock();
     if copies == LateCopies::BeforeLoadAnswers {
@@ -458,6 +535,8 @@
             .nth(1)
             .unwrap_or_default()
             .into(),
+        headers: request.headers.clone(),
+        body: request.body.clone(),
         started_at: Instant::now(),
     });
     shared.running.fetch_add(1, Ordering::Relaxed);
