feat(core): late calls give way while the service turns others away

Change: a late call is refused at once (2008) if this VM uses its share of the slots and has turned away, within the last objective, a call that could have been in time. The same condition bounds blind sends. Refusals are counted by service, kind and code. Tests: late_gives_way in crates/core/tests/admission.rs fails without the change.

--- a/crates/core/src/service/admission/decide.rs
+++ b/crates/core/src/service/admission/decide.rs
@@ -78,6 +78,9 @@
         if !pause_left.is_zero() && now + pause_left + expected > call.useful_until {
             return Some(ResultCode::TargetsPaused);
         }
+        if call.is_late && self.is_short_of_room(now, class) {
+            return Some(ResultCode::GaveWay);
+        }
         let wait = self.estimate_wait(now, class, call.make_rank(expected));
         if !is_hopeless(now, class, wait, call.useful_until) {
             return None;
@@ -89,6 +92,26 @@
         }
     }
 
+    /// Returns true if this VM uses its share of the slots and has turned calls away within
+    /// the last objective of the class.
+    ///
+    /// A slot that becomes free then belongs to a call that can be in time, also to one that
+    /// arrives in a moment or at another VM.
+    pub(in super::super) fn is_short_of_room(&self, now: Instant, class: &Class) -> bool {
+        let objective = class.spec.get_objective();
+        self.last_turned_away
+            .is_some_and(|at| now.saturating_duration_since(at) < objective)
+            && self.own_total >= self.get_fair_share()
+    }
+
+    /// Records that a call was refused for want of room.
+    pub(in super::super) fn note_refusal(&mut self, now: Instant, is_late: bool) {
+        self.last_refusal = Some(now);
+        if !is_late {
+            self.last_turned_away = Some(now);
+        }
+    }
+
     /// Refuses the waiting calls that cannot be answered in time any more, the last one of
     /// the order first, so that their callers can use the time that they have left.
     pub(in super::super) fn refuse_hopeless(
@@ -129,7 +152,8 @@
         } else {
             code
         };
-        self.last_refusal = Some(now);
+        let is_late = call.is_late;
+        self.note_refusal(now, is_late);
         self.refuse(key, code, out);
     }
 }
--- a/crates/core/src/service/calls.rs
+++ b/crates/core/src/service/calls.rs
@@ -23,9 +23,10 @@
         }
         let call = self.make_call(now, arrival, class_key);
         let refusal = self.check_admission(now, &call);
+        let is_late = call.is_late;
         let key = self.calls.insert(call);
         if let Some(code) = refusal {
-            self.last_refusal = Some(now);
+            self.note_refusal(now, is_late);
             self.refuse(key, code, out);
             return key;
         }
@@ -176,7 +177,6 @@
             return;
         };
         self.turns.give_back(call.workspace, call.turn);
-        self.last_refusal = Some(now);
         let code = if call.may_have_run {
             ResultCode::AttemptFailed
         } else if call.is_cut_short() {
@@ -186,6 +186,8 @@
         } else {
             ResultCode::TargetsPaused
         };
+        let is_late = call.is_late;
+        self.note_refusal(now, is_late);
         self.refuse(key, code, out);
     }
 
--- a/crates/core/src/service/machine.rs
+++ b/crates/core/src/service/machine.rs
@@ -78,6 +78,8 @@
     pub(super) last_short_arrival: Option<Instant>,
     /// Time of the last refusal, which its caller may answer with another attempt.
     pub(super) last_refusal: Option<Instant>,
+    /// Time of the last refusal of a call that could have been in time.
+    pub(super) last_turned_away: Option<Instant>,
     /// Turns of workspaces at a full service.
     pub(super) turns: Turns,
     /// Schedule of the planned stop of the VM, after its signal.
@@ -112,6 +114,7 @@
             short_demand: ShortDemand::new(),
             last_short_arrival: None,
             last_refusal: None,
+            last_turned_away: None,
             turns: Turns::default(),
             stop: None,
             spec,
--- a/crates/core/src/service/sampling.rs
+++ b/crates/core/src/service/sampling.rs
@@ -222,11 +222,8 @@
     /// are turned away there are no idle slots, and such a send would queue at a full
     /// target; it is made only if this VM uses less than its share.
     fn is_blind_send_useful(&self, now: Instant, key: CallKey) -> bool {
-        let objective = self.classes[self.calls[key].class].spec.get_objective();
-        let is_turning_away = self
-            .last_refusal
-            .is_some_and(|at| now.saturating_duration_since(at) < objective);
-        self.count_waiting() <= 1 && (!is_turning_away || self.own_total < self.get_fair_share())
+        let class = &self.classes[self.calls[key].class];
+        self.count_waiting() <= 1 && !self.is_short_of_room(now, class)
     }
 
     /// Returns the best relative work time among the targets with capacity for the call.
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -92,6 +92,30 @@
     assert!(!harness.is_sent(returned));
 }
 
+/// While the service turns calls away that could have been in time, a late one does not
+/// even wait for the next slot.
+#[test]
+fn late_gives_way() {
+    let mut harness = Harness::with_spec(make_full_spec(1));
+    for _ in 0..20 {
+        let sent = send_stating(&mut harness, PATIENCE_MS);
+        harness.advance(WORK_MS);
+        harness.answer(sent);
+    }
+    let running = send_stating(&mut harness, PATIENCE_MS);
+    let calls = [(); 8].map(|()| harness.arrive_stating(SHORT, PATIENCE_MS));
+    assert!(calls.iter().any(|call| harness.get_code(*call).is_some()));
+    for call in calls {
+        harness.cancel(call);
+    }
+    let late = harness.arrive_stating(SHORT, PATIENCE_MS - 1_000);
+    assert_eq!(harness.get_code(late), Some(ResultCode::GaveWay));
+    harness.advance(WORK_MS);
+    harness.answer(running);
+    let late = harness.arrive_stating(SHORT, PATIENCE_MS - 1_000);
+    assert!(harness.is_sent(late), "a free slot is used");
+}
+
 /// Callers that differ in how long they wait are not taken for ones that come back.
 #[test]
 fn unlike_patience() {
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -84,6 +84,10 @@
         Ok((answer, slot)) => Ok(answer.into_response(slot, activity)),
         Err(code) => {
             gateway.metrics.record_refusal(code);
+            let kind = decision.kind.as_str();
+            gateway
+                .metrics
+                .record_turned_away(&decision.service.name, kind, code);
             Ok(make_refusal(code, Some(get_retry_after(&cx, code))))
         }
     }
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -25,6 +25,7 @@
     attempts: Histogram<f64>,
     sends: Counter<u64>,
     refusals: Counter<u64>,
+    turned_away: Counter<u64>,
     connections: Counter<u64>,
     samples: Counter<u64>,
     store_calls: Counter<u64>,
@@ -72,6 +73,11 @@
             ),
             sends: counter(&meter, "gentianridge.attempts", "Attempts by kind"),
             refusals: counter(&meter, "gentianridge.refusals", "Refusals by result code"),
+            turned_away: counter(
+                &meter,
+                "gentianridge.turned.away",
+                "Requests that a service refused, by service, kind and result code",
+            ),
             connections: counter(
                 &meter,
                 "gentianridge.connections",
@@ -208,6 +214,16 @@
             .add(1, &[KeyValue::new("code", i64::from(code.number()))]);
     }
 
+    /// Counts a request that its service refused.
+    pub(crate) fn record_turned_away(&self, service: &str, kind: &'static str, code: ResultCode) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("kind", kind),
+            KeyValue::new("code", i64::from(code.number())),
+        ];
+        self.turned_away.add(1, &labels);
+    }
+
     pub(crate) fn record_connection(&self, use_: &'static str) {
         self.connections.add(1, &[KeyValue::new("use", use_)]);
     }
