perf(core): free slots are counted only where they decide

Cause: the order of admission counted the free slots of all targets up to five times in one cycle of report, answer, dispatch and arrival. Change: they are counted only for a call that would be refused if no slot were free. Behaviour is unchanged (all tests of the core).

--- a/crates/core/src/service/admission/decide.rs
+++ b/crates/core/src/service/admission/decide.rs
@@ -4,6 +4,7 @@
 use super::super::records::Call;
 use super::super::target::Target;
 use super::super::{Arrival, CallKey, ClassKey, Output, Service};
+use super::order::Ahead;
 use crate::{ClassKind, ResultCode};
 use std::time::{Duration, Instant};
 
@@ -81,8 +82,8 @@
         if call.is_late && self.is_short_of_room(now, class) {
             return Some(ResultCode::GaveWay);
         }
-        let wait = self.estimate_wait(now, class, call.make_rank(expected));
-        if !is_hopeless(now, class, wait, call.useful_until) {
+        let ahead = self.count_ahead(class, call.make_rank(expected));
+        if !self.is_hopeless(now, class, ahead, call.useful_until) {
             return None;
         }
         if call.is_cut_short() {
@@ -112,6 +113,22 @@
         }
     }
 
+    /// Returns true if a call of the class cannot be answered while the answer is useful.
+    ///
+    /// The slots that are free are counted only where they decide, since that takes a pass
+    /// over the targets.
+    fn is_hopeless(&self, now: Instant, class: &Class, ahead: Ahead, due: Instant) -> bool {
+        let queued = class.get_queued_time();
+        if now + self.get_longest_wait(class, ahead) + queued <= due {
+            return false;
+        }
+        let wait = self.estimate_wait_behind(now, class, ahead);
+        if wait.is_zero() {
+            return now + class.get_expected_time() > due;
+        }
+        now + wait + queued > due
+    }
+
     /// Refuses the waiting calls that cannot be answered in time any more, the last one of
     /// the order first, so that their callers can use the time that they have left.
     pub(in super::super) fn refuse_hopeless(
@@ -125,8 +142,8 @@
             let Some(last) = class.back() else {
                 return;
             };
-            let wait = self.estimate_last_wait(now, class);
-            if wait.is_zero() || !is_hopeless(now, class, wait, last.due) {
+            let ahead = self.count_ahead_of_last(class);
+            if !ahead.is_any() || !self.is_hopeless(now, class, ahead, last.due) {
                 return;
             }
             self.refuse_waiting(now, last.call, code, out);
@@ -158,17 +175,6 @@
     }
 }
 
-/// Returns true if a call of the class that waits this long cannot be answered while the
-/// answer is useful.
-fn is_hopeless(now: Instant, class: &Class, wait: Duration, due: Instant) -> bool {
-    let work = if wait.is_zero() {
-        class.get_expected_time()
-    } else {
-        class.get_queued_time()
-    };
-    now + wait + work > due
-}
-
 impl Class {
     /// Returns true if the class holds work that can wait.
     pub(in super::super) fn is_background(&self) -> bool {
--- a/crates/core/src/service/admission/order.rs
+++ b/crates/core/src/service/admission/order.rs
@@ -40,38 +40,57 @@
         class: &Class,
         rank: Rank,
     ) -> Duration {
-        let is_background = class.is_background();
+        let ahead = self.count_ahead(class, rank);
+        self.estimate_wait_behind(now, class, ahead)
+    }
+
+    /// Returns the waiting calls that go before a new one of the class with the rank.
+    pub(super) fn count_ahead(&self, class: &Class, rank: Rank) -> Ahead {
         let mut ahead = Ahead::default();
-        for (_, other) in self.iter_waiting(is_background) {
+        for (_, other) in self.iter_waiting(class.is_background()) {
             let count = count_before(other, class.spec.priority, rank);
             ahead.add(count, other.answer_times.get_hold_time());
         }
-        self.estimate_wait_behind(now, is_background, ahead)
+        ahead
     }
 
-    /// Estimates how long the last waiting call of all waits, which belongs to the class.
-    pub(super) fn estimate_last_wait(&self, now: Instant, class: &Class) -> Duration {
-        let is_background = class.is_background();
+    /// Returns the waiting calls that go before the last one of all, which belongs to the
+    /// class.
+    pub(super) fn count_ahead_of_last(&self, class: &Class) -> Ahead {
         let mut ahead = Ahead::default();
-        for (_, other) in self.iter_waiting(is_background) {
+        for (_, other) in self.iter_waiting(class.is_background()) {
             let own = usize::from(std::ptr::eq(other, class));
             ahead.add(other.len() - own, other.answer_times.get_hold_time());
         }
-        self.estimate_wait_behind(now, is_background, ahead)
+        ahead
     }
 
-    fn estimate_wait_behind(&self, now: Instant, is_background: bool, ahead: Ahead) -> Duration {
-        let Ahead { calls, work } = ahead;
-        if calls == 0 {
-            return Duration::ZERO;
+    /// Estimates how long a call of the class waits behind others.
+    pub(super) fn estimate_wait_behind(
+        &self,
+        now: Instant,
+        class: &Class,
+        ahead: Ahead,
+    ) -> Duration {
+        let longest = self.get_longest_wait(class, ahead);
+        if longest.is_zero() || class.is_background() {
+            return longest;
         }
-        if is_background {
-            let slots: u32 = self.targets.iter().map(|t| u32::from(t.long_share)).sum();
-            return work / slots.max(1);
+        let delayed = ahead.calls.saturating_sub(self.count_free_slots(now));
+        longest.mul_f32(delayed as f32 / ahead.calls as f32)
+    }
+
+    /// Returns the wait of a call of the class behind others if no slot is free.
+    pub(super) fn get_longest_wait(&self, class: &Class, ahead: Ahead) -> Duration {
+        if ahead.calls == 0 {
+            return Duration::ZERO;
         }
-        let delayed = calls.saturating_sub(self.count_free_slots(now));
-        let slots = self.own_total.max(self.get_fair_share()).max(1);
-        work.mul_f32(delayed as f32 / calls as f32) / slots
+        let slots = if class.is_background() {
+            self.targets.iter().map(|t| u32::from(t.long_share)).sum()
+        } else {
+            self.own_total.max(self.get_fair_share())
+        };
+        ahead.work / slots.max(1)
     }
 
     /// Estimates the slots of all targets that no VM uses now.
@@ -99,13 +118,18 @@
 
 /// Waiting calls that go before another one.
 #[derive(Debug, Clone, Copy, Default)]
-struct Ahead {
+pub(super) struct Ahead {
     calls: usize,
     /// Time for which they occupy a slot, in total.
     work: Duration,
 }
 
 impl Ahead {
+    /// Returns true if any call goes before.
+    pub(super) fn is_any(self) -> bool {
+        self.calls > 0
+    }
+
     fn add(&mut self, calls: usize, hold_time: Duration) {
         self.calls += calls;
         self.work += hold_time * calls as u32;
