--- a/crates/core/src/discovery/list.rs
+++ b/crates/core/src/discovery/list.rs
@@ -1,8 +1,8 @@
 //! The target list of one VM, from its own reads and from peers' updates.
 
 use super::{
-    Directory, EmptiedDomains, Evacuations, Incarnation, ReadTurn, RefreshTimer, TargetEntry,
-    TargetListRead, TargetListUpdate, UpdateContent, UpdateOutcome,
+    Directory, EmptiedDomains, Incarnation, ReadTurn, RefreshTimer, TargetEntry, TargetListRead,
+    TargetListUpdate, UpdateContent, UpdateOutcome,
 };
 use crate::TargetSpec;
 use smol_str::SmolStr;
@@ -43,12 +43,14 @@
 /// docs/decisions/0018-leaving-targets.md has the reasons.
 #[derive(Debug)]
 pub struct TargetList {
-    directory: Directory,
+    pub(super) directory: Directory,
     refresh_timer: RefreshTimer,
     /// True if the list lacks a change that no incremental read is certain to
     /// contain.
     has_diverged: bool,
-    emptied: EmptiedDomains,
+    pub(super) emptied: EmptiedDomains,
+    /// True if a service has a rate for cold targets.
+    pub(super) has_cold_rates: bool,
 }
 
 /// Construction and timer.
@@ -60,6 +62,7 @@
             refresh_timer: RefreshTimer::new(bound),
             has_diverged: false,
             emptied: EmptiedDomains::default(),
+            has_cold_rates: false,
         }
     }
 
@@ -136,7 +139,10 @@
             removed.retain(|id| directory.is_listed(id));
             self.has_diverged = false;
         }
-        let is_change = |entry: &&TargetEntry| directory.is_change(entry);
+        let has_cold_rates = self.has_cold_rates;
+        let is_change = |entry: &&TargetEntry| {
+            directory.is_change(entry) || (has_cold_rates && directory.is_cold_again(now, entry))
+        };
         let mut update = TargetListUpdate {
             version: read.version,
             age: now.saturating_duration_since(sent_at),
@@ -241,8 +247,9 @@
 
     /// Returns the complete list for a peer, `None` as long as there is none.
     pub fn make_full_update(&self, now: Instant) -> Option<TargetListUpdate> {
-        let entries = self.directory.get_listed_entries();
+        let mut entries = self.directory.get_listed_entries();
         debug_assert_eq!(sum_digests(&entries), self.get_digest());
+        self.update_cold_left(now, &mut entries);
         Some(TargetListUpdate {
             version: self.get_version()?,
             age: self.get_age(now)?,
@@ -274,6 +281,7 @@
     fn apply(&mut self, now: Instant, update: &TargetListUpdate, changed: &mut Vec<SmolStr>) {
         for entry in &update.entries {
             self.directory.put(entry.clone(), changed);
+            self.directory.record_cold(now, entry, changed);
         }
         for id in &update.removed {
             self.directory.remove(now, id, changed);
@@ -300,32 +308,6 @@
         targets
     }
 
-    /// Applies a set of emptied failure domains that this VM read or a peer sent; returns
-    /// true if it changes any domain.
-    pub fn apply_evacuations(
-        &mut self,
-        now: Instant,
-        evacuations: Evacuations,
-        changed: &mut Vec<SmolStr>,
-    ) -> bool {
-        let Some(domains) = self.emptied.apply(now, evacuations) else {
-            return false;
-        };
-        self.directory.collect_services(&domains, changed);
-        !domains.is_empty()
-    }
-
-    /// Returns what this VM knows of emptied failure domains.
-    pub fn get_emptied(&self) -> &EmptiedDomains {
-        &self.emptied
-    }
-
-    /// Returns true if the failure domain of an incarnation is emptied.
-    pub fn is_emptied(&self, incarnation: &Incarnation) -> bool {
-        let domain = self.directory.get_domain(incarnation);
-        domain.is_some_and(|domain| self.emptied.get().contains(domain))
-    }
-
     /// Checks whether a request may be sent to a target now.
     ///
     /// The check belongs directly before the send: the request may have waited
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod clock;
 mod code;
+mod cold;
 mod discovery;
 mod event;
 mod ledger;
@@ -24,6 +25,7 @@
 
 pub use clock::{Clock, HybridClock, HybridTime};
 pub use code::{ResultCode, RunState};
+pub use cold::{ColdBudget, ColdFleet, ColdPlan, ColdState};
 pub use discovery::{
     AppliedRead, Directory, EmptiedDomains, Evacuations, Incarnation, LeavingTargets,
     PausedTargets, ReadTurn, RefreshTimer, SendCheck, TargetEntry, TargetList, TargetListRead,
@@ -59,6 +61,7 @@
 };
 pub use stop_schedule::StopSchedule;
 pub use workspace::{
-    ConfigProof, Proofs, RateLimit, StoreClock, StoreTime, WorkspaceFault, WorkspaceKey,
+    Admission, ConfigProof, FleetLimits, LimitMember, LimitMessage, LimitTerms, Proofs, RateLimit,
+    SpentToken, StoreClock, StoreTime, TokenAsk, TokenGrant, WorkspaceFault, WorkspaceKey,
     WorkspaceSpec, WorkspaceTable, parse_credential,
 };
--- a/crates/core/src/service/admission/decide.rs
+++ b/crates/core/src/service/admission/decide.rs
@@ -83,7 +83,8 @@
             return Some(ResultCode::GaveWay);
         }
         let ahead = self.count_ahead(class, call.make_rank(expected));
-        if !self.is_hopeless(now, class, ahead, call.useful_until) {
+        let is_cold_too_long = now + self.get_cold_left(now) + expected > call.useful_until;
+        if !is_cold_too_long && !self.is_hopeless(now, class, ahead, call.useful_until) {
             return None;
         }
         if call.is_cut_short() {
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -2,13 +2,15 @@
 
 use super::memory::MemoryKeeper;
 use super::state::Gateway;
+use super::workspace_labels::WorkspaceLabels;
 use crate::telemetry::{Exposition, LineCounts, counter, gauge, time_histogram};
-use gentianridge_core::{AttemptKind, ResultCode, TargetCondition};
+use gentianridge_core::{AttemptKind, FleetLimits, ResultCode, RunState, TargetCondition};
 use http::StatusCode;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
+use smol_str::SmolStr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -26,6 +28,8 @@
     sends: Counter<u64>,
     refusals: Counter<u64>,
     turned_away: Counter<u64>,
+    workspace_requests: Counter<u64>,
+    workspace_labels: WorkspaceLabels,
     connections: Counter<u64>,
     samples: Counter<u64>,
     store_calls: Counter<u64>,
@@ -39,6 +43,8 @@
     state_bytes: Counter<u64>,
     announcements: Counter<u64>,
     outdated_sends: Counter<u64>,
+    limit_requests: Counter<u64>,
+    limit_states: Gauge<f64>,
     list_due: Gauge<f64>,
     list_age: Gauge<f64>,
     proof_age: Gauge<f64>,
@@ -78,6 +84,12 @@
                 "gentianridge.turned.away",
                 "Requests that a service refused, by service, kind and result code",
             ),
+            workspace_requests: counter(
+                &meter,
+                "gentianridge.workspace.requests",
+                "Requests of each workspace by outcome",
+            ),
+            workspace_labels: WorkspaceLabels::default(),
             connections: counter(
                 &meter,
                 "gentianridge.connections",
@@ -127,6 +139,16 @@
                 "gentianridge.list.outdated.sends",
                 "Requests sent by an outdated list because the store did not answer",
             ),
+            limit_requests: counter(
+                &meter,
+                "gentianridge.limit.requests",
+                "Requests of workspaces with a limit, by outcome",
+            ),
+            limit_states: gauge(
+                &meter,
+                "gentianridge.limit.states",
+                "Workspaces whose limit was used lately",
+            ),
             list_age: gauge(
                 &meter,
                 "gentianridge.list.age",
@@ -209,6 +231,21 @@
         self.attempts.record(took.as_secs_f64(), &labels);
     }
 
+    /// Counts a request of a workspace; `code` is that of a refusal or failure.
+    pub(crate) fn record_workspace(&self, name: &SmolStr, code: Option<ResultCode>) {
+        let outcome = match code.map(ResultCode::run_state) {
+            None => "answered",
+            Some(RunState::NotRun) => "refused",
+            Some(_) => "failed",
+        };
+        let label = self.workspace_labels.get(name).to_string();
+        let labels = [
+            KeyValue::new("workspace", label),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.workspace_requests.add(1, &labels);
+    }
+
     pub(crate) fn record_refusal(&self, code: ResultCode) {
         self.refusals
             .add(1, &[KeyValue::new("code", i64::from(code.number()))]);
@@ -259,6 +296,16 @@
         self.announcements.add(1, &labels);
     }
 
+    /// Counts a request of a workspace with a limit.
+    pub(crate) fn record_limit(&self, workspace: &SmolStr, outcome: &'static str) {
+        let label = self.workspace_labels.get(workspace).to_string();
+        let labels = [
+            KeyValue::new("workspace", label),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.limit_requests.add(1, &labels);
+    }
+
     pub(crate) fn record_outdated_send(&self) {
         self.outdated_sends.add(1, &[]);
     }
@@ -278,6 +325,10 @@
         self.version.record(gateway.get_version() as f64, &[]);
         self.vms
             .record(gateway.peers.count_live(gateway.clock.now()) as f64, &[]);
+        if gateway.limits.read(FleetLimits::is_limiting) {
+            let active = gateway.limits.read(FleetLimits::count_active);
+            self.limit_states.record(active as f64, &[]);
+        }
         let now = gateway.clock.now();
         if let Some(age) = gateway.list.borrow().get_age(now) {
             self.list_age.record(age.as_secs_f64(), &[]);
@@ -343,6 +394,7 @@
                 ("leaving", TargetCondition::Leaving),
                 ("drained", TargetCondition::Drained),
                 ("emptied", TargetCondition::Emptied),
+                ("cold", TargetCondition::Cold),
             ];
             for (name, condition) in conditions {
                 let count = status.iter().filter(|t| t.condition == condition).count();
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! is described in docs/decisions/0013-platform.md.
 
 mod activity;
+mod admission;
 mod announcements;
 mod answer;
 mod attempt;
@@ -12,6 +13,7 @@
 mod body;
 mod call;
 mod callers;
+mod cold;
 mod connections;
 mod counted;
 mod crashes;
@@ -34,6 +36,7 @@
 mod sockets;
 mod state;
 mod targets;
+mod workspace_labels;
 
 pub use run::{run_gateway, run_gateway_until};
 pub use sockets::GatewaySockets;
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -1,5 +1,7 @@
 //! Local state of a daemon on the platform.
 
+use super::admission::WorkspaceLimits;
+use super::cold::ColdOwners;
 use super::connections::ConnectionPool;
 use super::crashes::CRASH_PERIOD;
 use super::list_reader::ListReader;
@@ -40,10 +42,12 @@
     pub(super) was_serving_keys: Cell<bool>,
     pub(super) list: RefCell<TargetList>,
     pub(super) list_reader: ListReader,
+    pub(super) cold_owners: ColdOwners,
     pub(super) update_log: RefCell<UpdateLog>,
     /// The configuration in force as the store holds it, for peers that lack it.
     config_value: RefCell<Option<Bytes>>,
     pub(super) services: RefCell<Vec<ServiceEntry>>,
+    pub(super) limits: WorkspaceLimits,
     pub(super) quarantine: RefCell<Quarantine>,
     /// Schedule of the planned stop, after its signal.
     stop: Cell<Option<StopSchedule>>,
@@ -77,8 +81,8 @@
         Ok(Rc::new(Self {
             store: RefCell::new(store),
             headers: get_header_names(),
+            limits: WorkspaceLimits::new(clock.since_boot(), &settings),
             memory: MemoryKeeper::new(&settings, clock.clone()),
-            clock,
             journal,
             connections: ConnectionPool::default(),
             peers: Peers::new(settings.vm.clone(), settings.domain.clone()),
@@ -88,6 +92,7 @@
             was_serving_keys: Cell::new(true),
             list: RefCell::new(TargetList::new(get_list_bound(&settings))),
             list_reader: ListReader::default(),
+            cold_owners: ColdOwners::new(clock.now()),
             update_log: RefCell::default(),
             config_value: RefCell::new(None),
             services: RefCell::new(Vec::new()),
@@ -96,6 +101,7 @@
             answers_due: CancellationToken::new(),
             loaded: Notify::new(),
             settings: RefCell::new(settings),
+            clock,
         }))
     }
 
@@ -127,6 +133,9 @@
         }
         let bound = get_list_bound(&settings);
         self.list.borrow_mut().set_bound(bound);
+        self.limits.update_quietly(|limits| {
+            limits.set_bound(settings.limit_window, settings.limit_bound);
+        });
         self.memory.apply_settings(&settings);
         *self.settings.borrow_mut() = settings;
         self.apply_all();
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,11 +4,13 @@
 mod announcements;
 mod answers;
 mod classes;
+mod cold_targets;
 mod configuration;
 mod crashes;
 mod discovery;
 mod downloads;
 mod evacuations;
+mod fleet_limits;
 mod flows;
 mod late_requests;
 mod leaving;
