--- a/crates/core/src/service/machine.rs
+++ b/crates/core/src/service/machine.rs
@@ -1,5 +1,6 @@
 //! The state machine of one service.
 
+use super::admission::Turns;
 use super::budget::Budget;
 use super::classes::Classes;
 use super::demand::ShortDemand;
@@ -48,6 +49,7 @@
 ///     class: service.find_class_by_name("lookup").unwrap(),
 ///     kind: ClassKind::Interactive,
 ///     deadline: now + Duration::from_secs(1),
+///     time_left: None,
 ///     is_replayable: true,
 ///     workspace: None,
 /// };
@@ -76,6 +78,12 @@
     pub(super) own_short: u32,
     pub(super) short_demand: ShortDemand,
     pub(super) last_short_arrival: Option<Instant>,
+    /// Time of the last refusal, which its caller may answer with another attempt.
+    pub(super) last_refusal: Option<Instant>,
+    /// Time of the last refusal of a call that could have been in time.
+    pub(super) last_turned_away: Option<Instant>,
+    /// Turns of workspaces at a full service.
+    pub(super) turns: Turns,
     /// Schedule of the planned stop of the VM, after its signal.
     pub(super) stop: Option<StopSchedule>,
     /// How the rate of cold targets is shared, `None` if the service has none.
@@ -110,6 +118,9 @@
             own_short: 0,
             short_demand: ShortDemand::new(),
             last_short_arrival: None,
+            last_refusal: None,
+            last_turned_away: None,
+            turns: Turns::default(),
             stop: None,
             cold_plan: None,
             cold_fleet: ColdFleet::default(),
--- a/crates/core/src/service/sampling.rs
+++ b/crates/core/src/service/sampling.rs
@@ -33,6 +33,9 @@
 
 impl Sampler {
     const WORK_TIME_WEIGHT: f32 = 0.05;
+    /// Longest time whose unused load requests are kept. The bound of the platform holds
+    /// over a day, and the requests of few callers come in bunches.
+    const SAVED_TIME: Duration = Duration::from_secs(10);
 
     /// Records the relative work time of one report.
     pub(super) fn record_work_time(&mut self, percent: u16) {
@@ -42,13 +45,21 @@
 
     /// Consumes up to `wanted` load requests from the budget and returns their number.
     ///
-    /// The budget holds at most the load requests of one second.
+    /// The budget holds at most the load requests of `SAVED_TIME`. While it holds less than
+    /// those of a second, targets are asked one after the other: most of the time the first
+    /// one has a usual work time, and the others would be asked in vain.
     fn consume(&mut self, now: Instant, per_second: f32, wanted: usize) -> usize {
         let passed = self.refilled.map_or(Duration::from_secs(1), |at| {
             now.saturating_duration_since(at)
         });
         self.refilled = Some(now);
-        self.tokens = (self.tokens + per_second * passed.as_secs_f32()).min(per_second);
+        let most = per_second * Self::SAVED_TIME.as_secs_f32();
+        self.tokens = (self.tokens + per_second * passed.as_secs_f32()).min(most);
+        let wanted = if self.tokens < per_second {
+            wanted.min(1)
+        } else {
+            wanted
+        };
         let granted = wanted.min(self.tokens as usize);
         self.tokens -= granted as f32;
         granted
@@ -120,8 +131,7 @@
         }
         let has_time = self.has_time_for_round(now, config, key);
         if state.rounds >= Self::MAX_ROUNDS || !has_time {
-            // Without other waiting calls, a late answer is better than an idle slot.
-            return self.count_waiting() <= 1 || has_time;
+            return has_time || self.is_blind_send_useful(now, key);
         }
         let round = self.send_load_requests(now, config, key, out);
         let is_unanswered =
@@ -130,6 +140,11 @@
             // Targets that did not answer the load request in time may still work.
             return true;
         }
+        if round == RequestRound::Sent(0) && is_unanswered && self.is_blind_send_useful(now, key) {
+            // Without budget nothing is learned by a wait, and an unknown target is usual
+            // more often than slow.
+            return true;
+        }
         // If no load request could be sent, the work times may still change.
         let is_paused = matches!(round, RequestRound::NoCandidates | RequestRound::Sent(0));
         let pause = if is_paused {
@@ -204,6 +219,16 @@
         (until > now).then_some(until)
     }
 
+    /// Returns true if a send to a target of unknown load is better than a further wait.
+    ///
+    /// Without other waiting calls, a late answer is better than an idle slot. While calls
+    /// are turned away there are no idle slots, and such a send would queue at a full
+    /// target; it is made only if this VM uses less than its share.
+    fn is_blind_send_useful(&self, now: Instant, key: CallKey) -> bool {
+        let class = &self.classes[self.calls[key].class];
+        self.count_waiting() <= 1 && !self.is_short_of_room(now, class)
+    }
+
     /// Returns the best relative work time among the targets with capacity for the call.
     fn find_best_work_time(&self, now: Instant, config: Sampling, key: CallKey) -> BestWorkTime {
         let context = self.make_scoring_context(now);
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -111,6 +111,10 @@
         Ok((answer, slot)) => Ok(answer.into_response(slot, activity)),
         Err(code) => {
             gateway.metrics.record_refusal(code);
+            let kind = decision.kind.as_str();
+            gateway
+                .metrics
+                .record_turned_away(&decision.service.name, kind, code);
             if let Some(permit) = permit.filter(|_| code.run_state() == RunState::NotRun) {
                 permit.give_back();
             }
--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -138,6 +138,7 @@
                 class,
                 kind,
                 deadline: now + Duration::from_secs(60),
+                time_left: None,
                 is_replayable: true,
                 workspace: None,
             };
@@ -191,6 +192,7 @@
             class,
             kind,
             deadline: now + Duration::from_secs(1),
+            time_left: None,
             is_replayable: true,
             workspace: None,
         };
