--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,9 +25,9 @@
 pub use clock::{Clock, HybridClock, HybridTime};
 pub use code::{ResultCode, RunState};
 pub use discovery::{
-    AppliedRead, Directory, Evacuations, Incarnation, LeavingTargets, PausedTargets, ReadTurn,
-    RefreshTimer, SendCheck, TargetEntry, TargetList, TargetListRead, TargetListUpdate,
-    UpdateContent, UpdateLog, UpdateOutcome,
+    AppliedRead, Directory, EmptiedDomains, Evacuations, Incarnation, LeavingTargets,
+    PausedTargets, ReadTurn, RefreshTimer, SendCheck, TargetEntry, TargetList, TargetListRead,
+    TargetListUpdate, UpdateContent, UpdateLog, UpdateOutcome,
 };
 pub use event::{Event, EventKind, EventRing};
 pub use ledger::{
@@ -58,4 +58,7 @@
     RouteMatch, Sampling, ServiceSpec, TargetSpec, VmName,
 };
 pub use stop_schedule::StopSchedule;
-pub use workspace::{ConfigProof, RateLimit, WorkspaceKey, WorkspaceSpec, WorkspaceTable};
+pub use workspace::{
+    ConfigProof, Proofs, RateLimit, StoreClock, StoreTime, WorkspaceFault, WorkspaceKey,
+    WorkspaceSpec, WorkspaceTable, parse_credential,
+};
--- a/crates/daemon/src/gateway/peers/gossip.rs
+++ b/crates/daemon/src/gateway/peers/gossip.rs
@@ -69,6 +69,7 @@
             }
             next_routine = now + ROUND_INTERVAL;
             update_members(&self.gateway, now);
+            self.gateway.check_proof();
             self.send_round(now, RoundKind::Routine);
         }
     }
@@ -85,7 +86,9 @@
         datagram.leaving = self.gateway.peers.leaving.borrow_mut().next_round();
         datagram.paused = self.gateway.peers.paused.borrow_mut().next_round();
         datagram.list = self.gateway.peers.next_list_update(now);
-        let has_news = datagram.list.is_some() || !datagram.leaving.is_empty();
+        let has_news = self.gateway.peers.next_evacuation_round()
+            || datagram.list.is_some()
+            || !datagram.leaving.is_empty();
         let kind = if has_news { RoundKind::Urgent } else { kind };
         let bytes = encode_within_limit(&mut datagram);
         for addr in round.peers {
@@ -161,6 +164,9 @@
         if is_change {
             update_members(gateway, now);
         }
+        if let Some(evacuations) = datagram.evacuations {
+            gateway.apply_evacuations(evacuations, "peer");
+        }
         gateway.apply_crash_records(&datagram.crashes);
         for digest in datagram.leaving {
             gateway.record_leaving(digest, "peer");
@@ -173,6 +179,7 @@
         if let Some(update) = datagram.list.filter(|_| !has_backlog) {
             apply_list_update(gateway, update, addr);
         }
+        gateway.adopt_proof(datagram.proof);
         gateway.peers.record_config_holder(revision, addr);
         gateway.peers.record_version(datagram.newest_revision);
         if datagram.is_hello {
@@ -205,8 +212,8 @@
         list: None,
         leaving: Vec::new(),
         paused: Vec::new(),
-        evacuations: None,
-        proof: None,
+        evacuations: gateway.list.borrow().get_emptied().get_message(),
+        proof: gateway.get_proof(),
         peers,
         summaries,
     }
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -4,6 +4,7 @@
 use super::memory::ConnectionMemory;
 use super::state::Gateway;
 use crate::caller::headers::{copy_end_to_end, get_text};
+use gentianridge_adapter::HeaderNames;
 use gentianridge_core::ResultCode;
 use http::{HeaderMap, HeaderValue, Method, Request, Uri, header};
 use hyper::body::Incoming;
@@ -65,6 +66,17 @@
         })
     }
 
+    /// Replaces the caller's key and whatever it says of its workspace by the name of the
+    /// workspace that holds the key, if any.
+    pub(crate) fn set_workspace(&mut self, names: &HeaderNames, name: Option<&str>) {
+        self.headers.remove(header::AUTHORIZATION);
+        self.headers.remove(&names.workspace);
+        // Names that no header can hold have no keys.
+        if let Some(value) = name.and_then(|name| HeaderValue::from_str(name).ok()) {
+            self.headers.insert(names.workspace.clone(), value);
+        }
+    }
+
     /// Builds the request for one target.
     pub(crate) fn make_request(
         &self,
--- a/crates/testkit/src/gateway/target.rs
+++ b/crates/testkit/src/gateway/target.rs
@@ -43,6 +43,8 @@
     /// Path and query.
     request_target: String,
     body: Vec<u8>,
+    /// Names, in lower case, and values.
+    headers: Vec<(String, String)>,
     started_at: Instant,
 }
 
@@ -174,6 +176,16 @@
         Some(Duration::from_millis(run.time_left_ms))
     }
 
+    /// Returns the values of a header that the request with the id had when it ran; `name`
+    /// is in lower case.
+    pub fn get_header_values(&self, id: &str, name: &str) -> Vec<String> {
+        let runs = self.shared.runs.lock();
+        let run = runs.iter().find(|run| run.id == id);
+        let headers = run.map_or(&[][..], |run| &run.headers);
+        let found = headers.iter().filter(|(key, _)| key == name);
+        found.map(|(_, value)| value.clone()).collect()
+    }
+
     /// Returns the path and query of each run, in order.
     pub fn get_paths(&self) -> Vec<String> {
         let runs = self.shared.runs.lock();
@@ -524,6 +536,7 @@
             .unwrap_or_default()
             .into(),
         body: request.body.clone(),
+        headers: request.headers.clone(),
         started_at: Instant::now(),
     });
     shared.running.fetch_add(1, Ordering::Relaxed);
--- a/tests/gateway/test_env.rs
+++ b/tests/gateway/test_env.rs
@@ -25,7 +25,7 @@
         Self::start_with(targets, |settings| settings.grace = grace).await
     }
 
-    /// Starts the environment with changed settings of the daemon.
+    /// Starts the environment with a daemon whose settings `change` changes.
     pub(crate) async fn start_with(
         targets: usize,
         change: impl FnOnce(&mut GatewaySettings),
