--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -289,6 +289,18 @@
         self.exposition.render()
     }
 
+    fn observe_emptied(&self, gateway: &Gateway) {
+        let list = gateway.list.borrow();
+        let domains = list.get_emptied();
+        let now = gateway.clock.now();
+        let first = domains.get_since().map(|(_, since)| since).min();
+        let time = first.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        self.emptied.record(domains.get().domains.len() as f64, &[]);
+        self.emptied_version
+            .record(domains.get().version as f64, &[]);
+        self.emptied_time.record(time.as_secs_f64(), &[]);
+    }
+
     fn observe_memory(&self, memory: &MemoryKeeper) {
         let budget = memory.get_budget();
         let (used, connections) = memory.get_use();
@@ -302,18 +314,6 @@
         }
     }
 
-    fn observe_emptied(&self, gateway: &Gateway) {
-        let list = gateway.list.borrow();
-        let domains = list.get_emptied();
-        let now = gateway.clock.now();
-        let first = domains.get_since().map(|(_, since)| since).min();
-        let time = first.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        self.emptied.record(domains.get().domains.len() as f64, &[]);
-        self.emptied_version
-            .record(domains.get().version as f64, &[]);
-        self.emptied_time.record(time.as_secs_f64(), &[]);
-    }
-
     fn observe_services(&self, gateway: &Gateway) {
         gateway.for_each_service(|service| {
             let (status, waiting) =
--- a/crates/testkit/src/gateway/target.rs
+++ b/crates/testkit/src/gateway/target.rs
@@ -42,9 +42,9 @@
     time_left_ms: u64,
     /// Path and query.
     request_target: String,
-    body: Vec<u8>,
     /// Names, in lower case, and values.
     headers: Vec<(String, String)>,
+    body: Vec<u8>,
     started_at: Instant,
 }
 
@@ -535,8 +535,8 @@
             .nth(1)
             .unwrap_or_default()
             .into(),
-        body: request.body.clone(),
         headers: request.headers.clone(),
+        body: request.body.clone(),
         started_at: Instant::now(),
     });
     shared.running.fetch_add(1, Ordering::Relaxed);
