test: slow bodies, and the settings of callers' limits

Bodies that stop, or that never pause for long but arrive below the lowest rate, are refused before anything reaches a target.

--- a/crates/config/tests/gateway_settings.rs
+++ b/crates/config/tests/gateway_settings.rs
@@ -91,3 +91,21 @@
     let zero = format!("{VALID}[memory]\nmegabytes = 0\n");
     assert!(parse_gateway_settings(&zero).is_err());
 }
+
+#[test]
+fn caller_limits() {
+    let settings = parse_gateway_settings(VALID).unwrap();
+    assert_eq!(settings.body_idle, Duration::from_secs(5));
+    assert_eq!(settings.min_rate, 1_024);
+    assert_eq!(settings.answer_idle, Duration::from_secs(30));
+    assert_eq!(settings.max_flows, 4);
+    let stated =
+        format!("{VALID}[callers]\nbody_idle = 2s\nmin_rate = 4KiB\nanswer_idle = 9s\nflows = 1\n");
+    let settings = parse_gateway_settings(&stated).unwrap();
+    assert_eq!(settings.body_idle, Duration::from_secs(2));
+    assert_eq!(settings.min_rate, 4_096);
+    assert_eq!(settings.answer_idle, Duration::from_secs(9));
+    assert_eq!(settings.max_flows, 1);
+    let wrong = format!("{VALID}[callers]\nmin_rate = fast\n");
+    assert!(parse_gateway_settings(&wrong).is_err());
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod metrics;
 mod peer_state;
 mod peers;
+mod slow_bodies;
 mod store_faults;
 mod test_env;
 mod withdrawn_keys;
