feat(serve): a bound on callers' connections with operators' files

A daemon with an operators' file accepted connections up to its descriptors, so that idle callers could take those for targets, the platform and peers. The line at the start of a gateway states the limits of memory and connections.

--- a/crates/config/src/settings/parse.rs
+++ b/crates/config/src/settings/parse.rs
@@ -78,6 +78,10 @@
     settings.max_body = reader.size("body", settings.max_body);
     settings.max_replay = reader.size("replay", settings.max_replay);
     settings.caller_idle = reader.duration("caller_idle", settings.caller_idle);
+    let expected = "a whole number above 0";
+    settings.max_connections = reader.optional("connections", expected, |text| {
+        text.parse().ok().filter(|number| *number > 0)
+    });
     if settings.max_replay > settings.max_body {
         reader.report_conflict("replay", "a size above body", "at most the size of body");
     }
--- a/crates/config/src/settings/values.rs
+++ b/crates/config/src/settings/values.rs
@@ -45,6 +45,9 @@
     pub max_replay: usize,
     /// Timeout for a caller that sends no bytes.
     pub caller_idle: Duration,
+    /// Largest number of callers' connections; without it, a part of the descriptors of the
+    /// process.
+    pub max_connections: Option<usize>,
     /// Time from reporting not ready to refusing connections during shutdown.
     pub stop_notice: Duration,
     /// Maximum time that shutdown waits for requests in flight.
@@ -73,6 +76,7 @@
             max_body: 64 << 20,
             max_replay: 64 << 10,
             caller_idle: Duration::from_secs(10),
+            max_connections: None,
             stop_notice: Duration::from_secs(5),
             stop_grace: Duration::from_secs(600),
             log_level: "info".into(),
--- a/crates/daemon/src/gateway/memory/keeper.rs
+++ b/crates/daemon/src/gateway/memory/keeper.rs
@@ -2,7 +2,7 @@
 
 use super::connection::ConnectionMemory;
 use super::reservation::{FlowPermit, Reservation};
-use super::system::{get_descriptors, get_memory};
+use crate::system::{get_descriptors, get_memory};
 use gentianridge_config::GatewaySettings;
 use gentianridge_core::{
     Clock, HolderKey, HolderPhase, MemoryAccount, MemoryBudget, MemoryDecision, ResultCode,
--- a/crates/daemon/src/gateway/memory/mod.rs
+++ b/crates/daemon/src/gateway/memory/mod.rs
@@ -3,7 +3,6 @@
 mod connection;
 mod keeper;
 mod reservation;
-mod system;
 
 pub(crate) use connection::ConnectionMemory;
 pub(crate) use keeper::MemoryKeeper;
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -87,12 +87,15 @@
     let socket = Rc::new(UdpSocket::from_std(sockets.peers)?);
     let state = Rc::new(TcpListener::from_std(sockets.state)?);
     gateway.journal.record(EventKind::VmStarted);
+    let budget = gateway.memory.get_budget();
     log::info!(
         target: STATE_LOG_TARGET,
         vm = settings.vm.as_str(),
         domain = settings.domain.as_str(),
         callers = settings.callers.to_string().as_str(),
-        store = settings.store.to_string().as_str();
+        store = settings.store.to_string().as_str(),
+        memory_limit = budget.capacity as u64,
+        connection_limit = budget.max_connections as u64;
         "gentianridged {} serves callers",
         env!("CARGO_PKG_VERSION")
     );
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 mod service;
 mod store;
 mod supervise;
+mod system;
 mod telemetry;
 
 pub use clock::SystemClock;
--- a/crates/daemon/src/run/daemon.rs
+++ b/crates/daemon/src/run/daemon.rs
@@ -8,6 +8,7 @@
 };
 use crate::operator::make_operator_endpoint;
 use crate::service::run_prober;
+use crate::system::get_descriptors;
 use gentianridge_config::Settings;
 use gentianridge_core::{EventKind, RevisionRecord, RevisionUpdate};
 use gentianridge_platform::{HttpPlatform, MemoryPlatform, Platform};
@@ -81,8 +82,9 @@
         let grace = self.fleet.settings.stop_grace;
         let idle_timeout = self.fleet.settings.caller_idle.max(MIN_CALLER_IDLE);
         let connections = Connections::new();
-        let acceptor =
-            TrackingAcceptor::new(callers, connections.clone())?.idle_timeout(idle_timeout);
+        let acceptor = TrackingAcceptor::new(callers, connections.clone())?
+            .idle_timeout(idle_timeout)
+            .max_connections(self.get_max_connections());
         let caller_server = Server::new_with_acceptor(acceptor);
         let endpoint = CallerEndpoint::new(self.fleet.clone(), connections);
         self.servers.spawn(async move {
@@ -101,6 +103,13 @@
         Ok(())
     }
 
+    /// Returns the largest number of callers' connections. Without a setting, a part of the
+    /// descriptors is left for targets, the platform, operators and peers.
+    fn get_max_connections(&self) -> usize {
+        let limit = self.fleet.settings.max_connections;
+        limit.unwrap_or_else(|| get_descriptors() / 4 * 3)
+    }
+
     fn spawn_tasks(&mut self, peers: tokio::net::TcpListener) {
         self.tasks.spawn(run_revision_poller(self.fleet.clone()));
         self.tasks.spawn(run_member_poller(self.fleet.clone()));
--- a/crates/daemon/src/gateway/memory/system.rs
+++ b/crates/daemon/src/system.rs
@@ -8,7 +8,7 @@
 const DEFAULT_DESCRIPTORS: usize = 1_024;
 
 /// Returns the memory of the machine in bytes.
-pub(super) fn get_memory() -> usize {
+pub(crate) fn get_memory() -> usize {
     let text = std::fs::read_to_string("/proc/meminfo").unwrap_or_default();
     let line = text.lines().find_map(|line| line.strip_prefix("MemTotal:"));
     let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<usize>().ok());
@@ -16,7 +16,7 @@
 }
 
 /// Returns the limit of the descriptors of this process.
-pub(super) fn get_descriptors() -> usize {
+pub(crate) fn get_descriptors() -> usize {
     let limit = getrlimit(Resource::Nofile).current;
     limit.map_or(DEFAULT_DESCRIPTORS, |limit| {
         usize::try_from(limit).unwrap_or(usize::MAX)
--- a/crates/serve/src/acceptor.rs
+++ b/crates/serve/src/acceptor.rs
@@ -23,6 +23,7 @@
     local: SocketAddr,
     connections: Arc<Connections>,
     idle_timeout: Duration,
+    max_connections: usize,
 }
 
 impl TrackingAcceptor {
@@ -41,9 +42,27 @@
             local,
             connections,
             idle_timeout: Self::DEFAULT_IDLE_TIMEOUT,
+            max_connections: usize::MAX,
         })
     }
 
+    /// Sets the number of connections above which new ones are closed at once, so that
+    /// descriptors are left for other purposes.
+    pub fn max_connections(mut self, max_connections: usize) -> Self {
+        self.max_connections = max_connections;
+        self
+    }
+
+    /// Accepts a connection, and closes those above the limit.
+    async fn accept_allowed(&self) -> io::Result<(TcpStream, SocketAddr)> {
+        loop {
+            let (stream, peer) = self.listener.accept().await?;
+            if self.connections.len() < self.max_connections {
+                return Ok((stream, peer));
+            }
+        }
+    }
+
     /// Sets the time without a received byte after which a connection is closed,
     /// unless a request is in progress on it.
     pub fn idle_timeout(mut self, idle_timeout: Duration) -> Self {
@@ -60,7 +79,7 @@
     }
 
     async fn accept(&mut self) -> io::Result<(Self::Io, LocalAddr, RemoteAddr, Scheme)> {
-        let (stream, peer) = self.listener.accept().await?;
+        let (stream, peer) = self.accept_allowed().await?;
         // Small answers must not wait for the acknowledgement of earlier ones.
         stream.set_nodelay(true)?;
         let tracked = TrackedStream {
