test(daemon): tests of outsiders do not depend on the route's timeout of 2 s

Cause: bodies::many_extensions failed once beside other builds. Traced with 28 busy processes on 7 cores: in three runs of three some ordinary request was refused with 2003, or the body of 64 MiB answered 504, both at the 2 s timeout that the test environment states for its routes. Ruled out: memory, descriptors and the process were within the bounds in each of them. Change: the routes' timeout is 14 s, and ordinary requests state it, except in answers, where the timeout ends the forwarded answers. Crowds and bounds are the same, and the ordinary request must still get 200 at the first try, so that no check is weaker; a time is no longer part of it.

--- a/crates/daemon/tests/outsiders/answers.rs
+++ b/crates/daemon/tests/outsiders/answers.rs
@@ -12,6 +12,8 @@
 const REQUESTS: RequestLimits = RequestLimits {
     head: 16 * 1024,
     body: 1_000,
+    // Answers that are forwarded are broken off then, which frees their targets.
+    timeout_ms: 2_000,
 };
 
 /// Checks a crowd of `size` callers whose answers have `bytes` bytes.
--- a/crates/daemon/tests/outsiders/bodies.rs
+++ b/crates/daemon/tests/outsiders/bodies.rs
@@ -1,7 +1,7 @@
 //! Bodies that stop short of their end.
 
 use crate::crowd::{Crowd, make_chunks, make_post_head};
-use crate::env::{Env, RequestLimits};
+use crate::env::{Env, LONG_TIMEOUT_MS, RequestLimits};
 use crate::vm_process::VmLimits;
 
 const VM: VmLimits = VmLimits {
@@ -11,6 +11,7 @@
 const REQUESTS: RequestLimits = RequestLimits {
     head: 16 * 1024,
     body: 4 * 1024 * 1024,
+    timeout_ms: LONG_TIMEOUT_MS,
 };
 const CHUNKED: &str = "transfer-encoding: chunked";
 
--- a/crates/daemon/tests/outsiders/heads.rs
+++ b/crates/daemon/tests/outsiders/heads.rs
@@ -1,7 +1,7 @@
 //! Request heads that stop short of their end.
 
 use crate::crowd::{Crowd, make_get};
-use crate::env::{Env, RequestLimits};
+use crate::env::{Env, LONG_TIMEOUT_MS, RequestLimits};
 use crate::vm_process::VmLimits;
 
 const VM: VmLimits = VmLimits {
@@ -11,6 +11,7 @@
 const REQUESTS: RequestLimits = RequestLimits {
     head: 256 * 1024,
     body: 1_000,
+    timeout_ms: LONG_TIMEOUT_MS,
 };
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
