--- a/crates/testkit/src/soak/mod.rs
+++ b/crates/testkit/src/soak/mod.rs
@@ -7,6 +7,7 @@
 //! that have failed.
 
 mod check;
+mod configure;
 mod keys;
 mod load;
 mod plan;
--- a/crates/testkit/src/soak/run.rs
+++ b/crates/testkit/src/soak/run.rs
@@ -1,15 +1,13 @@
 //! Run of a fleet of daemon processes: starts them, applies the steps and checks the promises.
 
 use super::check::{SoakViolation, check};
-use super::keys::{WITHDRAWABLE_KEYS, is_keyed, write_soak_config};
+use super::keys::is_keyed;
 use super::load::{Fleet, check_readiness, exchange, run_balancer, run_caller, run_version_checks};
 use super::plan::{Step, TARGETS, VMS, draw_plan};
 use super::process::VmProcess;
 use super::proxy::{FaultyLink, LinkFault};
 use super::record::{DisruptionKind, Record, RequestOutcome};
-use crate::{
-    CART, FakeStore, FakeTarget, StoreFault, TargetBehavior, TargetEntryValue, write_path,
-};
+use crate::{CART, FakeStore, FakeTarget, StoreFault, TargetBehavior, TargetEntryValue};
 use parking_lot::Mutex;
 use rustix::process::Signal;
 use std::net::Ipv4Addr;
@@ -123,16 +121,16 @@
     })
 }
 
-struct Run {
-    store: FakeStore,
+pub(super) struct Run {
+    pub(super) store: FakeStore,
     store_links: Vec<FaultyLink>,
     targets: Vec<FakeTarget>,
     target_links: Vec<FaultyLink>,
     vms: Vec<Arc<Mutex<VmProcess>>>,
-    fleet: Arc<Fleet>,
-    record: Arc<Record>,
+    pub(super) fleet: Arc<Fleet>,
+    pub(super) record: Arc<Record>,
     stop_supervisor: Arc<AtomicBool>,
-    config: Mutex<(u64, String)>,
+    pub(super) config: Mutex<(u64, String)>,
 }
 
 /// Start, recovery and end of a run.
@@ -339,49 +337,6 @@
         let entry = target.make_entry_at(addr, &value);
         self.store.put("servers", target.get_id(), &entry);
     }
-
-    /// Publishes a new configuration version with an additional path, so that only this
-    /// version and later ones answer on the path.
-    fn add_route(&self) {
-        let mut config = self.config.lock();
-        let (version, paths) = &mut *config;
-        *version += 3;
-        let path = write_path(
-            &format!("v{version}"),
-            &format!("/v{version}/"),
-            "idempotent",
-        );
-        paths.push(',');
-        paths.push_str(&path);
-        self.publish(*version, paths);
-        self.record.versions.lock().push((*version, Instant::now()));
-    }
-
-    /// Publishes a new configuration version without the first key that may be withdrawn.
-    fn withdraw_key(&self) {
-        let mut config = self.config.lock();
-        let (version, paths) = &mut *config;
-        let withdrawn = self.record.withdrawals.lock().len();
-        let Some(key) = WITHDRAWABLE_KEYS.get(withdrawn) else {
-            return;
-        };
-        *version += 1;
-        // The key counts as withdrawn from the publication on, not before.
-        self.publish_without(*version, paths, withdrawn + 1);
-        let withdrawal = (*key, Instant::now());
-        self.record.withdrawals.lock().push(withdrawal);
-    }
-
-    fn publish(&self, version: u64, paths: &str) {
-        let withdrawn = self.record.withdrawals.lock().len();
-        self.publish_without(version, paths, withdrawn);
-    }
-
-    fn publish_without(&self, version: u64, paths: &str, withdrawn: usize) {
-        let withdrawn = self.fleet.is_keyed.then_some(withdrawn);
-        let text = write_soak_config(version, paths, withdrawn);
-        self.store.put("op", "config", text.as_bytes());
-    }
 }
 
 /// Returns the second octet of the daemons' addresses, derived from the process id, so
