--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -2,24 +2,20 @@
 
 use super::memory::MemoryKeeper;
 use super::state::Gateway;
+use super::workspace_labels::WorkspaceLabels;
 use crate::telemetry::{Exposition, LineCounts, counter, gauge, time_histogram};
-use gentianridge_core::{AttemptKind, FleetLimits, ResultCode, TargetCondition};
+use gentianridge_core::{AttemptKind, FleetLimits, ResultCode, RunState, TargetCondition};
 use http::StatusCode;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
 use smol_str::SmolStr;
-use std::cell::RefCell;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// Path at which the metrics are served.
 const PATH: &str = "/metrics";
-/// Workspaces with a label of their own; each costs some hundred bytes.
-const MAX_LIMIT_NAMES: usize = 100;
-/// Label of all other workspaces.
-const OTHER_WORKSPACES: &str = "(other)";
 
 /// The instruments of one daemon; docs/METRICS-AND-LOGS.md explains each.
 #[derive(Debug)]
@@ -31,6 +27,8 @@
     attempts: Histogram<f64>,
     sends: Counter<u64>,
     refusals: Counter<u64>,
+    workspace_requests: Counter<u64>,
+    workspace_labels: WorkspaceLabels,
     connections: Counter<u64>,
     samples: Counter<u64>,
     store_calls: Counter<u64>,
@@ -46,8 +44,6 @@
     outdated_sends: Counter<u64>,
     limit_requests: Counter<u64>,
     limit_states: Gauge<f64>,
-    /// Workspaces with a label of their own.
-    limit_names: RefCell<Vec<SmolStr>>,
     list_due: Gauge<f64>,
     list_age: Gauge<f64>,
     proof_age: Gauge<f64>,
@@ -82,6 +78,12 @@
             ),
             sends: counter(&meter, "gentianridge.attempts", "Attempts by kind"),
             refusals: counter(&meter, "gentianridge.refusals", "Refusals by result code"),
+            workspace_requests: counter(
+                &meter,
+                "gentianridge.workspace.requests",
+                "Requests of each workspace by outcome",
+            ),
+            workspace_labels: WorkspaceLabels::default(),
             connections: counter(
                 &meter,
                 "gentianridge.connections",
@@ -141,7 +143,6 @@
                 "gentianridge.limit.states",
                 "Workspaces whose limit was used lately",
             ),
-            limit_names: RefCell::default(),
             list_age: gauge(
                 &meter,
                 "gentianridge.list.age",
@@ -224,6 +225,21 @@
         self.attempts.record(took.as_secs_f64(), &labels);
     }
 
+    /// Counts a request of a workspace; `code` is that of a refusal or failure.
+    pub(crate) fn record_workspace(&self, name: &SmolStr, code: Option<ResultCode>) {
+        let outcome = match code.map(ResultCode::run_state) {
+            None => "answered",
+            Some(RunState::NotRun) => "refused",
+            Some(_) => "failed",
+        };
+        let label = self.workspace_labels.get(name).to_string();
+        let labels = [
+            KeyValue::new("workspace", label),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.workspace_requests.add(1, &labels);
+    }
+
     pub(crate) fn record_refusal(&self, code: ResultCode) {
         self.refusals
             .add(1, &[KeyValue::new("code", i64::from(code.number()))]);
@@ -264,20 +280,11 @@
         self.announcements.add(1, &labels);
     }
 
-    /// Counts a request of a workspace with a limit. Workspaces that come after
-    /// [`MAX_LIMIT_NAMES`] others share one label.
+    /// Counts a request of a workspace with a limit.
     pub(crate) fn record_limit(&self, workspace: &SmolStr, outcome: &'static str) {
-        let mut names = self.limit_names.borrow_mut();
-        let name = match names.binary_search(workspace) {
-            Ok(_) => workspace.to_string(),
-            Err(index) if names.len() < MAX_LIMIT_NAMES => {
-                names.insert(index, workspace.clone());
-                workspace.to_string()
-            }
-            Err(_) => OTHER_WORKSPACES.to_owned(),
-        };
+        let label = self.workspace_labels.get(workspace).to_string();
         let labels = [
-            KeyValue::new("workspace", name),
+            KeyValue::new("workspace", label),
             KeyValue::new("outcome", outcome),
         ];
         self.limit_requests.add(1, &labels);
@@ -371,6 +378,7 @@
                 ("leaving", TargetCondition::Leaving),
                 ("drained", TargetCondition::Drained),
                 ("emptied", TargetCondition::Emptied),
+                ("cold", TargetCondition::Cold),
             ];
             for (name, condition) in conditions {
                 let count = status.iter().filter(|t| t.condition == condition).count();
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod body;
 mod call;
 mod callers;
+mod cold;
 mod connections;
 mod counted;
 mod crashes;
@@ -35,6 +36,7 @@
 mod sockets;
 mod state;
 mod targets;
+mod workspace_labels;
 
 pub use run::{run_gateway, run_gateway_until};
 pub use sockets::GatewaySockets;
--- a/crates/daemon/src/gateway/routing.rs
+++ b/crates/daemon/src/gateway/routing.rs
@@ -106,7 +106,9 @@
         for fault in workspaces.map_or(&[][..], WorkspaceTable::get_faults) {
             log::error!(target: STATE_LOG_TARGET, version = table.get_version(); "{fault}");
         }
-        for declared in table.get_services() {
+        let services = table.get_services();
+        self.set_cold_rates(services.iter().any(|service| service.cold.is_some()));
+        for declared in services {
             let classes = table.collect_classes(&declared.name);
             self.declare(now, declared.clone(), classes);
         }
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -1,6 +1,7 @@
 //! Local state of a daemon on the platform.
 
 use super::admission::WorkspaceLimits;
+use super::cold::ColdOwners;
 use super::connections::ConnectionPool;
 use super::crashes::CRASH_PERIOD;
 use super::list_reader::ListReader;
@@ -41,6 +42,7 @@
     pub(super) was_serving_keys: Cell<bool>,
     pub(super) list: RefCell<TargetList>,
     pub(super) list_reader: ListReader,
+    pub(super) cold_owners: ColdOwners,
     pub(super) update_log: RefCell<UpdateLog>,
     /// The configuration in force as the store holds it, for peers that lack it.
     config_value: RefCell<Option<Bytes>>,
@@ -81,7 +83,6 @@
             headers: get_header_names(),
             limits: WorkspaceLimits::new(clock.since_boot(), &settings),
             memory: MemoryKeeper::new(&settings, clock.clone()),
-            clock,
             journal,
             connections: ConnectionPool::default(),
             peers: Peers::new(settings.vm.clone(), settings.domain.clone()),
@@ -91,6 +92,7 @@
             was_serving_keys: Cell::new(true),
             list: RefCell::new(TargetList::new(get_list_bound(&settings))),
             list_reader: ListReader::default(),
+            cold_owners: ColdOwners::new(clock.now()),
             update_log: RefCell::default(),
             config_value: RefCell::new(None),
             services: RefCell::new(Vec::new()),
@@ -99,6 +101,7 @@
             answers_due: CancellationToken::new(),
             loaded: Notify::new(),
             settings: RefCell::new(settings),
+            clock,
         }))
     }
 
