--- a/tests/gateway/announcements.rs
+++ b/tests/gateway/announcements.rs
@@ -15,7 +15,8 @@
         let mut caller = vm.open().await.unwrap();
         let id = format!("{prefix}{index}");
         let reply = caller.request(method, path, &id).await.unwrap();
-        assert_eq!(reply.status, 200, "{id}");
+        let code = reply.get("gentianridge-code");
+        assert_eq!(reply.status, 200, "{id}, code {code:?}");
         bodies.push(reply.body);
     }
     bodies
