--- a/crates/core/src/workspace/limits/machine.rs
+++ b/crates/core/src/workspace/limits/machine.rs
@@ -4,9 +4,9 @@
 use super::byte_budget::LimitByteBudget;
 use super::declared::DeclaredLimit;
 use super::members::LimitMembers;
-use super::pending::{PendingAsk, PendingAsks};
+use super::pending::PendingAsks;
 use super::state::LimitState;
-use super::{Admission, LimitMember, LimitMessage, LimitTerms, SpentToken, TokenAsk, TokenGrant};
+use super::{Admission, LimitMember, LimitMessage, LimitTerms, SpentToken};
 use crate::{RateLimit, RequestBound, VmName, WorkspaceKey};
 use slotmap::{SlotMap, new_key_type};
 use std::net::SocketAddr;
@@ -14,7 +14,7 @@
 
 new_key_type! {
     /// Place of the state of one limit.
-    struct StateKey;
+    pub(super) struct StateKey;
 }
 
 /// The limits of all workspaces, on one VM.
@@ -23,29 +23,29 @@
 /// waited in a suspended machine is void.
 #[derive(Debug)]
 pub struct FleetLimits {
-    window: Duration,
-    bound: RequestBound,
-    members: LimitMembers,
+    pub(super) window: Duration,
+    pub(super) bound: RequestBound,
+    pub(super) members: LimitMembers,
     /// Time of the start, or of the last change that may have made this VM a holder:
     /// nothing is known of tokens that were spent before. `None` if none were.
-    since: Option<Duration>,
+    pub(super) since: Option<Duration>,
     /// True if `since` is the start of this process.
-    is_since_start: bool,
-    is_first_start: bool,
+    pub(super) is_since_start: bool,
+    pub(super) is_first_start: bool,
     /// Raised by each change that divides limits anew.
-    division: u32,
+    pub(super) division: u32,
     /// In the order of keys.
-    declared: Vec<DeclaredLimit>,
-    states: SlotMap<StateKey, LimitState>,
+    pub(super) declared: Vec<DeclaredLimit>,
+    pub(super) states: SlotMap<StateKey, LimitState>,
     /// Workspaces with state, in the order of keys.
-    active: Vec<(WorkspaceKey, StateKey)>,
-    pending: PendingAsks,
-    next_nonce: u32,
-    budget: LimitByteBudget,
-    outgoing: Vec<(SocketAddr, LimitMessage)>,
+    pub(super) active: Vec<(WorkspaceKey, StateKey)>,
+    pub(super) pending: PendingAsks,
+    pub(super) next_nonce: u32,
+    pub(super) budget: LimitByteBudget,
+    pub(super) outgoing: Vec<(SocketAddr, LimitMessage)>,
     /// Workspaces that may need tokens ahead of requests.
-    due: Vec<WorkspaceKey>,
-    next_sweep: Duration,
+    pub(super) due: Vec<WorkspaceKey>,
+    pub(super) next_sweep: Duration,
 }
 
 /// Setting up.
@@ -217,198 +217,11 @@
     }
 }
 
-/// Exchange with peers.
-impl FleetLimits {
-    /// Holders that are asked at once for one workspace.
-    const MAX_ASKED: usize = 4;
-    /// Time for which an ask is remembered, at least as long as tokens are held.
-    const ASK_RETENTION: Duration = Duration::from_secs(1);
-    /// Time between two checks of the workspaces that need tokens ahead.
-    const DUE_PERIOD: Duration = Duration::from_millis(20);
-    /// Time between two sweeps of unused states.
-    const SWEEP_PERIOD: Duration = Duration::from_secs(1);
-
-    /// Applies a message of a peer; returns true if tokens were received.
-    pub fn receive(&mut self, now: Duration, from: SocketAddr, message: LimitMessage) -> bool {
-        match message {
-            LimitMessage::Asks(nonce, asks) => {
-                self.grant(now, from, nonce, &asks);
-                false
-            }
-            LimitMessage::Grants(nonce, grants) => {
-                let mut has_tokens = false;
-                for grant in grants {
-                    has_tokens |= self.receive_grant(now, from, nonce, grant);
-                }
-                has_tokens
-            }
-        }
-    }
-
-    /// Returns true if there are messages to send or workspaces that need tokens ahead.
-    pub fn has_work(&self) -> bool {
-        !self.outgoing.is_empty() || !self.due.is_empty()
-    }
-
-    /// Returns the messages to send now.
-    pub fn take_messages(&mut self) -> Vec<(SocketAddr, LimitMessage)> {
-        std::mem::take(&mut self.outgoing)
-    }
-
-    /// Returns the time of the next [`Self::tick`], `None` while nothing is active.
-    pub fn get_next_tick(&self, now: Duration) -> Option<Duration> {
-        let due = (!self.due.is_empty()).then(|| now + Self::DUE_PERIOD);
-        let sweep = (!self.active.is_empty()).then_some(self.next_sweep);
-        let times = [due, sweep, self.pending.get_next_overdue()];
-        times.into_iter().flatten().min()
-    }
-
-    /// Handles replies that are late, and asks for tokens ahead of requests.
-    pub fn tick(&mut self, now: Duration) {
-        for ask in self.pending.expire(now, Self::ASK_RETENTION) {
-            self.record_silence(now, &ask);
-        }
-        for key in std::mem::take(&mut self.due) {
-            if let Some(index) = self.activate(now, key) {
-                self.ask(now, index);
-            }
-        }
-        if now >= self.next_sweep {
-            self.next_sweep = now + Self::SWEEP_PERIOD;
-            let states = &mut self.states;
-            self.active.retain(|(_, index)| {
-                let is_idle = states.get(*index).is_none_or(|state| state.is_idle(now));
-                if is_idle {
-                    states.remove(*index);
-                }
-                !is_idle
-            });
-        }
-    }
-
-    /// Hands tokens over to a peer. They leave this VM even if the reply is lost.
-    fn grant(&mut self, now: Duration, to: SocketAddr, nonce: u32, asks: &[TokenAsk]) {
-        let empty = asks.iter().map(|ask| TokenGrant {
-            workspace: ask.workspace,
-            tokens: 0,
-            left_percent: 0,
-        });
-        let mut reply = LimitMessage::Grants(nonce, empty.collect());
-        if !self.budget.try_grant(now, reply.get_max_size()) {
-            return;
-        }
-        if let LimitMessage::Grants(_, grants) = &mut reply {
-            for (grant, ask) in grants.iter_mut().zip(asks) {
-                if let Some(index) = self.activate(now, ask.workspace) {
-                    let state = &mut self.states[index];
-                    state.last_use = now;
-                    let (tokens, left) = state.hand_over(now, ask.tokens);
-                    grant.tokens = tokens;
-                    grant.left_percent = (left * 100.0) as u32;
-                }
-            }
-        }
-        self.outgoing.push((to, reply));
-    }
-
-    fn receive_grant(
-        &mut self,
-        now: Duration,
-        from: SocketAddr,
-        nonce: u32,
-        grant: TokenGrant,
-    ) -> bool {
-        let Some(ask) = self.pending.take(nonce, from) else {
-            return false;
-        };
-        let Some(index) = self.activate(now, ask.workspace) else {
-            return false;
-        };
-        let members = &self.members;
-        let state = &mut self.states[index];
-        let mut sources = state.sources.iter_mut();
-        let source = sources.find(|source| members.get_addr(source.member) == Some(from));
-        if let Some(source) = source {
-            let left = f64::from(grant.left_percent) / 100.0;
-            source.record_grant(now, ask.tokens, grant.tokens, left);
-        }
-        let holders = state.sources.len() as u32;
-        state.contention.record(now, grant.tokens > 0, holders);
-        if ask.workspace != grant.workspace {
-            return false;
-        }
-        // The holder gave the tokens after this ask was sent.
-        let expires = ask.sent_at + state.terms.hold;
-        state.borrowed.add(now, expires, grant.tokens);
-        self.ask(now, index);
-        grant.tokens > 0
-    }
-
-    fn record_silence(&mut self, now: Duration, ask: &PendingAsk) {
-        let Some(index) = self.activate(now, ask.workspace) else {
-            return;
-        };
-        let members = &self.members;
-        let sources = self.states[index].sources.iter_mut();
-        for source in sources {
-            if members.get_addr(source.member) == Some(ask.addr) {
-                source.record_silence(now);
-            }
-        }
-        if self.states[index].waiting > 0 {
-            self.ask(now, index);
-        }
-    }
-
-    /// Asks holders for the tokens that a workspace needs beside those asked for.
-    fn ask(&mut self, now: Duration, index: StateKey) {
-        let state = &mut self.states[index];
-        let key = state.key;
-        if !state.contention.may_ask(now) {
-            return;
-        }
-        let expected = self.pending.count_expected(key);
-        let mut needed = state.count_needed(now, expected);
-        let LimitTerms { rate, capacity, .. } = state.terms;
-        for _ in 0..Self::MAX_ASKED {
-            if needed == 0 {
-                return;
-            }
-            // The first of equal ones is the last in reverse order.
-            let sources = state.get_sources(&self.members).iter_mut().rev();
-            let best = sources.max_by_key(|source| source.estimate(now, rate, capacity));
-            let Some(source) = best else { return };
-            let tokens = source.estimate(now, rate, capacity).min(needed);
-            let asks = vec![TokenAsk {
-                workspace: key,
-                tokens,
-            }];
-            let message = LimitMessage::Asks(self.next_nonce, asks);
-            if tokens == 0 || !self.budget.try_ask(now, message.get_max_size()) {
-                return;
-            }
-            source.is_asked = true;
-            needed -= tokens;
-            let addr = self.members.get(source.member).addr;
-            self.pending.push(PendingAsk {
-                nonce: self.next_nonce,
-                sent_at: now,
-                addr,
-                workspace: key,
-                tokens,
-                is_overdue: false,
-            });
-            self.next_nonce = self.next_nonce.wrapping_add(1);
-            self.outgoing.push((addr, message));
-        }
-    }
-}
-
 /// Finding states.
 impl FleetLimits {
     /// Returns the key of a workspace's state, which is created if it is missing;
     /// `None` if the workspace has no limit.
-    fn activate(&mut self, now: Duration, key: WorkspaceKey) -> Option<StateKey> {
+    pub(super) fn activate(&mut self, now: Duration, key: WorkspaceKey) -> Option<StateKey> {
         let declared = *self.find_declared(key)?;
         let found = self.find_active(key);
         if let Some(index) = found {
@@ -459,7 +272,7 @@
         index.ok().map(|index| &self.declared[index])
     }
 
-    fn find_active(&self, key: WorkspaceKey) -> Option<StateKey> {
+    pub(super) fn find_active(&self, key: WorkspaceKey) -> Option<StateKey> {
         let place = self.active.binary_search_by_key(&key, |(other, _)| *other);
         place.ok().map(|place| self.active[place].1)
     }
--- a/crates/core/src/workspace/limits/mod.rs
+++ b/crates/core/src/workspace/limits/mod.rs
@@ -10,6 +10,7 @@
 mod contention;
 mod decaying_rate;
 mod declared;
+mod exchange;
 mod machine;
 mod member;
 mod members;
--- a/crates/core/tests/limits_model/mod.rs
+++ b/crates/core/tests/limits_model/mod.rs
@@ -96,7 +96,7 @@
     granted: HashSet<(usize, u32)>,
     spent: HashMap<WorkspaceKey, SpentToken>,
     joined_at: Duration,
-    pub(crate) bytes: u64,
+    bytes: u64,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -267,7 +267,7 @@
         self.list(index);
     }
 
-    /// Changes a limit; VMs learn of it after up to `spread`.
+    /// Changes a limit, which all VMs learn at once.
     pub(crate) fn change_limit(&mut self, workspace: usize, limit: RateLimit) {
         self.workspaces[workspace].limit = limit;
         for index in 0..self.vms.len() {
