fix(core): a call whose wait for load samples was overslept is sent, not refused

Cause: a call that waits for a faster target was refused with 2003 if the process woke after the last moment of that wait, though a slot was free. Change: such a call is sent late, under the same condition as one whose last moment was met. Measured: late_wake fails without the change with DeadlinePassed and passes with it; the tests of the core pass.

--- a/crates/core/src/service/calls.rs
+++ b/crates/core/src/service/calls.rs
@@ -159,13 +159,38 @@
         while let Some(key) = self.classes.get_key(position) {
             let margin = pause_left + self.classes[key].get_expected_time();
             while let Some(entry) = self.classes[key].pop_due(now + margin) {
-                self.refuse_expired(now, entry.call, pause_left, out);
+                if !self.send_expired(now, entry.call, out) {
+                    self.refuse_expired(now, entry.call, pause_left, out);
+                }
             }
             position += 1;
         }
         self.refuse_hopeless(now, ResultCode::DeadlineUnreachable, out);
     }
 
+    /// Sends a call that waited for load samples until its objective was out of reach, if a
+    /// target can take it; returns false if the call is to be refused.
+    ///
+    /// A process without processor time wakes too late for the last moment of that wait. The
+    /// slot is free, and without other waiting calls a late answer is better than none.
+    fn send_expired(&mut self, now: Instant, key: CallKey, out: &mut Vec<Output>) -> bool {
+        let Some(call) = self.calls.get(key) else {
+            return false;
+        };
+        if call.sampling.rounds == 0 || now >= call.starts_until {
+            return false;
+        }
+        if !self.is_blind_send_useful(now, key) {
+            return false;
+        }
+        let Some(choice) = self.pick(now, key) else {
+            return false;
+        };
+        self.turns.serve(self.calls[key].turn);
+        self.start(now, key, choice.target, choice.kind, out);
+        true
+    }
+
     fn refuse_expired(
         &mut self,
         now: Instant,
--- a/crates/core/src/service/sampling.rs
+++ b/crates/core/src/service/sampling.rs
@@ -224,7 +224,7 @@
     /// Without other waiting calls, a late answer is better than an idle slot. While calls
     /// are turned away there are no idle slots, and such a send would queue at a full
     /// target; it is made only if this VM uses less than its share.
-    fn is_blind_send_useful(&self, now: Instant, key: CallKey) -> bool {
+    pub(super) fn is_blind_send_useful(&self, now: Instant, key: CallKey) -> bool {
         let class = &self.classes[self.calls[key].class];
         self.count_waiting() <= 1 && !self.is_short_of_room(now, class)
     }
--- a/crates/core/tests/sampling.rs
+++ b/crates/core/tests/sampling.rs
@@ -196,6 +196,19 @@
     );
 }
 
+/// A process without processor time wakes after the objective of a call that waits for
+/// samples only. Its answer is late then, and a free slot still takes it.
+#[test]
+fn late_wake() {
+    let mut harness = Harness::with_spec(make_sampled_spec(1));
+    let (call, sampled) = arrive_sampled(&mut harness);
+    harness.report_work_percent(sampled[0], 500);
+    assert!(!harness.is_sent(call), "the call waits for a faster target");
+    harness.advance(700);
+    assert_eq!(harness.get_code(call), None);
+    assert!(harness.is_sent(call));
+}
+
 /// Load requests that were not needed are kept for the next seconds, since the few callers
 /// of a VM in a large fleet come in bunches.
 #[test]
