--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -1,5 +1,6 @@
 //! Parsing of command-line arguments.
 
+use gentianridge_api::PreviewRequest;
 use pico_args::Arguments;
 use smol_str::SmolStr;
 use std::ffi::OsString;
@@ -8,7 +9,9 @@
 use std::time::Duration;
 
 /// Commands in the order of the help text.
-const COMMANDS: [&str; 6] = ["check", "submit", "status", "timeline", "explain", "file"];
+const COMMANDS: [&str; 7] = [
+    "check", "submit", "status", "timeline", "explain", "preview", "file",
+];
 /// Least Jaro-Winkler similarity, from 0 to 1, at which a known command is suggested.
 const MIN_SIMILARITY: f64 = 0.7;
 /// Default of `--since`.
@@ -25,6 +28,7 @@
   gentianridge timeline --lines FILE... [--service S] [--target T] [--json]
   gentianridge explain REQUEST [--json]
   gentianridge explain REQUEST --lines FILE... [--json]
+  gentianridge preview METHOD URL --to ADDR... [--workspace W] [--body BYTES] [--deadline 2s] [--json]
   gentianridge file
 
   --lines FILE     read lines that were collected from daemons; may be repeated
@@ -118,6 +122,8 @@
         /// Whether to print JSON.
         is_json: bool,
     },
+    /// Show where a request would go now.
+    Preview(PreviewArgs),
     /// Show the file in force.
     File(OperatorEndpoint),
 }
@@ -158,6 +164,17 @@
     pub lines: Vec<PathBuf>,
 }
 
+/// Arguments of `preview`.
+#[derive(Debug)]
+pub struct PreviewArgs {
+    /// Metrics addresses of the VMs to ask.
+    pub vms: Vec<SocketAddr>,
+    /// The request, which is not sent.
+    pub request: PreviewRequest,
+    /// Whether to print JSON.
+    pub is_json: bool,
+}
+
 impl Cli {
     /// Parses the arguments after the program name.
     ///
@@ -208,6 +225,7 @@
             lines: args.values_from_str("--lines")?,
             request: free_text(args, "REQUEST")?,
         }),
+        "preview" => parse_preview(args).map(Cli::Preview),
         "file" => parse_endpoint(args).map(Cli::File),
         unknown => Err(unknown_command(unknown)),
     }
@@ -245,6 +263,54 @@
     })
 }
 
+fn parse_preview(args: &mut Arguments) -> Result<PreviewArgs, UsageError> {
+    let vms: Vec<SocketAddr> = args.values_from_str("--to")?;
+    if vms.is_empty() {
+        return Err(UsageError::new(
+            "--to ADDR is missing: the metrics address of a VM",
+        ));
+    }
+    let is_json = args.contains("--json");
+    let workspace = args.opt_value_from_str("--workspace")?;
+    let body_bytes: Option<u64> = args.opt_value_from_str("--body")?;
+    let deadline = parse_deadline(args)?;
+    let method = free_text(args, "METHOD")?;
+    let url = free_text(args, "URL")?;
+    let (host, path) = split_url(&url).ok_or_else(|| {
+        UsageError::new(format!("{url}: expected a URL such as http://host/path"))
+    })?;
+    Ok(PreviewArgs {
+        vms,
+        request: PreviewRequest {
+            method: method.into(),
+            host: host.into(),
+            path: path.into(),
+            workspace,
+            body_bytes: body_bytes.unwrap_or(0),
+            deadline_ms: deadline.map(|deadline| deadline.as_millis() as u64),
+        },
+        is_json,
+    })
+}
+
+fn parse_deadline(args: &mut Arguments) -> Result<Option<Duration>, UsageError> {
+    let Some(text) = args.opt_value_from_str::<_, String>("--deadline")? else {
+        return Ok(None);
+    };
+    let deadline = gentianridge_config::parse_duration(&text).ok_or_else(|| {
+        UsageError::new(format!("--deadline {text}: expected a duration such as 2s"))
+    })?;
+    Ok(Some(deadline))
+}
+
+/// Returns the host and the path without the query.
+fn split_url(url: &str) -> Option<(&str, &str)> {
+    let rest = url.strip_prefix("http://")?;
+    let (host, path) = rest.split_at(rest.find('/').unwrap_or(rest.len()));
+    let path = path.split('?').next().filter(|path| !path.is_empty());
+    (!host.is_empty()).then_some((host, path.unwrap_or("/")))
+}
+
 fn parse_endpoint(args: &mut Arguments) -> Result<OperatorEndpoint, UsageError> {
     let addr: Option<SocketAddr> = args.opt_value_from_str("--to")?;
     let token: Option<String> = args.opt_value_from_str("--token")?;
@@ -302,6 +368,9 @@
         "explain" => Ok(
             "gentianridge explain REQUEST [--json] [--to ADDR] [--token TOKEN]\ngentianridge explain REQUEST --lines FILE... [--json]\n\nShows how long a request waited, its attempts and the meaning of its result code.\nThe id of a request is in the x-request-id header of its answer. With --lines it\nis the id of the caller's attempt, and the state lines (those with log target\nbelief) about its targets around that time are shown as well.\n",
         ),
+        "preview" => Ok(
+            "gentianridge preview METHOD URL --to ADDR... [--workspace W] [--body BYTES] [--deadline 2s] [--json]\n\nShows where a request would go now at each VM, and why: its route, class and\nplace in the order, and what speaks for and against each target. Nothing is sent\nto a target and no budget is used. ADDR is the metrics address of a VM on the\nplatform; --to may be repeated. W is the name of the caller's workspace.\n",
+        ),
         "file" => Ok(
             "gentianridge file [--to ADDR] [--token TOKEN]\n\nShows the file in force, which can be edited and submitted again.\n",
         ),
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -2,7 +2,7 @@
 
 use crate::args::OperatorEndpoint;
 use anyhow::{Context, bail};
-use gentianridge_api::{RequestTrace, StatusAnswer, SubmitAnswer, SubmitRequest, TimelineAnswer};
+use gentianridge_api::{PREVIEW_PATH, PreviewAnswer, PreviewRequest, RequestTrace, StatusAnswer, SubmitAnswer, SubmitRequest, TimelineAnswer};
 use reqwest::{Client, RequestBuilder, StatusCode};
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
@@ -166,3 +166,19 @@
         format!("http://{addr}{path}")
     }
 }
+
+/// Asks a daemon on the platform what would happen to a request, at its metrics address.
+pub(crate) async fn fetch_preview(
+    addr: SocketAddr,
+    request: &PreviewRequest,
+) -> anyhow::Result<PreviewAnswer> {
+    let client = Client::builder().timeout(TIMEOUT).no_proxy().build()?;
+    let response = client
+        .post(format!("http://{addr}{PREVIEW_PATH}"))
+        .json(request)
+        .send()
+        .await
+        .context("no answer")?;
+    let response = response.error_for_status()?;
+    response.json().await.context("cannot decode the answer")
+}
--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod explain;
+mod preview;
 mod run;
 mod status;
 mod submit;
--- a/crates/cli/src/command/run.rs
+++ b/crates/cli/src/command/run.rs
@@ -2,6 +2,7 @@
 
 use super::check::check;
 use super::explain::{explain, explain_from_lines};
+use super::preview::preview;
 use super::status::status;
 use super::submit::submit;
 use super::timeline::{timeline, timeline_from_lines};
@@ -40,6 +41,7 @@
             is_json,
             ..
         } => explain_from_lines(&lines, &request, is_json),
+        Cli::Preview(args) => preview(&args).await,
         Cli::File(endpoint) => {
             print!(
                 "{}",
--- a/crates/core/src/routes/table.rs
+++ b/crates/core/src/routes/table.rs
@@ -150,6 +150,12 @@
             .map(|part| part.service.clone())
     }
 
+    /// Returns the service that [`Self::next_service`] would choose, without choosing it.
+    pub fn peek_service(&self, key: RouteKey) -> Option<SmolStr> {
+        let mut split = self.get(key).split.clone();
+        split.next_part().map(|part| part.service.clone())
+    }
+
     /// Moves the rotation of every split by `steps`.
     pub fn rotate_splits(&mut self, steps: u32) {
         for host in &mut self.hosts {
--- a/crates/daemon/src/gateway/auxiliary.rs
+++ b/crates/daemon/src/gateway/auxiliary.rs
@@ -1,6 +1,7 @@
 //! Auxiliary HTTP servers for readiness and metrics.
 
 use super::state::Gateway;
+use futures_util::future::LocalBoxFuture;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::server::conn::http1::Builder;
@@ -13,7 +14,10 @@
 
 /// Handler of an auxiliary server's requests.
 pub(crate) type AuxiliaryHandler =
-    fn(&Gateway, &http::Request<Incoming>) -> http::Response<Full<Bytes>>;
+    fn(Rc<Gateway>, http::Request<Incoming>) -> LocalBoxFuture<'static, AuxiliaryResponse>;
+
+/// Response of an auxiliary server.
+pub(crate) type AuxiliaryResponse = http::Response<Full<Bytes>>;
 
 /// Pause after a failed accept, for example when no file descriptor is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -36,8 +40,8 @@
         let gateway = gateway.clone();
         tokio::task::spawn_local(async move {
             let service = service_fn(|request| {
-                let response = handler(&gateway, &request);
-                async move { Ok::<_, Infallible>(response) }
+                let response = handler(gateway.clone(), request);
+                async move { Ok::<_, Infallible>(response.await) }
             });
             let connection = Builder::new().serve_connection(TokioIo::new(stream), service);
             if let Err(error) = connection.await {
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -1,13 +1,19 @@
 //! Metrics of a daemon on the platform.
 
+use super::auxiliary::AuxiliaryResponse;
+use super::preview::answer_preview;
 use super::state::Gateway;
 use crate::telemetry::{Exposition, LineCounts, counter, gauge, time_histogram};
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use gentianridge_api::PREVIEW_PATH;
 use gentianridge_core::{AttemptKind, ResultCode, TargetCondition};
-use http::StatusCode;
+use http::{Method, StatusCode};
 use http_body_util::Full;
-use hyper::body::{Bytes, Incoming};
+use hyper::body::Incoming;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -258,20 +264,21 @@
     }
 }
 
-/// Answers with all metrics.
+/// Answers with all metrics, or with a preview of a request.
 pub(crate) fn answer_metrics(
-    gateway: &Gateway,
-    request: &http::Request<Incoming>,
-) -> http::Response<Full<Bytes>> {
-    let is_found = request.uri().path() == PATH;
-    let text = if is_found {
-        gateway.metrics.render(gateway)
-    } else {
-        String::new()
-    };
-    let mut response = http::Response::new(Full::from(text));
-    if !is_found {
-        *response.status_mut() = StatusCode::NOT_FOUND;
+    gateway: Rc<Gateway>,
+    request: http::Request<Incoming>,
+) -> LocalBoxFuture<'static, AuxiliaryResponse> {
+    async move {
+        match (request.method(), request.uri().path()) {
+            (&Method::POST, PREVIEW_PATH) => answer_preview(&gateway, request).await,
+            (_, PATH) => http::Response::new(Full::from(gateway.metrics.render(&gateway))),
+            _ => {
+                let mut response = http::Response::new(Full::default());
+                *response.status_mut() = StatusCode::NOT_FOUND;
+                response
+            }
+        }
     }
-    response
+    .boxed_local()
 }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod list_reader;
 mod metrics;
 mod peers;
+mod preview;
 mod ready;
 mod request;
 mod routing;
--- a/crates/daemon/src/gateway/ready.rs
+++ b/crates/daemon/src/gateway/ready.rs
@@ -1,16 +1,20 @@
 //! Readiness check of the platform's balancer.
 
+use super::auxiliary::AuxiliaryResponse;
 use super::state::Gateway;
+use futures_util::FutureExt;
+use futures_util::future::{self, LocalBoxFuture};
 use gentianridge_adapter::READY_PATH;
 use http::StatusCode;
 use http_body_util::Full;
-use hyper::body::{Bytes, Incoming};
+use hyper::body::Incoming;
+use std::rc::Rc;
 
 /// Answers 200 if the balancer may send connections to this VM, otherwise 503.
 pub(crate) fn answer_ready(
-    gateway: &Gateway,
-    request: &http::Request<Incoming>,
-) -> http::Response<Full<Bytes>> {
+    gateway: Rc<Gateway>,
+    request: http::Request<Incoming>,
+) -> LocalBoxFuture<'static, AuxiliaryResponse> {
     let status = if request.uri().path() != READY_PATH {
         StatusCode::NOT_FOUND
     } else if gateway.is_ready() {
@@ -20,5 +24,5 @@
     };
     let mut response = http::Response::new(Full::default());
     *response.status_mut() = status;
-    response
+    future::ready(response).boxed_local()
 }
