--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -10,9 +10,7 @@
 mod timeline;
 
 pub use explain::{AttemptTrace, RequestTrace};
-pub use preview::{
-    PREVIEW_PATH, PreviewAnswer, PreviewCandidate, PreviewOutcome, PreviewRequest,
-};
+pub use preview::{PREVIEW_PATH, PreviewAnswer, PreviewCandidate, PreviewOutcome, PreviewRequest};
 pub use status::{
     ClassStatus, PeerStatus, RevisionStatus, ServiceCounters, ServiceStatus, StatusAnswer,
 };
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -2,7 +2,10 @@
 
 use crate::args::OperatorEndpoint;
 use anyhow::{Context, bail};
-use gentianridge_api::{PREVIEW_PATH, PreviewAnswer, PreviewRequest, RequestTrace, StatusAnswer, SubmitAnswer, SubmitRequest, TimelineAnswer};
+use gentianridge_api::{
+    PREVIEW_PATH, PreviewAnswer, PreviewRequest, RequestTrace, StatusAnswer, SubmitAnswer,
+    SubmitRequest, TimelineAnswer,
+};
 use reqwest::{Client, RequestBuilder, StatusCode};
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
--- a/crates/core/benches/decision.rs
+++ b/crates/core/benches/decision.rs
@@ -40,6 +40,8 @@
                 incarnation: 0,
                 warm_up: None,
                 paused_until: None,
+                cold_until: None,
+                is_emptied: false,
             })
             .collect(),
         retry_percent: 10,
@@ -85,6 +87,7 @@
             class: self.class,
             kind: ClassKind::Interactive,
             deadline: self.now + Duration::from_secs(3600),
+            time_left: None,
             is_replayable: true,
             workspace: None,
         };
--- a/crates/core/src/discovery/directory.rs
+++ b/crates/core/src/discovery/directory.rs
@@ -1,53 +1,11 @@
 //! The targets in the local state of this VM.
 
+use super::known_target::KnownTarget;
 use super::{Incarnation, LeavingTargets, PausedTargets, TargetEntry, TargetListUpdate};
-use crate::TargetSpec;
+use crate::{DomainName, TargetSpec};
 use smol_str::SmolStr;
 use std::time::{Duration, Instant};
 
-#[derive(Debug)]
-struct KnownTarget {
-    entry: TargetEntry,
-    /// Digest of the entry in the store, `None` if it was removed or cannot be
-    /// decoded. The entry in use differs from it if it holds lasting state or if
-    /// the one in the store belongs to an older incarnation.
-    listed: Option<u64>,
-    /// Entry in the store of an older incarnation, which is not used.
-    older: Option<Box<TargetEntry>>,
-    /// True if the entry was removed at a time when it may only have expired.
-    is_expired: bool,
-    /// True if another process answered at the address.
-    is_replaced: bool,
-}
-
-impl KnownTarget {
-    /// Returns the entry as the store lists it.
-    ///
-    /// `is_draining` is the only lasting state that is part of an entry's digest.
-    fn get_listed_entry(&self) -> TargetEntry {
-        if let Some(older) = &self.older {
-            return (**older).clone();
-        }
-        let mut entry = self.entry.clone();
-        entry.is_draining = true;
-        if self.listed != Some(entry.get_digest()) {
-            entry.is_draining = false;
-        }
-        entry
-    }
-
-    /// Copies to `entry` the state that lasts as long as the incarnation.
-    ///
-    /// A draining target does not stop draining. The warm-up time of the first
-    /// read is kept, because each later read gives a shorter one.
-    fn keep_lasting_state(&self, entry: &mut TargetEntry) {
-        if entry.incarnation == self.entry.incarnation {
-            entry.is_draining |= self.entry.is_draining;
-            entry.cold_left = self.entry.cold_left;
-        }
-    }
-}
-
 /// Targets by their registered name, and whether the list is readable.
 ///
 /// - If an entry is removed while the list is readable, its target has stopped.
@@ -99,6 +57,7 @@
             .map(|known| {
                 let mut spec = known.entry.make_spec(connections);
                 spec.drain |= self.leaving.contains(&known.entry.incarnation);
+                spec.cold_until = known.cold_until;
                 spec.paused_until = self.paused.get_end(&known.entry.incarnation);
                 spec
             })
@@ -208,6 +167,53 @@
         (entry.incarnation == *incarnation).then(|| entry.service.clone())
     }
 
+    /// Records the warm-up time in an entry that was just applied, read at about `now`.
+    ///
+    /// Later reads of the same warm-up give a shorter time and change nothing.
+    pub fn record_cold(&mut self, now: Instant, entry: &TargetEntry, changed: &mut Vec<SmolStr>) {
+        if self.is_cold_again(now, entry)
+            && let Ok(index) = self.find(&entry.incarnation.id)
+        {
+            let known = &mut self.targets[index];
+            known.cold_until = Some(now + entry.cold_left);
+            changed.push(known.entry.service.clone());
+        }
+    }
+
+    /// Returns true if the entry says that a known target has become cold again.
+    pub fn is_cold_again(&self, now: Instant, entry: &TargetEntry) -> bool {
+        let known = self.find(&entry.incarnation.id).ok();
+        known.is_some_and(|index| {
+            let known = &self.targets[index];
+            known.entry.incarnation == entry.incarnation && known.is_colder(now, entry)
+        })
+    }
+
+    /// Sets the warm-up times in entries for a peer to what is left of them.
+    pub fn update_cold_left(&self, now: Instant, entries: &mut [TargetEntry]) {
+        for entry in entries {
+            if let Ok(index) = self.find(&entry.incarnation.id) {
+                let until = self.targets[index].cold_until;
+                entry.cold_left =
+                    until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
+            }
+        }
+    }
+
+    /// Returns the failure domain of an incarnation, if it is known.
+    pub fn get_domain(&self, incarnation: &Incarnation) -> Option<&DomainName> {
+        let index = self.find(&incarnation.id).ok()?;
+        let entry = &self.targets[index].entry;
+        (entry.incarnation == *incarnation).then_some(&entry.domain)
+    }
+
+    /// Adds the services that have targets in one of the failure domains.
+    pub fn collect_services(&self, domains: &[DomainName], services: &mut Vec<SmolStr>) {
+        let targets = self.targets.iter().map(|known| &known.entry);
+        let affected = targets.filter(|entry| domains.contains(&entry.domain));
+        services.extend(affected.map(|entry| entry.service.clone()));
+    }
+
     /// Returns the end of the pause that an incarnation requested.
     pub fn get_pause_end(&self, incarnation: &Incarnation) -> Option<Instant> {
         self.paused.get_end(incarnation)
@@ -287,6 +293,7 @@
                     entry,
                     is_expired: false,
                     is_replaced: false,
+                    cold_until: None,
                 };
                 self.targets.insert(index, known);
             }
@@ -364,6 +371,9 @@
         let old = &known.entry;
         let is_same_process = entry.incarnation == old.incarnation && entry.addr == old.addr;
         known.is_replaced &= is_same_process;
+        if !is_same_process {
+            known.cold_until = None;
+        }
         let was_expired = std::mem::take(&mut known.is_expired);
         if was_expired || entry != *old {
             changed.push(old.service.clone());
--- a/crates/core/src/discovery/list.rs
+++ b/crates/core/src/discovery/list.rs
@@ -1,8 +1,8 @@
 //! The target list of one VM, from its own reads and from peers' updates.
 
 use super::{
-    Directory, Incarnation, ReadTurn, RefreshTimer, TargetEntry, TargetListRead, TargetListUpdate,
-    UpdateContent, UpdateOutcome,
+    Directory, EmptiedDomains, Incarnation, ReadTurn, RefreshTimer, TargetEntry, TargetListRead,
+    TargetListUpdate, UpdateContent, UpdateOutcome,
 };
 use crate::TargetSpec;
 use smol_str::SmolStr;
@@ -26,6 +26,8 @@
     Withdrawn,
     /// The target has requested a pause that has not ended.
     Paused,
+    /// Operators have emptied the failure domain of the target.
+    Emptied,
     /// The list is so old that the target may have left since.
     Outdated,
 }
@@ -41,11 +43,14 @@
 /// docs/decisions/0018-leaving-targets.md has the reasons.
 #[derive(Debug)]
 pub struct TargetList {
-    directory: Directory,
+    pub(super) directory: Directory,
     refresh_timer: RefreshTimer,
     /// True if the list lacks a change that no incremental read is certain to
     /// contain.
     has_diverged: bool,
+    pub(super) emptied: EmptiedDomains,
+    /// True if a service has a rate for cold targets.
+    pub(super) has_cold_rates: bool,
 }
 
 /// Construction and timer.
@@ -56,6 +61,8 @@
             directory: Directory::new(),
             refresh_timer: RefreshTimer::new(bound),
             has_diverged: false,
+            emptied: EmptiedDomains::default(),
+            has_cold_rates: false,
         }
     }
 
@@ -132,7 +139,10 @@
             removed.retain(|id| directory.is_listed(id));
             self.has_diverged = false;
         }
-        let is_change = |entry: &&TargetEntry| directory.is_change(entry);
+        let has_cold_rates = self.has_cold_rates;
+        let is_change = |entry: &&TargetEntry| {
+            directory.is_change(entry) || (has_cold_rates && directory.is_cold_again(now, entry))
+        };
         let mut update = TargetListUpdate {
             version: read.version,
             age: now.saturating_duration_since(sent_at),
@@ -237,8 +247,9 @@
 
     /// Returns the complete list for a peer, `None` as long as there is none.
     pub fn make_full_update(&self, now: Instant) -> Option<TargetListUpdate> {
-        let entries = self.directory.get_listed_entries();
+        let mut entries = self.directory.get_listed_entries();
         debug_assert_eq!(sum_digests(&entries), self.get_digest());
+        self.update_cold_left(now, &mut entries);
         Some(TargetListUpdate {
             version: self.get_version()?,
             age: self.get_age(now)?,
@@ -270,6 +281,7 @@
     fn apply(&mut self, now: Instant, update: &TargetListUpdate, changed: &mut Vec<SmolStr>) {
         for entry in &update.entries {
             self.directory.put(entry.clone(), changed);
+            self.directory.record_cold(now, entry, changed);
         }
         for id in &update.removed {
             self.directory.remove(now, id, changed);
@@ -289,7 +301,11 @@
 
     /// Returns the targets of a service, draining ones included.
     pub fn get_targets(&self, service: &str, connections: u16) -> Vec<TargetSpec> {
-        self.directory.get_targets(service, connections)
+        let mut targets = self.directory.get_targets(service, connections);
+        for target in &mut targets {
+            target.is_emptied = self.emptied.get().contains(&target.domain);
+        }
+        targets
     }
 
     /// Checks whether a request may be sent to a target now.
@@ -299,6 +315,8 @@
     pub fn check_send(&self, now: Instant, incarnation: &Incarnation) -> SendCheck {
         if !self.directory.is_active(incarnation) {
             SendCheck::Withdrawn
+        } else if self.is_emptied(incarnation) {
+            SendCheck::Emptied
         } else if self.is_paused(now, incarnation) {
             SendCheck::Paused
         } else if self.refresh_timer.is_outdated(now) {
--- a/crates/core/src/discovery/mod.rs
+++ b/crates/core/src/discovery/mod.rs
@@ -3,10 +3,13 @@
 //! docs/decisions/0013-platform.md lists the cases.
 
 mod directory;
+mod emptied_domains;
 mod entry;
 mod evacuations;
+mod known_target;
 mod leaving;
 mod list;
+mod list_domains;
 mod paused;
 mod refresh;
 mod turn;
@@ -14,6 +17,7 @@
 mod update_log;
 
 pub use directory::Directory;
+pub use emptied_domains::EmptiedDomains;
 pub use entry::{Incarnation, TargetEntry};
 pub use evacuations::Evacuations;
 pub use leaving::LeavingTargets;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,10 +8,12 @@
 
 mod clock;
 mod code;
+mod cold;
 mod discovery;
 mod event;
 mod ledger;
 mod membership;
+mod memory;
 mod probe;
 mod quarantine;
 mod revision;
@@ -23,10 +25,11 @@
 
 pub use clock::{Clock, HybridClock, HybridTime};
 pub use code::{ResultCode, RunState};
+pub use cold::{ColdBudget, ColdFleet, ColdPlan, ColdState};
 pub use discovery::{
-    AppliedRead, Directory, Evacuations, Incarnation, LeavingTargets, PausedTargets, ReadTurn,
-    RefreshTimer, SendCheck, TargetEntry, TargetList, TargetListRead, TargetListUpdate,
-    UpdateContent, UpdateLog, UpdateOutcome,
+    AppliedRead, Directory, EmptiedDomains, Evacuations, Incarnation, LeavingTargets,
+    PausedTargets, ReadTurn, RefreshTimer, SendCheck, TargetEntry, TargetList, TargetListRead,
+    TargetListUpdate, UpdateContent, UpdateLog, UpdateOutcome,
 };
 pub use event::{Event, EventKind, EventRing};
 pub use ledger::{
@@ -37,6 +40,7 @@
     ByteBudget, GossipState, Heartbeat, HeartbeatSummary, Membership, NoticeQueue, PeerState,
     PeerView, PlatformState, RoundPeers, StallDetector, TargetNotice, TargetNotices,
 };
+pub use memory::{HolderKey, HolderPhase, MemoryAccount, MemoryBudget, MemoryDecision};
 pub use probe::{ProbeBudget, is_probe_owner};
 pub use quarantine::{CrashRecord, Quarantine, QuarantineChange};
 pub use revision::{
@@ -48,8 +52,9 @@
     SplitPart,
 };
 pub use service::{
-    Arrival, AttemptKey, AttemptKind, CallKey, ClassKey, Counters, LoadReport, Outcome, Output,
-    PlacementInputs, Service, TargetCondition, TargetKey, TargetStatus,
+    Arrival, AttemptKey, AttemptKind, CallKey, Candidate, ClassKey, Counters, LoadReport, Obstacle,
+    Outcome, Output, PlacementInputs, Preview, PreviewStep, Service, TargetCondition, TargetKey,
+    TargetStatus,
 };
 pub use spec::{
     ClassKind, ClassSpec, DomainName, FleetSpec, MethodSet, Note, RepeatLimit, RequestBound,
@@ -57,6 +62,7 @@
 };
 pub use stop_schedule::StopSchedule;
 pub use workspace::{
-    ConfigProof, RateLimit, WorkspaceFault, WorkspaceKey, WorkspaceSpec, WorkspaceTable,
-    parse_credential,
+    Admission, ConfigProof, FleetLimits, LimitMember, LimitMessage, LimitTerms, Proofs, RateLimit,
+    SpentToken, StoreClock, StoreTime, TokenAsk, TokenGrant, WorkspaceFault, WorkspaceKey,
+    WorkspaceSpec, WorkspaceTable, parse_credential,
 };
--- a/crates/core/src/membership/gossip.rs
+++ b/crates/core/src/membership/gossip.rs
@@ -271,6 +271,18 @@
         chosen
     }
 
+    /// Returns the name, the address and the failure domain of each VM that has not been
+    /// removed, live or not; the domain of one that has sent no message is not known.
+    pub fn get_known(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (&VmName, SocketAddr, Option<&DomainName>)> {
+        let peers = self.membership.get_peers(now);
+        let peers = peers.map(|(view, _)| (&view.vm, view.addr, Some(&view.domain)));
+        let unconfirmed = self.unconfirmed.iter();
+        peers.chain(unconfirmed.map(|peer| (&peer.vm, peer.addr, None)))
+    }
+
     /// Returns the views of the live peers.
     pub fn get_live_views(&self, now: Instant) -> Vec<PeerView> {
         let peers = self.membership.get_peers(now);
@@ -293,6 +305,16 @@
         known.filter(|vm| place(vm) < own_place).count()
     }
 
+    /// Returns the names of all other VMs that are known and not leaving, whether or not
+    /// they answer.
+    pub fn get_staying(&self, now: Instant) -> Vec<VmName> {
+        let peers = self.membership.get_peers(now);
+        let staying = peers.filter(|(_, state)| *state != PeerState::Leaving);
+        let names = staying.map(|(view, _)| view.vm.clone());
+        let registered = self.unconfirmed.iter().map(|peer| peer.vm.clone());
+        names.chain(registered).collect()
+    }
+
     /// Returns true if this VM has to clean up after a VM that is gone.
     ///
     /// The owner is the live VM that follows the one that is gone in the order
--- a/crates/core/src/service/attempts.rs
+++ b/crates/core/src/service/attempts.rs
@@ -166,6 +166,9 @@
         outcome: Outcome,
         out: &mut Vec<Output>,
     ) {
+        if outcome == Outcome::Refused {
+            self.suspect_cold(now, target);
+        }
         if outcome.is_target_failure() {
             self.counters.failures += 1;
             self.handle_failure(now, target, out);
@@ -261,7 +264,7 @@
             return false;
         }
         self.release(key);
-        match self.pick_retry(now, call_key) {
+        match self.pick_target(now, call_key) {
             Some(target) => self.start(now, call_key, target, AttemptKind::Retry, out),
             None => self.enqueue_again(now, call_key),
         }
@@ -276,6 +279,7 @@
         let call = &mut self.calls[key];
         let margin = self.classes[call.class].get_expected_time();
         if call.useful_until <= now + margin {
+            call.is_late = true;
             // `starts_until` is the deadline unless the VM stops.
             call.useful_until = call.deadline.min(call.starts_until + margin);
         }
--- a/crates/core/src/service/dispatch.rs
+++ b/crates/core/src/service/dispatch.rs
@@ -31,20 +31,6 @@
         }
     }
 
-    /// Returns the class whose first waiting call comes next: the one with the
-    /// smallest priority number, and among equals the earliest due time.
-    pub(super) fn find_next_class(&self, is_background: bool) -> Option<ClassKey> {
-        self.classes
-            .iter()
-            .filter(|(_, class)| (class.spec.kind == ClassKind::Background) == is_background)
-            .filter_map(|(key, class)| {
-                let front = class.front()?;
-                Some((class.spec.priority, front.due, key))
-            })
-            .min()
-            .map(|(_, _, key)| key)
-    }
-
     pub(super) fn dispatch_front(
         &mut self,
         now: Instant,
@@ -61,6 +47,7 @@
             return false;
         };
         self.classes[class].pop_front();
+        self.turns.serve(self.calls[front.call].turn);
         self.start(now, front.call, choice.target, choice.kind, out);
         true
     }
@@ -75,6 +62,7 @@
     ) {
         let class = self.calls[key].class;
         let is_long = self.classes[class].spec.kind == ClassKind::Background;
+        let has_cold_claim = self.take_cold_claim(now, target);
         let attempt = self.attempts.insert(Attempt {
             call: key,
             class,
@@ -83,6 +71,7 @@
             started: now,
             is_delivered: false,
             is_long,
+            has_cold_claim,
         });
         self.calls[key].start(attempt, target);
         self.occupy(target, attempt, is_long);
--- a/crates/core/src/service/machine.rs
+++ b/crates/core/src/service/machine.rs
@@ -1,5 +1,6 @@
 //! The state machine of one service.
 
+use super::admission::Turns;
 use super::budget::Budget;
 use super::classes::Classes;
 use super::demand::ShortDemand;
@@ -9,7 +10,9 @@
 use super::sampling::Sampler;
 use super::target::Target;
 use super::{AttemptKey, CallKey, ClassKey, Counters, Output};
-use crate::{ClassKind, DomainName, RepeatLimit, ServiceSpec, StopSchedule, VmName};
+use crate::{
+    ClassKind, ColdFleet, ColdPlan, DomainName, RepeatLimit, ServiceSpec, StopSchedule, VmName,
+};
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
 use slotmap::SlotMap;
@@ -36,7 +39,8 @@
 /// #         priority: 0, max_attempts: 4 }],
 /// #     targets: vec![TargetSpec { name: "r1".into(), addr: "127.0.0.1:9001".parse().unwrap(),
 /// #         domain: "d1".into(), slots: Some(3), connections: 200, weight: 100, drain: false, note: None,
-/// #         incarnation: 0, warm_up: None, paused_until: None }],
+/// #         incarnation: 0, warm_up: None, paused_until: None,
+/// #         cold_until: None, is_emptied: false }],
 /// # };
 /// let now = Instant::now();
 /// let mut service = Service::new(spec, 7);
@@ -45,6 +49,7 @@
 ///     class: service.find_class_by_name("lookup").unwrap(),
 ///     kind: ClassKind::Interactive,
 ///     deadline: now + Duration::from_secs(1),
+///     time_left: None,
 ///     is_replayable: true,
 ///     workspace: None,
 /// };
@@ -73,8 +78,17 @@
     pub(super) own_short: u32,
     pub(super) short_demand: ShortDemand,
     pub(super) last_short_arrival: Option<Instant>,
+    /// Time of the last refusal, which its caller may answer with another attempt.
+    pub(super) last_refusal: Option<Instant>,
+    /// Time of the last refusal of a call that could have been in time.
+    pub(super) last_turned_away: Option<Instant>,
+    /// Turns of workspaces at a full service.
+    pub(super) turns: Turns,
     /// Schedule of the planned stop of the VM, after its signal.
     pub(super) stop: Option<StopSchedule>,
+    /// How the rate of cold targets is shared, `None` if the service has none.
+    pub(super) cold_plan: Option<ColdPlan>,
+    pub(super) cold_fleet: ColdFleet,
 }
 
 /// Construction and changes of the declaration.
@@ -104,7 +118,12 @@
             own_short: 0,
             short_demand: ShortDemand::new(),
             last_short_arrival: None,
+            last_refusal: None,
+            last_turned_away: None,
+            turns: Turns::default(),
             stop: None,
+            cold_plan: None,
+            cold_fleet: ColdFleet::default(),
             spec,
         };
         service.assign_long_slots();
@@ -123,6 +142,7 @@
         self.apply_repeat_limit(spec.repeats);
         self.spec = spec;
         self.apply_targets(now, targets);
+        self.assign_cold_owners(now);
         self.choose_subset();
         self.apply_classes(classes);
         self.assign_long_slots();
@@ -136,8 +156,15 @@
         for spec in specs {
             let known = self.targets.iter().position(|t| t.is_same_process(&spec));
             match known {
-                Some(index) => self.targets[index].update_spec(now, spec),
-                None => self.add_target(Target::new(spec, Some(now))),
+                Some(index) => self.targets[index].update_spec(now, spec, self.cold_plan),
+                None => {
+                    let mut target = Target::new(spec, Some(now));
+                    if let Some(until) = target.spec.cold_until.filter(|_| self.cold_plan.is_some())
+                    {
+                        target.cold.state(until);
+                    }
+                    self.add_target(target);
+                }
             }
         }
     }
@@ -237,11 +264,19 @@
             && self.spec.incarnation == spec.incarnation
     }
 
-    pub(super) fn update_spec(&mut self, now: Instant, spec: crate::TargetSpec) {
+    pub(super) fn update_spec(
+        &mut self,
+        now: Instant,
+        spec: crate::TargetSpec,
+        cold_plan: Option<ColdPlan>,
+    ) {
         let was_usable = self.is_usable() || self.is_removed;
         self.is_removed = false;
         self.limit.set_declared(spec.slots, spec.get_slots());
-        self.spec = spec;
+        let old = std::mem::replace(&mut self.spec, spec);
+        if let Some(plan) = cold_plan {
+            self.update_cold(now, &old, plan);
+        }
         if !was_usable && self.is_usable() {
             self.start_warming(now);
         }
--- a/crates/core/src/service/sampling.rs
+++ b/crates/core/src/service/sampling.rs
@@ -6,8 +6,8 @@
 //! few targets. The costs are in docs/decisions/0015-sampling.md.
 
 use super::class::{Class, HedgeCheck};
-use super::pick::{AllowedCapacity, get_jitter};
-use super::records::CallState;
+use super::pick::get_jitter;
+use super::records::{Call, CallState};
 use super::{CallKey, ClassKey, Output, Service, TargetKey};
 use crate::Sampling;
 use rand::Rng;
@@ -33,6 +33,9 @@
 
 impl Sampler {
     const WORK_TIME_WEIGHT: f32 = 0.05;
+    /// Longest time whose unused load requests are kept. The bound of the platform holds
+    /// over a day, and the requests of few callers come in bunches.
+    const SAVED_TIME: Duration = Duration::from_secs(10);
 
     /// Records the relative work time of one report.
     pub(super) fn record_work_time(&mut self, percent: u16) {
@@ -42,13 +45,21 @@
 
     /// Consumes up to `wanted` load requests from the budget and returns their number.
     ///
-    /// The budget holds at most the load requests of one second.
+    /// The budget holds at most the load requests of `SAVED_TIME`. While it holds less than
+    /// those of a second, targets are asked one after the other: most of the time the first
+    /// one has a usual work time, and the others would be asked in vain.
     fn consume(&mut self, now: Instant, per_second: f32, wanted: usize) -> usize {
         let passed = self.refilled.map_or(Duration::from_secs(1), |at| {
             now.saturating_duration_since(at)
         });
         self.refilled = Some(now);
-        self.tokens = (self.tokens + per_second * passed.as_secs_f32()).min(per_second);
+        let most = per_second * Self::SAVED_TIME.as_secs_f32();
+        self.tokens = (self.tokens + per_second * passed.as_secs_f32()).min(most);
+        let wanted = if self.tokens < per_second {
+            wanted.min(1)
+        } else {
+            wanted
+        };
         let granted = wanted.min(self.tokens as usize);
         self.tokens -= granted as f32;
         granted
@@ -57,7 +68,7 @@
 
 /// Best relative work time among the targets with capacity, from worst to best.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum BestWorkTime {
+pub(super) enum BestWorkTime {
     /// No target has capacity.
     NoCapacity,
     /// Every target with capacity has a fresh report above `GOOD_WORK_TIME`.
@@ -86,6 +97,9 @@
     const MAX_ROUNDS: u8 = 12;
     /// Rounds of load requests for one hedge.
     const HEDGE_ROUNDS: u8 = 2;
+    /// Time between two load requests of this VM to a target that may be cold, so that the
+    /// requests of many VMs do not add to its work.
+    const SUSPECT_PAUSE: Duration = Duration::from_millis(250);
     /// VMs assumed while no other VM is in the live list.
     const ASSUMED_VMS: f32 = 50.0;
 
@@ -104,7 +118,7 @@
         let Some(config) = self.spec.sampling else {
             return true;
         };
-        let best = self.find_best_work_time(now, config, key);
+        let best = self.find_best_work_time(now, config, &self.calls[key]);
         match best {
             BestWorkTime::Good => return true,
             BestWorkTime::NoCapacity => return false,
@@ -117,8 +131,7 @@
         }
         let has_time = self.has_time_for_round(now, config, key);
         if state.rounds >= Self::MAX_ROUNDS || !has_time {
-            // Without other waiting calls, a late answer is better than an idle slot.
-            return self.count_waiting() <= 1 || has_time;
+            return has_time || self.is_blind_send_useful(now, key);
         }
         let round = self.send_load_requests(now, config, key, out);
         let is_unanswered =
@@ -127,6 +140,11 @@
             // Targets that did not answer the load request in time may still work.
             return true;
         }
+        if round == RequestRound::Sent(0) && is_unanswered && self.is_blind_send_useful(now, key) {
+            // Without budget nothing is learned by a wait, and an unknown target is usual
+            // more often than slow.
+            return true;
+        }
         // If no load request could be sent, the work times may still change.
         let is_paused = matches!(round, RequestRound::NoCandidates | RequestRound::Sent(0));
         let pause = if is_paused {
@@ -172,7 +190,7 @@
         };
         let is_done = check.rounds >= Self::HEDGE_ROUNDS
             || matches!(
-                self.find_best_work_time(now, config, key),
+                self.find_best_work_time(now, config, &self.calls[key]),
                 BestWorkTime::Good | BestWorkTime::NoCapacity
             );
         if is_done
@@ -201,21 +219,34 @@
         (until > now).then_some(until)
     }
 
+    /// Returns true if a send to a target of unknown load is better than a further wait.
+    ///
+    /// Without other waiting calls, a late answer is better than an idle slot. While calls
+    /// are turned away there are no idle slots, and such a send would queue at a full
+    /// target; it is made only if this VM uses less than its share.
+    fn is_blind_send_useful(&self, now: Instant, key: CallKey) -> bool {
+        let class = &self.classes[self.calls[key].class];
+        self.count_waiting() <= 1 && !self.is_short_of_room(now, class)
+    }
+
     /// Returns the best relative work time among the targets with capacity for the call.
-    fn find_best_work_time(&self, now: Instant, config: Sampling, key: CallKey) -> BestWorkTime {
+    pub(super) fn find_best_work_time(
+        &self,
+        now: Instant,
+        config: Sampling,
+        call: &Call,
+    ) -> BestWorkTime {
         let context = self.make_scoring_context(now);
-        let call = &self.calls[key];
         let mut best = BestWorkTime::NoCapacity;
         for (index, target) in self.targets.iter().enumerate() {
             let is_candidate = target.is_usable()
                 && !call.has_tried(TargetKey::from_index(index))
-                && context
-                    .score_target(target, AllowedCapacity::Free)
-                    .is_some();
+                && context.score_for_sample(target).is_some();
             if !is_candidate {
                 continue;
             }
-            let found = match target.get_report(now, config.fresh) {
+            let is_open = target.cold.is_open(now);
+            let found = match target.get_report(now, config.fresh).filter(|_| is_open) {
                 None => BestWorkTime::Unknown,
                 Some(report) => match report.work_percent {
                     Some(percent) if f32::from(percent) / 100.0 > Self::GOOD_WORK_TIME => {
@@ -268,16 +299,22 @@
             .enumerate()
             .filter(|(index, target)| {
                 let has_fresh_report = target.get_report(now, config.fresh).is_some();
+                let is_open = target.cold.is_open(now);
+                let pause = if is_open {
+                    config.fresh
+                } else {
+                    Self::SUSPECT_PAUSE
+                };
                 let has_recent_request = target
                     .sampled_at
-                    .is_some_and(|at| now.saturating_duration_since(at) < config.fresh);
+                    .is_some_and(|at| now.saturating_duration_since(at) < pause);
                 target.is_usable()
-                    && !has_fresh_report
+                    && (!has_fresh_report || !is_open)
                     && !has_recent_request
                     && !call.has_tried(TargetKey::from_index(*index))
             })
             .filter_map(|(index, target)| {
-                let (_, score) = context.score_target(target, AllowedCapacity::Free)?;
+                let (_, score) = context.score_for_sample(target)?;
                 let score = score + self.get_affinity_penalty(target) + get_jitter(jitter, index);
                 Some((score, index))
             })
--- a/crates/core/src/service/status.rs
+++ b/crates/core/src/service/status.rs
@@ -16,6 +16,10 @@
     Leaving,
     /// The file in force drains the target.
     Drained,
+    /// Operators have emptied the failure domain of the target.
+    Emptied,
+    /// The target has just started, or may have, and gets a limited rate of requests.
+    Cold,
 }
 
 /// State of one target in the view of one VM.
--- a/crates/core/src/service/target.rs
+++ b/crates/core/src/service/target.rs
@@ -3,7 +3,7 @@
 use super::ejection::Health;
 use super::limit::Limit;
 use super::{AttemptKey, LoadReport};
-use crate::TargetSpec;
+use crate::{ColdState, TargetSpec};
 use std::time::{Duration, Instant};
 
 /// One VM's state of one target.
@@ -11,6 +11,8 @@
 pub(crate) struct Target {
     pub(crate) spec: TargetSpec,
     pub(crate) limit: Limit,
+    /// Whether the target is cold, if its service has a rate for cold targets.
+    pub(crate) cold: ColdState,
     pub(crate) health: Health,
     /// Attempts of this VM in flight.
     pub(crate) own: u16,
@@ -45,6 +47,7 @@
         Self {
             limit: Limit::new(spec.slots, spec.get_slots()),
             health: Health::new(),
+            cold: ColdState::default(),
             own: 0,
             own_long: 0,
             long_share: 0,
@@ -93,6 +96,16 @@
 
     /// Returns true if the target may receive requests, regardless of ejection.
     pub(crate) fn is_usable(&self) -> bool {
+        self.is_usable_otherwise() && !self.spec.is_emptied
+    }
+
+    /// Returns true if only the evacuation of its failure domain keeps requests from the
+    /// target.
+    pub(crate) fn is_held_by_evacuation(&self) -> bool {
+        self.is_usable_otherwise() && self.spec.is_emptied
+    }
+
+    fn is_usable_otherwise(&self) -> bool {
         !self.is_removed && !self.is_leaving && !self.spec.drain && self.spec.weight > 0
     }
 
--- a/crates/daemon/src/gateway/call.rs
+++ b/crates/daemon/src/gateway/call.rs
@@ -79,7 +79,8 @@
             class: cx.class,
             kind: cx.kind,
             deadline: cx.deadline,
-            is_replayable: true,
+            time_left: cx.request.time_left,
+            is_replayable: !cx.request.body.is_flowing(),
             workspace: cx.workspace,
         };
         let (key, rx) = cx.service.arrive(arrival);
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -1,18 +1,21 @@
 //! Metrics of a daemon on the platform.
 
 use super::auxiliary::AuxiliaryResponse;
+use super::memory::MemoryKeeper;
 use super::preview::answer_preview;
 use super::state::Gateway;
+use super::workspace_labels::WorkspaceLabels;
 use crate::telemetry::{Exposition, LineCounts, counter, gauge, time_histogram};
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use gentianridge_api::PREVIEW_PATH;
-use gentianridge_core::{AttemptKind, ResultCode, TargetCondition};
+use gentianridge_core::{AttemptKind, FleetLimits, ResultCode, RunState, TargetCondition};
 use http::{Method, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
+use smol_str::SmolStr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -30,6 +33,9 @@
     attempts: Histogram<f64>,
     sends: Counter<u64>,
     refusals: Counter<u64>,
+    turned_away: Counter<u64>,
+    workspace_requests: Counter<u64>,
+    workspace_labels: WorkspaceLabels,
     connections: Counter<u64>,
     samples: Counter<u64>,
     store_calls: Counter<u64>,
@@ -43,9 +49,18 @@
     state_bytes: Counter<u64>,
     announcements: Counter<u64>,
     outdated_sends: Counter<u64>,
+    limit_requests: Counter<u64>,
+    limit_states: Gauge<f64>,
     list_due: Gauge<f64>,
     list_age: Gauge<f64>,
+    proof_age: Gauge<f64>,
+    emptied: Gauge<f64>,
+    emptied_version: Gauge<f64>,
+    emptied_time: Gauge<f64>,
     log_lines: Gauge<f64>,
+    closed_callers: Counter<u64>,
+    caller_memory: Gauge<f64>,
+    caller_connections: Gauge<f64>,
 }
 
 impl GatewayMetrics {
@@ -70,6 +85,17 @@
             ),
             sends: counter(&meter, "gentianridge.attempts", "Attempts by kind"),
             refusals: counter(&meter, "gentianridge.refusals", "Refusals by result code"),
+            turned_away: counter(
+                &meter,
+                "gentianridge.turned.away",
+                "Requests that a service refused, by service, kind and result code",
+            ),
+            workspace_requests: counter(
+                &meter,
+                "gentianridge.workspace.requests",
+                "Requests of each workspace by outcome",
+            ),
+            workspace_labels: WorkspaceLabels::default(),
             connections: counter(
                 &meter,
                 "gentianridge.connections",
@@ -119,17 +145,62 @@
                 "gentianridge.list.outdated.sends",
                 "Requests sent by an outdated list because the store did not answer",
             ),
+            limit_requests: counter(
+                &meter,
+                "gentianridge.limit.requests",
+                "Requests of workspaces with a limit, by outcome",
+            ),
+            limit_states: gauge(
+                &meter,
+                "gentianridge.limit.states",
+                "Workspaces whose limit was used lately",
+            ),
             list_age: gauge(
                 &meter,
                 "gentianridge.list.age",
                 "Time since the read of the store that the list of targets reflects",
             ),
+            proof_age: gauge(
+                &meter,
+                "gentianridge.config.proof.age",
+                "Greatest time since the configuration in force was the newest one in the store",
+            ),
+            emptied: gauge(
+                &meter,
+                "gentianridge.domains.emptied",
+                "Failure domains that operators have emptied",
+            ),
+            emptied_version: gauge(
+                &meter,
+                "gentianridge.domains.emptied.version",
+                "Version of the store at which the emptied failure domains were read",
+            ),
+            emptied_time: gauge(
+                &meter,
+                "gentianridge.domains.emptied.time",
+                "Time since this VM learned of the domain that was emptied first, 0 without one",
+            ),
             list_due: gauge(
                 &meter,
                 "gentianridge.list.due",
                 "Time until this VM reads the list of targets; negative when overdue",
             ),
             log_lines: gauge(&meter, "gentianridge.log.lines", "Log lines by fate"),
+            closed_callers: counter(
+                &meter,
+                "gentianridge.callers.closed",
+                "Callers' connections closed to protect this VM, by reason",
+            ),
+            caller_memory: gauge(
+                &meter,
+                "gentianridge.callers.memory",
+                "Bytes held for callers, in use and at most",
+            ),
+            caller_connections: gauge(
+                &meter,
+                "gentianridge.callers.connections",
+                "Callers' connections, open and at most",
+            ),
             lines,
             exposition,
         })
@@ -166,15 +237,45 @@
         self.attempts.record(took.as_secs_f64(), &labels);
     }
 
+    /// Counts a request of a workspace; `code` is that of a refusal or failure.
+    pub(crate) fn record_workspace(&self, name: &SmolStr, code: Option<ResultCode>) {
+        let outcome = match code.map(ResultCode::run_state) {
+            None => "answered",
+            Some(RunState::NotRun) => "refused",
+            Some(_) => "failed",
+        };
+        let label = self.workspace_labels.get(name).to_string();
+        let labels = [
+            KeyValue::new("workspace", label),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.workspace_requests.add(1, &labels);
+    }
+
     pub(crate) fn record_refusal(&self, code: ResultCode) {
         self.refusals
             .add(1, &[KeyValue::new("code", i64::from(code.number()))]);
     }
 
+    /// Counts a request that its service refused.
+    pub(crate) fn record_turned_away(&self, service: &str, kind: &'static str, code: ResultCode) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("kind", kind),
+            KeyValue::new("code", i64::from(code.number())),
+        ];
+        self.turned_away.add(1, &labels);
+    }
+
     pub(crate) fn record_connection(&self, use_: &'static str) {
         self.connections.add(1, &[KeyValue::new("use", use_)]);
     }
 
+    pub(crate) fn record_closed_caller(&self, reason: &'static str) {
+        self.closed_callers
+            .add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     pub(crate) fn record_sample(&self) {
         self.samples.add(1, &[]);
     }
@@ -201,6 +302,16 @@
         self.announcements.add(1, &labels);
     }
 
+    /// Counts a request of a workspace with a limit.
+    pub(crate) fn record_limit(&self, workspace: &SmolStr, outcome: &'static str) {
+        let label = self.workspace_labels.get(workspace).to_string();
+        let labels = [
+            KeyValue::new("workspace", label),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.limit_requests.add(1, &labels);
+    }
+
     pub(crate) fn record_outdated_send(&self) {
         self.outdated_sends.add(1, &[]);
     }
@@ -220,10 +331,18 @@
         self.version.record(gateway.get_version() as f64, &[]);
         self.vms
             .record(gateway.peers.count_live(gateway.clock.now()) as f64, &[]);
+        if gateway.limits.read(FleetLimits::is_limiting) {
+            let active = gateway.limits.read(FleetLimits::count_active);
+            self.limit_states.record(active as f64, &[]);
+        }
         let now = gateway.clock.now();
         if let Some(age) = gateway.list.borrow().get_age(now) {
             self.list_age.record(age.as_secs_f64(), &[]);
         }
+        if let Some(age) = gateway.get_proof_age() {
+            self.proof_age.record(age.as_secs_f64(), &[]);
+        }
+        self.observe_emptied(gateway);
         if let Some(due) = gateway.get_list_due() {
             let ahead = due.saturating_duration_since(now).as_secs_f64();
             let behind = now.saturating_duration_since(due).as_secs_f64();
@@ -239,9 +358,35 @@
                     .record(count as f64, &[KeyValue::new("fate", fate)]);
             }
         }
+        self.observe_memory(&gateway.memory);
         self.exposition.render()
     }
 
+    fn observe_emptied(&self, gateway: &Gateway) {
+        let list = gateway.list.borrow();
+        let domains = list.get_emptied();
+        let now = gateway.clock.now();
+        let first = domains.get_since().map(|(_, since)| since).min();
+        let time = first.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        self.emptied.record(domains.get().domains.len() as f64, &[]);
+        self.emptied_version
+            .record(domains.get().version as f64, &[]);
+        self.emptied_time.record(time.as_secs_f64(), &[]);
+    }
+
+    fn observe_memory(&self, memory: &MemoryKeeper) {
+        let budget = memory.get_budget();
+        let (used, connections) = memory.get_use();
+        for (kind, bytes, count) in [
+            ("used", used, connections),
+            ("limit", budget.capacity, budget.max_connections),
+        ] {
+            let label = [KeyValue::new("kind", kind)];
+            self.caller_memory.record(bytes as f64, &label);
+            self.caller_connections.record(count as f64, &label);
+        }
+    }
+
     fn observe_services(&self, gateway: &Gateway) {
         gateway.for_each_service(|service| {
             let (status, waiting) =
@@ -254,6 +399,8 @@
                 ("ejected", TargetCondition::Ejected),
                 ("leaving", TargetCondition::Leaving),
                 ("drained", TargetCondition::Drained),
+                ("emptied", TargetCondition::Emptied),
+                ("cold", TargetCondition::Cold),
             ];
             for (name, condition) in conditions {
                 let count = status.iter().filter(|t| t.condition == condition).count();
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -5,18 +5,24 @@
 //! is described in docs/decisions/0013-platform.md.
 
 mod activity;
+mod admission;
 mod announcements;
 mod answer;
 mod attempt;
 mod auxiliary;
+mod body;
 mod call;
 mod callers;
+mod cold;
 mod connections;
 mod counted;
 mod crashes;
+mod evacuations;
 mod exchange;
 mod feeds;
+mod identity;
 mod list_reader;
+mod memory;
 mod metrics;
 mod peers;
 mod preview;
@@ -31,6 +37,7 @@
 mod sockets;
 mod state;
 mod targets;
+mod workspace_labels;
 
 pub use run::{run_gateway, run_gateway_until};
 pub use sockets::GatewaySockets;
--- a/crates/daemon/src/gateway/peers/gossip.rs
+++ b/crates/daemon/src/gateway/peers/gossip.rs
@@ -1,11 +1,12 @@
 //! Gossip rounds between VMs.
 
+use super::limits::receive_limits;
 use super::register::remove_rows;
 use crate::gateway::feeds::apply_list_update;
 use crate::gateway::state::Gateway;
 use crate::telemetry::STATE_LOG_TARGET;
 use gentianridge_core::{ByteBudget, StallDetector, TargetListUpdate, UpdateContent, VmName};
-use gentianridge_wire::PeerDatagram;
+use gentianridge_wire::{LimitDatagram, PeerDatagram};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -69,6 +70,7 @@
             }
             next_routine = now + ROUND_INTERVAL;
             update_members(&self.gateway, now);
+            self.gateway.check_proof();
             self.send_round(now, RoundKind::Routine);
         }
     }
@@ -85,7 +87,9 @@
         datagram.leaving = self.gateway.peers.leaving.borrow_mut().next_round();
         datagram.paused = self.gateway.peers.paused.borrow_mut().next_round();
         datagram.list = self.gateway.peers.next_list_update(now);
-        let has_news = datagram.list.is_some() || !datagram.leaving.is_empty();
+        let has_news = self.gateway.peers.next_evacuation_round()
+            || datagram.list.is_some()
+            || !datagram.leaving.is_empty();
         let kind = if has_news { RoundKind::Urgent } else { kind };
         let bytes = encode_within_limit(&mut datagram);
         for addr in round.peers {
@@ -129,6 +133,10 @@
                     continue;
                 }
             };
+            if LimitDatagram::is_kind(&buf[..size]) {
+                receive_limits(&self.gateway, addr, &buf[..size]);
+                continue;
+            }
             match PeerDatagram::decode(&buf[..size]) {
                 Ok(datagram) => self.apply_datagram(addr, datagram),
                 Err(error) => log::warn!("datagram of {addr} dropped: {error}"),
@@ -161,6 +169,9 @@
         if is_change {
             update_members(gateway, now);
         }
+        if let Some(evacuations) = datagram.evacuations {
+            gateway.apply_evacuations(evacuations, "peer");
+        }
         gateway.apply_crash_records(&datagram.crashes);
         for digest in datagram.leaving {
             gateway.record_leaving(digest, "peer");
@@ -173,6 +184,7 @@
         if let Some(update) = datagram.list.filter(|_| !has_backlog) {
             apply_list_update(gateway, update, addr);
         }
+        gateway.adopt_proof(datagram.proof);
         gateway.peers.record_config_holder(revision, addr);
         gateway.peers.record_version(datagram.newest_revision);
         if datagram.is_hello {
@@ -205,8 +217,8 @@
         list: None,
         leaving: Vec::new(),
         paused: Vec::new(),
-        evacuations: None,
-        proof: None,
+        evacuations: gateway.list.borrow().get_emptied().get_message(),
+        proof: gateway.get_proof(),
         peers,
         summaries,
     }
@@ -245,12 +257,14 @@
 /// those that are gone.
 fn update_members(gateway: &Rc<Gateway>, now: Instant) {
     let (events, gone) = gateway.peers.gossip.borrow_mut().tick(now);
+    gateway.list_limit_members();
     if !events.is_empty() {
         for event in events {
             gateway.journal.record(event);
         }
         update_fleet_size(gateway, now);
     }
+    gateway.update_cold_owners();
     let to_remove: Vec<VmName> = {
         let gossip = gateway.peers.gossip.borrow();
         gone.into_iter()
--- a/crates/daemon/src/gateway/preview.rs
+++ b/crates/daemon/src/gateway/preview.rs
@@ -82,6 +82,7 @@
             class: route.class,
             kind: route.kind,
             deadline: now + time_left.map_or(route.timeout, |left| left.min(route.timeout)),
+            time_left,
             is_replayable: true,
             workspace: route.workspace,
         };
@@ -116,7 +117,8 @@
         let named = request.workspace.as_deref();
         let workspace = table.get_workspaces().and_then(|workspaces| {
             let all = workspaces.get_all().iter();
-            all.clone().find(|workspace| Some(&*workspace.name) == named)
+            all.clone()
+                .find(|workspace| Some(&*workspace.name) == named)
         });
         let route = table.get(key);
         if table.get_workspaces().is_some() && workspace.is_none() && !route.is_public {
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -4,7 +4,9 @@
 use super::callers::{ShutdownStage, run_callers};
 use super::feeds::follow_store;
 use super::metrics::answer_metrics;
-use super::peers::{follow_peers, keep_registered, run_gossip, run_state_server};
+use super::peers::{
+    follow_peers, keep_proven, keep_registered, run_gossip, run_limits, run_state_server,
+};
 use super::ready::answer_ready;
 use super::shutdown::shut_down;
 use super::sockets::GatewaySockets;
@@ -87,12 +89,15 @@
     let socket = Rc::new(UdpSocket::from_std(sockets.peers)?);
     let state = Rc::new(TcpListener::from_std(sockets.state)?);
     gateway.journal.record(EventKind::VmStarted);
+    let budget = gateway.memory.get_budget();
     log::info!(
         target: STATE_LOG_TARGET,
         vm = settings.vm.as_str(),
         domain = settings.domain.as_str(),
         callers = settings.callers.to_string().as_str(),
-        store = settings.store.to_string().as_str();
+        store = settings.store.to_string().as_str(),
+        memory_limit = budget.capacity as u64,
+        connection_limit = budget.max_connections as u64;
         "gentianridged {} serves callers",
         env!("CARGO_PKG_VERSION")
     );
@@ -109,14 +114,19 @@
         let listener = TcpListener::from_std(listener)?;
         tokio::task::spawn_local(run_auxiliary(gateway.clone(), listener, answer_metrics));
     }
+    let limits_socket = socket.clone();
     spawn_supervised(&gateway, "gossip", move |gateway| {
         run_gossip(gateway, socket.clone())
     });
+    spawn_supervised(&gateway, "limits", move |gateway| {
+        run_limits(gateway, limits_socket.clone())
+    });
     spawn_supervised(&gateway, "state server", move |gateway| {
         run_state_server(gateway, state.clone())
     });
     spawn_supervised(&gateway, "registration", keep_registered);
     spawn_supervised(&gateway, "fetches from peers", follow_peers);
+    spawn_supervised(&gateway, "proofs of the configuration", keep_proven);
     spawn_supervised(&gateway, "reads of the store", follow_store);
     spawn_supervised(&gateway, "sweep", sweep);
     stop.await;
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -1,8 +1,11 @@
 //! Local state of a daemon on the platform.
 
+use super::admission::WorkspaceLimits;
+use super::cold::ColdOwners;
 use super::connections::ConnectionPool;
 use super::crashes::CRASH_PERIOD;
 use super::list_reader::ListReader;
+use super::memory::MemoryKeeper;
 use super::metrics::GatewayMetrics;
 use super::peers::Peers;
 use super::services::ServiceEntry;
@@ -10,7 +13,9 @@
 use bytes::Bytes;
 use gentianridge_adapter::{HeaderNames, Store, get_header_names};
 use gentianridge_config::GatewaySettings;
-use gentianridge_core::{Clock, Quarantine, RouteTable, StopSchedule, TargetList, UpdateLog};
+use gentianridge_core::{
+    Clock, Proofs, Quarantine, RouteTable, StopSchedule, TargetList, UpdateLog,
+};
 use std::cell::{Cell, Ref, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -29,13 +34,20 @@
     pub(crate) connections: ConnectionPool,
     pub(crate) peers: Peers,
     pub(crate) metrics: GatewayMetrics,
+    pub(crate) memory: Rc<MemoryKeeper>,
     pub(super) routes: RefCell<Option<RouteTable>>,
+    /// How recently the configuration in force was the newest one.
+    pub(super) proofs: RefCell<Proofs>,
+    /// True if keys were accepted at the last look.
+    pub(super) was_serving_keys: Cell<bool>,
     pub(super) list: RefCell<TargetList>,
     pub(super) list_reader: ListReader,
+    pub(super) cold_owners: ColdOwners,
     pub(super) update_log: RefCell<UpdateLog>,
     /// The configuration in force as the store holds it, for peers that lack it.
     config_value: RefCell<Option<Bytes>>,
     pub(super) services: RefCell<Vec<ServiceEntry>>,
+    pub(super) limits: WorkspaceLimits,
     pub(super) quarantine: RefCell<Quarantine>,
     /// Schedule of the planned stop, after its signal.
     stop: Cell<Option<StopSchedule>>,
@@ -69,14 +81,18 @@
         Ok(Rc::new(Self {
             store: RefCell::new(store),
             headers: get_header_names(),
-            clock,
+            limits: WorkspaceLimits::new(clock.since_boot(), &settings),
+            memory: MemoryKeeper::new(&settings, clock.clone()),
             journal,
             connections: ConnectionPool::default(),
             peers: Peers::new(settings.vm.clone(), settings.domain.clone()),
             metrics: GatewayMetrics::new(lines)?,
             routes: RefCell::new(None),
+            proofs: RefCell::default(),
+            was_serving_keys: Cell::new(true),
             list: RefCell::new(TargetList::new(get_list_bound(&settings))),
             list_reader: ListReader::default(),
+            cold_owners: ColdOwners::new(clock.now()),
             update_log: RefCell::default(),
             config_value: RefCell::new(None),
             services: RefCell::new(Vec::new()),
@@ -85,6 +101,7 @@
             answers_due: CancellationToken::new(),
             loaded: Notify::new(),
             settings: RefCell::new(settings),
+            clock,
         }))
     }
 
@@ -116,6 +133,10 @@
         }
         let bound = get_list_bound(&settings);
         self.list.borrow_mut().set_bound(bound);
+        self.limits.update_quietly(|limits| {
+            limits.set_bound(settings.limit_window, settings.limit_bound);
+        });
+        self.memory.apply_settings(&settings);
         *self.settings.borrow_mut() = settings;
         self.apply_all();
     }
@@ -183,6 +204,7 @@
         self.get_stop().is_none()
             && self.routes.borrow().is_some()
             && !self.list.borrow().is_empty()
+            && self.is_serving_keys()
     }
 }
 
--- a/crates/testkit/src/soak/mod.rs
+++ b/crates/testkit/src/soak/mod.rs
@@ -7,6 +7,8 @@
 //! that have failed.
 
 mod check;
+mod configure;
+mod keys;
 mod load;
 mod plan;
 mod process;
--- a/crates/testkit/src/soak/run.rs
+++ b/crates/testkit/src/soak/run.rs
@@ -1,15 +1,13 @@
 //! Run of a fleet of daemon processes: starts them, applies the steps and checks the promises.
 
 use super::check::{SoakViolation, check};
+use super::keys::is_keyed;
 use super::load::{Fleet, check_readiness, exchange, run_balancer, run_caller, run_version_checks};
 use super::plan::{Step, TARGETS, VMS, draw_plan};
 use super::process::VmProcess;
 use super::proxy::{FaultyLink, LinkFault};
 use super::record::{DisruptionKind, Record, RequestOutcome};
-use crate::{
-    CART, CallerConnection, FakeStore, FakeTarget, StoreFault, TargetBehavior, TargetEntryValue,
-    write_config, write_path,
-};
+use crate::{CART, FakeStore, FakeTarget, StoreFault, TargetBehavior, TargetEntryValue};
 use parking_lot::Mutex;
 use rustix::process::Signal;
 use std::net::Ipv4Addr;
@@ -123,16 +121,16 @@
     })
 }
 
-struct Run {
-    store: FakeStore,
+pub(super) struct Run {
+    pub(super) store: FakeStore,
     store_links: Vec<FaultyLink>,
     targets: Vec<FakeTarget>,
     target_links: Vec<FaultyLink>,
     vms: Vec<Arc<Mutex<VmProcess>>>,
-    fleet: Arc<Fleet>,
-    record: Arc<Record>,
+    pub(super) fleet: Arc<Fleet>,
+    pub(super) record: Arc<Record>,
     stop_supervisor: Arc<AtomicBool>,
-    config: Mutex<(u64, String)>,
+    pub(super) config: Mutex<(u64, String)>,
 }
 
 /// Start, recovery and end of a run.
@@ -151,7 +149,15 @@
             let link = FaultyLink::start(store.get_addr()).await?;
             let ip = Ipv4Addr::new(127, choose_second_octet(), options.slot, index as u8 + 1);
             let (binary, dir) = (&options.binary, &options.dir);
-            vms.push(VmProcess::new(binary, dir, ip, index, link.get_addr()));
+            let keyed = is_keyed(options.seed);
+            vms.push(VmProcess::new(
+                binary,
+                dir,
+                ip,
+                index,
+                link.get_addr(),
+                keyed,
+            ));
             store_links.push(link);
         }
         let run = Self {
@@ -159,6 +165,7 @@
                 callers: vms.iter().map(VmProcess::get_callers).collect(),
                 ready: vms.iter().map(VmProcess::get_ready).collect(),
                 starts: (0..VMS).map(|_| AtomicU32::new(1)).collect(),
+                is_keyed: is_keyed(options.seed),
                 in_rotation: Mutex::new(vec![true; VMS]),
                 is_stopped: AtomicBool::new(false),
             }),
@@ -226,8 +233,7 @@
         for vm in 0..VMS {
             for index in 0..RECOVERY_REQUESTS {
                 let id = format!("{}recovered-{vm}-{index}", super::CHECK_ID_PREFIX);
-                let open = CallerConnection::open(self.fleet.callers[vm]).await;
-                let Ok(mut connection) = open else {
+                let Ok(mut connection) = self.fleet.open(vm).await else {
                     continue;
                 };
                 let end = exchange(&mut connection, &id, false).await;
@@ -309,6 +315,7 @@
                 self.store.remove("servers", self.targets[target].get_id());
             }
             Step::Configure => self.add_route(),
+            Step::Withdraw => self.withdraw_key(),
         }
         Ok(())
     }
@@ -330,24 +337,6 @@
         let entry = target.make_entry_at(addr, &value);
         self.store.put("servers", target.get_id(), &entry);
     }
-
-    /// Publishes a new configuration version with an additional path, so that only this
-    /// version and later ones answer on the path.
-    fn add_route(&self) {
-        let mut config = self.config.lock();
-        let (version, paths) = &mut *config;
-        *version += 3;
-        let path = write_path(
-            &format!("v{version}"),
-            &format!("/v{version}/"),
-            "idempotent",
-        );
-        paths.push(',');
-        paths.push_str(&path);
-        let text = write_config(*version, paths);
-        self.store.put("op", "config", text.as_bytes());
-        self.record.versions.lock().push((*version, Instant::now()));
-    }
 }
 
 /// Returns the second octet of the daemons' addresses, derived from the process id, so
