--- a/crates/daemon/src/gateway/preview.rs
+++ b/crates/daemon/src/gateway/preview.rs
@@ -124,6 +124,9 @@
         if table.get_workspaces().is_some() && workspace.is_none() && !route.is_public {
             return Err(ResultCode::UnknownKey);
         }
+        if workspace.is_some() && !self.is_serving_keys() {
+            return Err(ResultCode::KeyUnproven);
+        }
         let name = table.peek_service(key).ok_or(ResultCode::NoTarget)?;
         let service = self.find_service(&name).ok_or(ResultCode::NoTarget)?;
         let class_name = table
--- a/crates/daemon/src/gateway/ready.rs
+++ b/crates/daemon/src/gateway/ready.rs
@@ -3,7 +3,7 @@
 use super::auxiliary::AuxiliaryResponse;
 use super::state::Gateway;
 use futures_util::FutureExt;
-use futures_util::future::{self, LocalBoxFuture};
+use futures_util::future::LocalBoxFuture;
 use gentianridge_adapter::READY_PATH;
 use http::StatusCode;
 use http_body_util::Full;
@@ -15,14 +15,17 @@
     gateway: Rc<Gateway>,
     request: http::Request<Incoming>,
 ) -> LocalBoxFuture<'static, AuxiliaryResponse> {
-    let status = if request.uri().path() != READY_PATH {
-        StatusCode::NOT_FOUND
-    } else if gateway.is_ready() {
-        StatusCode::OK
-    } else {
-        StatusCode::SERVICE_UNAVAILABLE
-    };
-    let mut response = http::Response::new(Full::default());
-    *response.status_mut() = status;
-    future::ready(response).boxed_local()
+    async move {
+        let status = if request.uri().path() != READY_PATH {
+            StatusCode::NOT_FOUND
+        } else if gateway.is_ready() {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        let mut response = http::Response::new(Full::default());
+        *response.status_mut() = status;
+        response
+    }
+    .boxed_local()
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod metrics;
 mod peer_state;
 mod peers;
+mod previews;
 mod slow_bodies;
 mod store_faults;
 mod test_env;
