--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -52,8 +52,9 @@
     SplitPart,
 };
 pub use service::{
-    Arrival, AttemptKey, AttemptKind, CallKey, ClassKey, Counters, LoadReport, Outcome, Output,
-    PlacementInputs, Service, TargetCondition, TargetKey, TargetStatus,
+    Arrival, AttemptKey, AttemptKind, CallKey, Candidate, ClassKey, Counters, LoadReport, Obstacle,
+    Outcome, Output, PlacementInputs, Preview, PreviewStep, Service, TargetCondition, TargetKey,
+    TargetStatus,
 };
 pub use spec::{
     ClassKind, ClassSpec, DomainName, FleetSpec, MethodSet, Note, RepeatLimit, RequestBound,
--- a/crates/core/src/service/admission/decide.rs
+++ b/crates/core/src/service/admission/decide.rs
@@ -18,6 +18,18 @@
         key: ClassKey,
     ) -> Call {
         let waited = self.learn_patience(now, &arrival, key);
+        self.describe_call(now, arrival, key, waited)
+    }
+
+    /// Returns the record of a call whose caller has waited for some time before, without
+    /// learning from it.
+    pub(in super::super) fn describe_call(
+        &self,
+        now: Instant,
+        arrival: Arrival,
+        key: ClassKey,
+        waited: Duration,
+    ) -> Call {
         let class = &self.classes[key];
         let spec = &class.spec;
         let useful_until = match spec.objective {
--- a/crates/core/src/service/admission/order.rs
+++ b/crates/core/src/service/admission/order.rs
@@ -54,6 +54,11 @@
         ahead
     }
 
+    /// Returns the number of waiting calls that go before a new one of the class.
+    pub(in super::super) fn count_calls_ahead(&self, class: &Class, rank: Rank) -> usize {
+        self.count_ahead(class, rank).calls
+    }
+
     /// Returns the waiting calls that go before the last one of all, which belongs to the
     /// class.
     pub(super) fn count_ahead_of_last(&self, class: &Class) -> Ahead {
--- a/crates/core/src/service/attempts.rs
+++ b/crates/core/src/service/attempts.rs
@@ -264,7 +264,7 @@
             return false;
         }
         self.release(key);
-        match self.pick_retry(now, call_key) {
+        match self.pick_target(now, call_key) {
             Some(target) => self.start(now, call_key, target, AttemptKind::Retry, out),
             None => self.enqueue_again(now, call_key),
         }
--- a/crates/core/src/service/calls.rs
+++ b/crates/core/src/service/calls.rs
@@ -38,7 +38,7 @@
 
     /// Returns the class that a new call joins: its own, or the first one of its kind if
     /// its own was removed while the caller sent the request.
-    fn find_arrival_class(&self, arrival: &Arrival) -> Option<ClassKey> {
+    pub(super) fn find_arrival_class(&self, arrival: &Arrival) -> Option<ClassKey> {
         let own = self.classes.get(arrival.class);
         if own.is_some_and(|class| class.spec.kind == arrival.kind) {
             return Some(arrival.class);
--- a/crates/core/src/service/pick.rs
+++ b/crates/core/src/service/pick.rs
@@ -4,7 +4,7 @@
 //! and always finds a free slot. Alternatives are compared in
 //! docs/decisions/0002-routing.md.
 
-use super::records::CallState;
+use super::records::{Call, CallState};
 use super::target::Target;
 use super::weighted_mean::WeightedMean;
 use super::{AttemptKind, CallKey, Service, TargetKey};
@@ -91,17 +91,14 @@
     /// Chooses a target with capacity for a waiting call.
     pub(super) fn pick(&mut self, now: Instant, key: CallKey) -> Option<Choice> {
         let kind = self.get_kind(key);
-        if let Some(target) = self.find_trial_target(now, key, kind) {
+        if let Some(target) = self.find_trial_target(now, &self.calls[key], kind) {
             return Some(Choice {
                 target,
                 kind: AttemptKind::Trial,
             });
         }
         let is_repeat = self.calls[key].count_attempts() > 0;
-        let target = match kind {
-            ClassKind::Background => self.pick_long(now, key),
-            ClassKind::Interactive | ClassKind::Once => self.pick_short(now, key),
-        }?;
+        let target = self.pick_target(now, key)?;
         let kind = if is_repeat {
             AttemptKind::Retry
         } else {
@@ -110,36 +107,36 @@
         Some(Choice { target, kind })
     }
 
-    fn pick_short(&mut self, now: Instant, key: CallKey) -> Option<TargetKey> {
-        let context = self.make_scoring_context(now);
+    /// Returns the capacity that a call of the kind may use.
+    pub(super) fn get_allowed_capacity(
+        &self,
+        now: Instant,
+        context: &ScoringContext,
+        kind: ClassKind,
+    ) -> AllowedCapacity {
+        if kind == ClassKind::Background {
+            return if self.is_reserve_idle(now) {
+                AllowedCapacity::Free
+            } else {
+                AllowedCapacity::Long
+            };
+        }
         let limit = context.fair_share as f32 * Self::SHARE_FACTOR;
         let is_sharing_allowed = self.spec.sampling.is_none();
-        let allowed = if is_sharing_allowed && (self.own_total as f32) < limit {
+        if is_sharing_allowed && (self.own_total as f32) < limit {
             AllowedCapacity::Any
         } else {
             AllowedCapacity::Free
-        };
-        self.scan(&context, key, allowed)
+        }
     }
 
-    fn pick_long(&mut self, now: Instant, key: CallKey) -> Option<TargetKey> {
+    /// Chooses a target for an attempt now, a first one or a retry.
+    pub(super) fn pick_target(&mut self, now: Instant, key: CallKey) -> Option<TargetKey> {
         let context = self.make_scoring_context(now);
-        let allowed = if self.is_reserve_idle(now) {
-            AllowedCapacity::Free
-        } else {
-            AllowedCapacity::Long
-        };
+        let allowed = self.get_allowed_capacity(now, &context, self.get_kind(key));
         self.scan(&context, key, allowed)
     }
 
-    /// Chooses a target for an immediate retry.
-    pub(super) fn pick_retry(&mut self, now: Instant, key: CallKey) -> Option<TargetKey> {
-        match self.get_kind(key) {
-            ClassKind::Background => self.pick_long(now, key),
-            ClassKind::Interactive | ClassKind::Once => self.pick_short(now, key),
-        }
-    }
-
     /// Chooses a target with a free slot for a hedge.
     ///
     /// Returns `None` while calls wait, since a hedge would take a slot from them.
@@ -233,8 +230,12 @@
     }
 
     /// Returns an ejected target whose trial is due, if this call may be the trial.
-    fn find_trial_target(&self, now: Instant, key: CallKey, kind: ClassKind) -> Option<TargetKey> {
-        let call = &self.calls[key];
+    pub(super) fn find_trial_target(
+        &self,
+        now: Instant,
+        call: &Call,
+        kind: ClassKind,
+    ) -> Option<TargetKey> {
         let is_trial_allowed =
             kind == ClassKind::Interactive && call.is_replayable && call.count_attempts() == 0;
         if !is_trial_allowed || !self.retries.has_token() {
@@ -249,7 +250,7 @@
             .map(TargetKey::from_index)
     }
 
-    /// Returns the target with capacity and the lowest score.
+    /// Chooses the target with capacity and the lowest score.
     ///
     /// An immediate retry or a hedge uses a target that the call has not tried. A
     /// call from the queue may use one again; otherwise it could block the queue
@@ -261,7 +262,18 @@
         allowed: AllowedCapacity,
     ) -> Option<TargetKey> {
         let jitter = self.rng.next_u32();
-        let call = &self.calls[key];
+        self.find_best_target(context, &self.calls[key], allowed, jitter)
+    }
+
+    /// Returns the target with capacity and the lowest score, with the random parts that a
+    /// random word gives.
+    pub(super) fn find_best_target(
+        &self,
+        context: &ScoringContext,
+        call: &Call,
+        allowed: AllowedCapacity,
+        jitter: u32,
+    ) -> Option<TargetKey> {
         let is_reuse_allowed = call.state == CallState::Waiting;
         let mut best: Option<(Capacity, f32, usize)> = None;
         for (index, target) in self.targets.iter().enumerate() {
@@ -312,6 +324,11 @@
         self.score_warm(target, allowed)
     }
 
+    /// Returns true if the target gets nothing because it is ejected.
+    pub(super) fn is_ejected(&self, target: &Target) -> bool {
+        !target.health.is_active() && !self.is_ejection_ignored
+    }
+
     /// Returns the same as [`Self::score_target`], also for a target that may only be asked
     /// whether it is cold.
     pub(super) fn score_for_sample(&self, target: &Target) -> Option<(Capacity, f32)> {
@@ -320,8 +337,7 @@
     }
 
     fn score_warm(&self, target: &Target, allowed: AllowedCapacity) -> Option<(Capacity, f32)> {
-        let is_ejected = !target.health.is_active() && !self.is_ejection_ignored;
-        if is_ejected || target.is_paused(self.now) {
+        if self.is_ejected(target) || target.is_paused(self.now) {
             return None;
         }
         let slots = target.get_slots(self.now);
--- a/crates/core/src/service/sampling.rs
+++ b/crates/core/src/service/sampling.rs
@@ -7,7 +7,7 @@
 
 use super::class::{Class, HedgeCheck};
 use super::pick::get_jitter;
-use super::records::CallState;
+use super::records::{Call, CallState};
 use super::{CallKey, ClassKey, Output, Service, TargetKey};
 use crate::Sampling;
 use rand::Rng;
@@ -68,7 +68,7 @@
 
 /// Best relative work time among the targets with capacity, from worst to best.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum BestWorkTime {
+pub(super) enum BestWorkTime {
     /// No target has capacity.
     NoCapacity,
     /// Every target with capacity has a fresh report above `GOOD_WORK_TIME`.
@@ -118,7 +118,7 @@
         let Some(config) = self.spec.sampling else {
             return true;
         };
-        let best = self.find_best_work_time(now, config, key);
+        let best = self.find_best_work_time(now, config, &self.calls[key]);
         match best {
             BestWorkTime::Good => return true,
             BestWorkTime::NoCapacity => return false,
@@ -190,7 +190,7 @@
         };
         let is_done = check.rounds >= Self::HEDGE_ROUNDS
             || matches!(
-                self.find_best_work_time(now, config, key),
+                self.find_best_work_time(now, config, &self.calls[key]),
                 BestWorkTime::Good | BestWorkTime::NoCapacity
             );
         if is_done
@@ -230,9 +230,13 @@
     }
 
     /// Returns the best relative work time among the targets with capacity for the call.
-    fn find_best_work_time(&self, now: Instant, config: Sampling, key: CallKey) -> BestWorkTime {
+    pub(super) fn find_best_work_time(
+        &self,
+        now: Instant,
+        config: Sampling,
+        call: &Call,
+    ) -> BestWorkTime {
         let context = self.make_scoring_context(now);
-        let call = &self.calls[key];
         let mut best = BestWorkTime::NoCapacity;
         for (index, target) in self.targets.iter().enumerate() {
             let is_candidate = target.is_usable()
--- a/crates/core/src/service/view.rs
+++ b/crates/core/src/service/view.rs
@@ -160,7 +160,7 @@
 }
 
 impl Target {
-    fn get_condition(&self, now: Instant) -> TargetCondition {
+    pub(super) fn get_condition(&self, now: Instant) -> TargetCondition {
         if self.spec.drain || self.spec.weight == 0 {
             TargetCondition::Drained
         } else if self.is_leaving {
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 mod memory;
 mod metrics;
 mod peers;
+mod preview;
 mod ready;
 mod request;
 mod routing;
