--- a/crates/core/src/cold/mod.rs
+++ b/crates/core/src/cold/mod.rs
@@ -1,6 +1,6 @@
 //! Targets that have just started, which bear a limited rate of requests.
 //!
-//! docs/decisions/0023-cold-targets.md explains how VMs share that rate.
+//! docs/design/0023-cold-targets.md explains how VMs share that rate.
 
 mod budget;
 mod fleet;
--- a/crates/core/src/cold/state.rs
+++ b/crates/core/src/cold/state.rs
@@ -1,4 +1,4 @@
-//! What a VM knows of the coldness of one target.
+//! Coldness of one target in the view of one VM.
 
 use super::{ColdBudget, ColdFleet, ColdPlan};
 use std::time::{Duration, Instant};
--- a/crates/core/src/discovery/emptied_domains.rs
+++ b/crates/core/src/discovery/emptied_domains.rs
@@ -9,7 +9,7 @@
 ///
 /// The set is always complete and moves forward by the version of the store at which it was
 /// read, so that messages may arrive in any order and more than once.
-/// docs/decisions/0022-emptied-domains.md has the reasons.
+/// docs/design/0022-emptied-domains.md has the reasons.
 #[derive(Debug, Default)]
 pub struct EmptiedDomains {
     current: Evacuations,
--- a/crates/core/src/discovery/list_domains.rs
+++ b/crates/core/src/discovery/list_domains.rs
@@ -21,7 +21,7 @@
         !domains.is_empty()
     }
 
-    /// Returns what this VM knows of emptied failure domains.
+    /// Returns the emptied failure domains in the view of this VM.
     pub fn get_emptied(&self) -> &EmptiedDomains {
         &self.emptied
     }
--- a/crates/core/src/memory/account.rs
+++ b/crates/core/src/memory/account.rs
@@ -124,7 +124,7 @@
         }
     }
 
-    /// Asks for memory that the connection can do without; nobody gives way for it.
+    /// Reserves memory that the connection can do without; no other connection is closed for it.
     pub fn try_reserve(&mut self, key: HolderKey, bytes: usize) -> bool {
         let is_granted = self
             .get_limit(key, bytes)
--- a/crates/core/src/memory/budget.rs
+++ b/crates/core/src/memory/budget.rs
@@ -18,7 +18,7 @@
 impl MemoryBudget {
     /// Bytes up to which a request is short: nearly all heads, bodies and answers are.
     pub const SHORT_BYTES: usize = 64 * 1024;
-    /// Bytes that an open connection takes in this process: its task, its timers and the
+    /// Bytes that an open connection occupies in this process: its task, its timers and the
     /// first buffer of the HTTP library.
     pub const CONNECTION_BYTES: usize = 16 * 1024;
     /// Bytes that the process takes without callers: code, runtime, routes, targets, peers.
--- a/crates/core/src/memory/mod.rs
+++ b/crates/core/src/memory/mod.rs
@@ -1,6 +1,6 @@
 //! Memory that this VM holds for callers, in one account.
 //!
-//! docs/decisions/0021-memory-for-callers.md has the reasons.
+//! docs/design/0021-memory-for-callers.md has the reasons.
 
 mod account;
 mod budget;
--- a/crates/core/src/service/admission/decide.rs
+++ b/crates/core/src/service/admission/decide.rs
@@ -118,7 +118,7 @@
             && self.own_total >= self.get_fair_share()
     }
 
-    /// Records that a call was refused for want of room.
+    /// Records that a call was refused because the service is full.
     pub(in super::super) fn note_refusal(&mut self, now: Instant, is_late: bool) {
         self.last_refusal = Some(now);
         if !is_late {
@@ -163,7 +163,7 @@
         }
     }
 
-    /// Refuses a waiting call; one that may have run is told so.
+    /// Refuses a waiting call; the code of one that may have run says so.
     fn refuse_waiting(
         &mut self,
         now: Instant,
--- a/crates/core/src/service/admission/mod.rs
+++ b/crates/core/src/service/admission/mod.rs
@@ -1,6 +1,6 @@
 //! The order in which calls wait, are refused and go next when a service is full.
 //!
-//! What was weighed is in docs/decisions/0027-order-of-admission.md.
+//! What was weighed is in docs/design/0027-order-of-admission.md.
 
 mod decide;
 mod order;
--- a/crates/core/src/service/admission/patience.rs
+++ b/crates/core/src/service/admission/patience.rs
@@ -6,7 +6,7 @@
 ///
 /// A caller that was refused comes back with less time left, and its latency objective
 /// counts from its first attempt. Requests don't tell which attempt they are, so the time
-/// is learned while the service turns nobody away.
+/// is learned while the service refuses no call.
 #[derive(Debug, Default)]
 pub(crate) struct Patience {
     recent_ms: [u32; Patience::KEPT],
@@ -19,7 +19,7 @@
     const KEPT: usize = 32;
     /// Statements from which the time is used: the next one is shorter in one of nine cases.
     const MIN_RECORDED: usize = 8;
-    /// Part of the statements that may come from callers whom other VMs turned away.
+    /// Part of the statements that may come from callers that other VMs refused.
     const IGNORED_DIVISOR: usize = 10;
 
     /// Records the time that a first attempt states to be left.
--- a/crates/core/src/workspace/fault.rs
+++ b/crates/core/src/workspace/fault.rs
@@ -12,7 +12,7 @@
         /// Names of the two workspaces.
         workspaces: [SmolStr; 2],
     },
-    /// The name cannot be sent in a header, so that targets could not be told whose
+    /// The name cannot be sent in a header, so that targets could not learn whose
     /// request they run.
     UnusableName {
         /// Name of the workspace.
--- a/crates/core/src/workspace/limits/mod.rs
+++ b/crates/core/src/workspace/limits/mod.rs
@@ -1,7 +1,7 @@
 //! Limits of workspaces over the fleet.
 //!
 //! Each limit is divided beforehand among a few VMs, and VMs that need more ask those for
-//! tokens. docs/decisions/0026-limits-of-workspaces.md has the reasons and the arithmetic.
+//! tokens. docs/design/0026-limits-of-workspaces.md has the reasons and the arithmetic.
 
 mod admission;
 mod borrowed;
--- a/crates/core/src/workspace/limits/state.rs
+++ b/crates/core/src/workspace/limits/state.rs
@@ -1,4 +1,4 @@
-//! What a VM knows of one limit.
+//! State of one limit on one VM.
 
 use super::super::RateLimit;
 use super::borrowed::BorrowedTokens;
@@ -31,7 +31,7 @@
     admitted: DecayingRate,
     /// Requests that wait for tokens.
     pub(super) waiting: u32,
-    /// Time that was told to the last refused caller.
+    /// Time stated to the last refused caller.
     next_return: Duration,
     pub(super) last_use: Duration,
 }
@@ -41,7 +41,7 @@
     const AHEAD_PART: f64 = 0.75;
     /// Part of the tokens ahead that is left when more are fetched.
     const LOW_PART: f64 = 0.4;
-    /// Longest time after which refused callers are told to return.
+    /// Longest time stated to refused callers.
     const MAX_RETURN: Duration = Duration::from_secs(5);
     /// Time beside that of filling the bucket after which an unused state is dropped.
     const IDLE_TIME: Duration = Duration::from_secs(2);
--- a/crates/core/src/workspace/limits/terms.rs
+++ b/crates/core/src/workspace/limits/terms.rs
@@ -8,7 +8,7 @@
 ///
 /// Tokens leave the buckets of the holders at `rate` a second and `capacity` at once. Each
 /// is spent within `hold` of that, so that any window holds at most `rate` x (window +
-/// `hold`) + `capacity` requests. docs/decisions/0026-limits-of-workspaces.md shows that
+/// `hold`) + `capacity` requests. docs/design/0026-limits-of-workspaces.md shows that
 /// this is the limit and half of its tolerance.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LimitTerms {
@@ -27,7 +27,7 @@
 
 impl LimitTerms {
     /// Part of the tolerance that the tokens may use: a request needs a whole token, and
-    /// parts of tokens on many VMs serve nobody. The rest is for what VMs cannot know:
+    /// parts of tokens on many VMs admit no request. The rest is for what VMs cannot know:
     /// others that have just joined, and processes before their own.
     const TOLERANCE_PART: f64 = 0.5;
     /// Longest time for which a VM keeps tokens of another, in seconds.
--- a/crates/core/src/workspace/mod.rs
+++ b/crates/core/src/workspace/mod.rs
@@ -1,6 +1,6 @@
 //! Workspaces: the customers whose callers send requests with keys.
 //!
-//! docs/decisions/0024-workspaces.md and 0025-withdrawn-keys.md give the reasons, and
+//! docs/design/0024-workspaces.md and 0025-withdrawn-keys.md give the reasons, and
 //! 0026-limits-of-workspaces.md those of limits.
 
 mod credential;
--- a/crates/core/src/workspace/proofs.rs
+++ b/crates/core/src/workspace/proofs.rs
@@ -8,7 +8,7 @@
 /// A proof of any revision up to the one in force serves: whatever withdraws a key of the
 /// one in force is newer than both, so that it was acknowledged after the proof's moment.
 /// A proof of a newer revision shows that this VM lacks a change and serves only once that
-/// revision is in force. docs/decisions/0025-withdrawn-keys.md has the arithmetic.
+/// revision is in force. docs/design/0025-withdrawn-keys.md has the arithmetic.
 ///
 /// All times of the VM are those of [`Clock::since_boot`](crate::Clock::since_boot).
 #[derive(Debug, Clone, Copy, Default)]
--- a/crates/core/src/workspace/store_clock.rs
+++ b/crates/core/src/workspace/store_clock.rs
@@ -1,4 +1,4 @@
-//! What a VM knows of the clock of the store.
+//! Bounds of the clock of the store in the view of one VM.
 
 use std::time::Duration;
 
--- a/crates/daemon/src/gateway/cold.rs
+++ b/crates/daemon/src/gateway/cold.rs
@@ -6,7 +6,7 @@
 use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant};
 
-/// What this VM knows of the fleet for the choice of the owners of cold targets.
+/// View of the fleet for the choice of the owners of cold targets.
 #[derive(Debug)]
 pub(crate) struct ColdOwners {
     fleet: RefCell<ColdFleet>,
--- a/crates/daemon/src/gateway/feeds.rs
+++ b/crates/daemon/src/gateway/feeds.rs
@@ -1,5 +1,6 @@
 //! Reads of the platform's store: the configuration and the list of targets.
 
+use super::backoff::Backoff;
 use super::peers::{fetch_from_seeds, is_behind, load_state};
 use super::state::{Gateway, get_list_bound};
 use crate::telemetry::STATE_LOG_TARGET;
@@ -7,45 +8,18 @@
     Changes, Row, StoreError, StoreErrorKind, Table, decode_entry, decode_routes,
 };
 use gentianridge_core::{EventKind, ReadTurn, TargetListRead, TargetListUpdate, UpdateOutcome};
-use rand::RngExt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// Key of the configuration in the operators' table.
 const CONFIG_KEY: &str = "config";
-/// Shortest and longest pause after a failed call. Jitter spreads the calls of
-/// the VMs when the store returns.
-const MIN_PAUSE: Duration = Duration::from_millis(100);
-const MAX_PAUSE: Duration = Duration::from_millis(1_000);
-/// VMs up to which each repeats failed reads with the pauses above; a larger fleet makes
+/// VMs up to which each repeats failed reads with the pauses of [`Backoff`]; a larger fleet makes
 /// as many attempts together.
 const VMS_PER_ATTEMPT: f64 = 8.0;
 /// Longest time for requests of the state from peers after a start.
 const MAX_START_WAIT: Duration = Duration::from_millis(1_500);
 
-/// Exponential backoff with jitter between failed calls.
-struct Backoff {
-    next: Duration,
-}
-
-impl Backoff {
-    fn new() -> Self {
-        Self { next: MIN_PAUSE }
-    }
-
-    fn reset(&mut self) {
-        self.next = MIN_PAUSE;
-    }
-
-    /// Waits for the next pause, `factor` times as long.
-    async fn pause(&mut self, factor: f64) {
-        let jitter = rand::rng().random_range(0.5..1.5);
-        tokio::time::sleep(self.next.mul_f64(factor * jitter)).await;
-        self.next = (self.next * 2).min(MAX_PAUSE);
-    }
-}
-
 /// Outcome of a configuration that arrived.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ConfigOutcome {
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod answer;
 mod attempt;
 mod auxiliary;
+mod backoff;
 mod body;
 mod call;
 mod callers;
--- a/crates/daemon/src/gateway/peers/limits.rs
+++ b/crates/daemon/src/gateway/peers/limits.rs
@@ -66,7 +66,7 @@
 }
 
 impl Gateway {
-    /// Tells the limits which VMs are known, if there are limits.
+    /// Passes the known VMs to the limits, if there are any.
     pub(in crate::gateway) fn list_limit_members(&self) {
         if !self.limits.read(|limits| limits.is_limiting()) {
             return;
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -19,7 +19,7 @@
 /// slow caller, a target that answers early cannot mistake later bytes on the
 /// connection for the rest of the body, and a request that was not run can be
 /// sent to another target. Only a body that is longer than what may be held is forwarded
-/// as it arrives: docs/decisions/0021-memory-for-callers.md.
+/// as it arrives: docs/design/0021-memory-for-callers.md.
 #[derive(Debug)]
 pub(crate) struct CallerRequest {
     pub(crate) method: Method,
