--- a/review/6/run.sh
+++ b/review/7/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/gentianridged ] || exit 2
 [ -x target/review-2/standins ] || exit 2
-exec target/review-2/standins cold-entry "$PWD" "$PWD/review/6/record.txt"
+exec target/review-2/standins cold-entry "$PWD" "$PWD/review/7/record.txt"
--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -153,6 +153,24 @@
         most
     }
 
+    /// Kills all daemons at once; they are started again after `delay`.
+    pub fn kill_all(&mut self, delay: Duration) {
+        for vm in &mut self.vms {
+            let _ = vm.child.kill();
+        }
+        for vm in &mut self.vms {
+            let _ = vm.child.wait();
+            // Later starts are not the first one of the system.
+            let text = fs::read_to_string(&vm.settings).unwrap_or_default();
+            let text = text.replace("bootstrap = true", "bootstrap = false");
+            let _ = fs::write(&vm.settings, text);
+        }
+        std::thread::sleep(delay);
+        for vm in &mut self.vms {
+            vm.child = spawn(&self.root, &vm.settings, &vm.log);
+        }
+    }
+
     /// Lines of all logs that contain a text.
     pub fn find_logs(&self, text: &str, most: usize) -> Vec<String> {
         let mut found = Vec::new();
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod http;
 mod json;
+mod slow_start;
 mod store;
 mod target;
 mod trickle;
@@ -41,6 +42,7 @@
     let verdict = match case.as_str() {
         "cold-entry" => cold_entry::play(root, &dir, has_trouble, &mut lines),
         "early-answers" => early_answers::play(root, &dir, has_trouble, &mut lines),
+        "slow-start" => slow_start::play(root, &dir, has_trouble, &mut lines),
         "trickle" => trickle::play(root, &dir, has_trouble, &mut lines),
         _ => Verdict::NotRun("no such case".into()),
     };
--- a/review/standins-2/target.rs
+++ b/review/standins-2/target.rs
@@ -33,6 +33,8 @@
     pub addr: SocketAddr,
     slots: usize,
     work: Duration,
+    /// Factor by which work takes longer now.
+    slowness: AtomicUsize,
     long_body: Mutex<LongBody>,
     running: AtomicUsize,
     pub connections: AtomicU64,
@@ -55,6 +57,7 @@
             addr: listener.local_addr().expect("an address"),
             slots,
             work,
+            slowness: AtomicUsize::new(1),
             long_body: Mutex::new(LongBody::Read),
             running: AtomicUsize::new(0),
             connections: AtomicU64::new(0),
@@ -87,6 +90,10 @@
         *self.long_body.lock().unwrap() = long_body;
     }
 
+    pub fn set_slowness(&self, factor: usize) {
+        self.slowness.store(factor, Ordering::SeqCst);
+    }
+
     pub fn set_endless(&self) {
         self.is_endless.store(true, Ordering::SeqCst);
     }
@@ -119,8 +126,9 @@
 
     fn load(&self) -> String {
         let running = self.running.load(Ordering::SeqCst);
+        let work_percent = 100 * self.slowness.load(Ordering::SeqCst);
         format!(
-            "gentianridge-server-load: {running},0,{},100\r\n",
+            "gentianridge-server-load: {running},0,{},{work_percent}\r\n",
             self.slots
         )
     }
@@ -194,7 +202,7 @@
             self.running.fetch_sub(1, Ordering::SeqCst);
             return false;
         }
-        std::thread::sleep(self.work);
+        std::thread::sleep(self.work * self.slowness.load(Ordering::SeqCst) as u32);
         self.running.fetch_sub(1, Ordering::SeqCst);
         if self.is_gone.load(Ordering::SeqCst) {
             return false;
