fix(discovery): a warm-up that no clock can represent no longer stops the reads of the list

Cause: an entry's `cold_left` was added to an `Instant`, which panics beyond what it can represent, in the middle of applying a read; each restart of the task read the same entry. Ruled out: entries that cannot be decoded, which odd_entries covers and which did no harm. Why it works: no sum with a foreign span can leave the range of the clock, whichever path the span takes into the core.

--- a/crates/core/src/cold/budget.rs
+++ b/crates/core/src/cold/budget.rs
@@ -1,5 +1,6 @@
 //! One VM's part of the rate of a cold target.
 
+use crate::add_span;
 use std::time::{Duration, Instant};
 
 /// Bucket of one request for one target.
@@ -24,7 +25,7 @@
     /// Creates an empty bucket.
     pub fn start(now: Instant, interval: Duration) -> Self {
         Self {
-            next: Some(now + interval),
+            next: Some(add_span(now, interval)),
         }
     }
 
@@ -42,6 +43,7 @@
     pub fn take(&mut self, now: Instant, interval: Duration) {
         let earliest = now.checked_sub(interval.mul_f64(Self::CARRY));
         let due = self.next.unwrap_or(now);
-        self.next = Some(earliest.map_or(due, |earliest| due.max(earliest)) + interval);
+        let start = earliest.map_or(due, |earliest| due.max(earliest));
+        self.next = Some(add_span(start, interval));
     }
 }
--- a/crates/core/src/cold/plan.rs
+++ b/crates/core/src/cold/plan.rs
@@ -1,7 +1,7 @@
 //! How many VMs send to a cold target, and at which rate each.
 
 use super::ColdBudget;
-use crate::{ColdRate, RequestBound};
+use crate::{ColdRate, MAX_SPAN, RequestBound};
 use std::time::Duration;
 
 /// The parts into which the rate of a cold target is divided.
@@ -42,7 +42,7 @@
         let (owners, per_second) = per_owner.or_else(reduced).unwrap_or((0, 1.0));
         Self {
             owners,
-            interval: Duration::from_secs_f64(1.0 / per_second),
+            interval: Duration::try_from_secs_f64(1.0 / per_second).unwrap_or(MAX_SPAN),
             warm_up: rate.warm_up,
         }
     }
--- a/crates/core/src/cold/state.rs
+++ b/crates/core/src/cold/state.rs
@@ -1,6 +1,7 @@
 //! Coldness of one target in the view of one VM.
 
 use super::{ColdBudget, ColdFleet, ColdPlan};
+use crate::add_span;
 use std::time::{Duration, Instant};
 
 /// Why a target is treated as cold.
@@ -33,7 +34,7 @@
 
     /// Records what a health answer says: the target is cold for `left`, or warm.
     pub fn record_answer(&mut self, now: Instant, left: Duration) {
-        self.cold = (!left.is_zero()).then_some((now + left, Cause::Stated));
+        self.cold = (!left.is_zero()).then_some((add_span(now, left), Cause::Stated));
     }
 
     /// Treats the target as cold until a time, or until it says otherwise.
--- a/crates/core/src/discovery/directory.rs
+++ b/crates/core/src/discovery/directory.rs
@@ -2,7 +2,7 @@
 
 use super::known_target::KnownTarget;
 use super::{Incarnation, LeavingTargets, PausedTargets, TargetEntry, TargetListUpdate};
-use crate::{DomainName, TargetSpec};
+use crate::{DomainName, TargetSpec, add_span};
 use smol_str::SmolStr;
 use std::time::{Duration, Instant};
 
@@ -175,7 +175,7 @@
             && let Ok(index) = self.find(&entry.incarnation.id)
         {
             let known = &mut self.targets[index];
-            known.cold_until = Some(now + entry.cold_left);
+            known.cold_until = Some(add_span(now, entry.cold_left));
             changed.push(known.entry.service.clone());
         }
     }
@@ -252,7 +252,8 @@
     /// Extends the settle period to the end that a peer reports.
     pub fn extend_settle(&mut self, now: Instant, left: Duration) {
         if !left.is_zero() {
-            self.settles_at = Some(self.settles_at.map_or(now + left, |at| at.max(now + left)));
+            let end = add_span(now, left);
+            self.settles_at = Some(self.settles_at.map_or(end, |at| at.max(end)));
         }
     }
 
--- a/crates/core/src/discovery/known_target.rs
+++ b/crates/core/src/discovery/known_target.rs
@@ -1,6 +1,7 @@
 //! One target in the local state of this VM.
 
 use super::TargetEntry;
+use crate::add_span;
 use std::time::{Duration, Instant};
 
 /// A target with its entry and what is known beside it.
@@ -47,7 +48,7 @@
     pub(super) fn is_colder(&self, now: Instant, entry: &TargetEntry) -> bool {
         match self.cold_until {
             None => !entry.cold_left.is_zero(),
-            Some(until) => now + entry.cold_left > until.max(now) + Self::COLD_TOLERANCE,
+            Some(until) => add_span(now, entry.cold_left) > until.max(now) + Self::COLD_TOLERANCE,
         }
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,7 +23,7 @@
 mod stop_schedule;
 mod workspace;
 
-pub use clock::{Clock, HybridClock, HybridTime};
+pub use clock::{Clock, HybridClock, HybridTime, MAX_SPAN, add_span};
 pub use code::{ResultCode, RunState};
 pub use cold::{ColdBudget, ColdFleet, ColdPlan, ColdState};
 pub use discovery::{
--- a/crates/core/src/service/cold.rs
+++ b/crates/core/src/service/cold.rs
@@ -2,7 +2,7 @@
 
 use super::target::Target;
 use super::{AttemptKey, Output, Service, TargetKey};
-use crate::{ColdFleet, ColdPlan};
+use crate::{ColdFleet, ColdPlan, add_span};
 use std::time::{Duration, Instant};
 
 /// Cold targets, of services that have a rate for them.
@@ -94,7 +94,7 @@
     pub(super) fn suspect_cold(&mut self, now: Instant, key: TargetKey) {
         if let Some(plan) = self.cold_plan {
             let cold = &mut self.targets[key.get_index()].cold;
-            cold.suspect(now, now + plan.warm_up);
+            cold.suspect(now, add_span(now, plan.warm_up));
         }
     }
 
@@ -125,7 +125,7 @@
             self.cold.state(until);
         }
         if old.is_emptied && !self.spec.is_emptied {
-            self.cold.suspect(now, now + plan.warm_up);
+            self.cold.suspect(now, add_span(now, plan.warm_up));
         }
     }
 }
--- a/tests/gateway/cold_targets.rs
+++ b/tests/gateway/cold_targets.rs
@@ -7,6 +7,9 @@
 /// Time after the start of a VM in which it may own a cold target.
 const SETTLE_BOUND: Duration = Duration::from_secs(5);
 
+/// Bound of the platform on the time in which a leaving target still gets work.
+const DRAIN_BOUND: Duration = Duration::from_secs(2);
+
 /// Writes a configuration whose first service has a rate for cold targets.
 fn put_cold_rate(env: &TestEnv, version: u64) {
     let cold = r#""max_conns":220,"cold_start":"3s","cold_per_s":5.0"#;
@@ -100,3 +103,32 @@
         "{runs} requests to a cold target, {most} allowed"
     );
 }
+
+/// Guards against a panic at each read of the list: an entry of another writer says that its
+/// target is cold for longer than the clock can represent, and a leave is not seen any more.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entry_beyond_the_clock() {
+    let env = TestEnv::start(2).await;
+    put_cold_rate(&env, 5);
+    // Each read is checked for warm-ups once the rate is in force.
+    tokio::time::sleep(DRAIN_BOUND).await;
+    let entry = env.store.get_value("servers", "t0").unwrap();
+    let text = String::from_utf8(entry).unwrap();
+    let odd = text
+        .replace(
+            r#""cold_left":"0ms""#,
+            r#""cold_left":"9999999999999999999s""#,
+        )
+        .replace(&env.targets[0].get_addr().to_string(), "127.0.0.1:9");
+    assert_ne!(odd, text);
+    // Entries are applied in descending order of their names.
+    env.store.put("servers", "u0", odd.as_bytes());
+    tokio::time::sleep(DRAIN_BOUND).await;
+    register(&env.store, &env.targets[0], true, 1);
+    tokio::time::sleep(DRAIN_BOUND).await;
+    for index in 0..9 {
+        let id = format!("a{index}");
+        let reply = env.request("POST", "/once/x", &id).await;
+        assert_eq!((reply.status, reply.body.as_str()), (200, "done by t1"));
+    }
+}
