fix(core): counts of peers no longer wrap, and grants are bounded by their asks

Cause: counts of crashes, the counter of the hybrid clock, times of notices and deadlines of claims were added unchecked, and a granted number of tokens was taken as it came. Seen by callers: a request that crashes targets leaves its quarantine when the counts wrap; a peer's grant above the ask lifts the limit of a workspace. Change: sums stop at their end, the hybrid clock carries over, a grant counts up to its ask. Result: quarantine::count_beyond_range, time_line::logical_at_maximum, membership::notice_beyond_time, ledger::deadline_beyond_time and workspace_limits::grant_beyond_ask failed on (5 of 5) and pass now.

--- a/crates/core/src/clock/hybrid.rs
+++ b/crates/core/src/clock/hybrid.rs
@@ -17,6 +17,20 @@
     pub logical: u32,
 }
 
+impl HybridTime {
+    /// Returns the next larger reading. A counter at its end carries over to the next
+    /// millisecond, since a peer may send any counter.
+    fn next(self) -> Self {
+        match self.logical.checked_add(1) {
+            Some(logical) => Self { logical, ..self },
+            None => Self {
+                millis: self.millis.saturating_add(1),
+                logical: 0,
+            },
+        }
+    }
+}
+
 /// A clock that never runs behind a reading that it has returned or observed.
 #[derive(Debug, Default)]
 pub struct HybridClock {
@@ -41,10 +55,7 @@
         self.last = if millis > self.last.millis {
             HybridTime { millis, logical: 0 }
         } else {
-            HybridTime {
-                millis: self.last.millis,
-                logical: self.last.logical + 1,
-            }
+            self.last.next()
         };
         self.last
     }
--- a/crates/core/src/ledger/machine.rs
+++ b/crates/core/src/ledger/machine.rs
@@ -233,7 +233,7 @@
     }
 
     fn watch(&mut self, now: Instant, wall: SystemTime, holder_deadline_ms: u64) -> LedgerAction {
-        let lost_at = holder_deadline_ms + Self::HOLDER_GRACE.as_millis() as u64;
+        let lost_at = holder_deadline_ms.saturating_add(Self::HOLDER_GRACE.as_millis() as u64);
         if millis_of(wall) > lost_at {
             return self.refuse(ResultCode::OutcomeUnknown);
         }
--- a/crates/core/src/membership/notices.rs
+++ b/crates/core/src/membership/notices.rs
@@ -63,7 +63,11 @@
     /// Removes the notices of targets that have been back for the retention time.
     pub fn expire(&mut self, now: HybridTime) {
         self.notices.retain(|notice| {
-            notice.is_leaving || notice.at.millis + Self::RETURNED_RETENTION_MILLIS > now.millis
+            let kept_until = notice
+                .at
+                .millis
+                .saturating_add(Self::RETURNED_RETENTION_MILLIS);
+            notice.is_leaving || kept_until > now.millis
         });
     }
 
--- a/crates/core/src/quarantine/crashes.rs
+++ b/crates/core/src/quarantine/crashes.rs
@@ -91,7 +91,7 @@
         let entry = Entry {
             fingerprint,
             vm: vm.clone(),
-            count: count + 1,
+            count: count.saturating_add(1),
             epoch,
             at: now,
         };
@@ -108,7 +108,7 @@
             && self.entries[index].count > 0
         {
             self.entries[index].count = 0;
-            self.entries[index].epoch += 1;
+            self.entries[index].epoch = self.entries[index].epoch.saturating_add(1);
         }
     }
 
@@ -234,5 +234,5 @@
         .iter()
         .take_while(|entry| entry.fingerprint == fingerprint)
         .map(|entry| entry.count)
-        .sum()
+        .fold(0, u16::saturating_add)
 }
--- a/crates/core/src/workspace/limits/exchange.rs
+++ b/crates/core/src/workspace/limits/exchange.rs
@@ -126,11 +126,13 @@
         if ask.workspace != grant.workspace {
             return false;
         }
+        // A holder gives no more than it was asked for; a larger figure would lift the limit.
+        let tokens = grant.tokens.min(ask.tokens);
         // The holder gave the tokens after this ask was sent.
         let expires = ask.sent_at + state.terms.hold;
-        state.borrowed.add(now, expires, grant.tokens);
+        state.borrowed.add(now, expires, tokens);
         self.ask(now, index);
-        grant.tokens > 0
+        tokens > 0
     }
 
     fn record_silence(&mut self, now: Duration, ask: &PendingAsk) {
--- a/crates/core/tests/ledger.rs
+++ b/crates/core/tests/ledger.rs
@@ -139,6 +139,18 @@
     assert_eq!(action, LedgerAction::Refuse(ResultCode::KeyRunning));
 }
 
+/// Guards against a deadline in a row that no later time can follow.
+#[test]
+fn deadline_beyond_time() {
+    let mut harness = Harness::new(1);
+    let mut claim = harness.make_foreign(ClaimState::Running);
+    claim.deadline_ms = u64::MAX;
+    harness.step(LedgerInput::Begin);
+    harness.step(LedgerInput::Conflict);
+    let action = harness.step(LedgerInput::Read(Some((claim, Version(3)))));
+    assert!(matches!(action, LedgerAction::Wait(_)), "{action:?}");
+}
+
 #[test]
 fn expired_claim() {
     let mut harness = Harness::new(1);
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -183,3 +183,13 @@
     notices.expire(later);
     assert!(notices.get_newest(9).is_empty());
 }
+
+/// Guards against a time of a peer whose retention ends beyond every number.
+#[test]
+fn notice_beyond_time() {
+    let mut notices = TargetNotices::new();
+    notices.merge(make_notice(true, 10));
+    notices.merge(make_notice(false, u64::MAX));
+    notices.expire(HybridTime::default());
+    assert_eq!(notices.get_newest(9).len(), 1);
+}
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -111,3 +111,20 @@
         Quarantine::MAX_RECORDS
     );
 }
+
+/// Guards against counts of peers whose sum or successor no number holds: the request would
+/// leave the quarantine.
+#[test]
+fn count_beyond_range() {
+    let now = Instant::now();
+    let me = VmName::from("a");
+    let mut quarantine = Quarantine::new(PERIOD);
+    quarantine.merge(now, &make_crash_record("a", u16::MAX, u16::MAX));
+    quarantine.merge(now, &make_crash_record("b", u16::MAX, 0));
+    assert!(quarantine.is_quarantined(7));
+    quarantine.record_crash(now, &me, 7);
+    assert!(quarantine.is_quarantined(7));
+    quarantine.record_success(&me, 7);
+    quarantine.expire(now);
+    assert!(quarantine.is_quarantined(7), "the other VM's count stands");
+}
--- a/crates/core/tests/time_line.rs
+++ b/crates/core/tests/time_line.rs
@@ -28,6 +28,18 @@
     assert!(clock.tick(make_wall_time(1_000)) < too_far_ahead);
 }
 
+/// Guards against a counter of a peer at its end: the next reading would be smaller.
+#[test]
+fn logical_at_maximum() {
+    let mut clock = HybridClock::new();
+    let received = HybridTime {
+        millis: 1_500,
+        logical: u32::MAX,
+    };
+    assert!(clock.observe(make_wall_time(1_000), received));
+    assert!(clock.tick(make_wall_time(1_000)) > received);
+}
+
 #[test]
 fn bounded_ring() {
     let mut ring = EventRing::new(3);
--- a/crates/core/tests/workspace_limits.rs
+++ b/crates/core/tests/workspace_limits.rs
@@ -3,7 +3,8 @@
 mod limits_model;
 
 use gentianridge_core::{
-    FleetLimits, LimitMember, LimitTerms, RateLimit, RequestBound, WorkspaceKey,
+    Admission, FleetLimits, LimitMember, LimitMessage, LimitTerms, RateLimit, RequestBound,
+    TokenGrant, WorkspaceKey,
 };
 use limits_model::{BOUND, Links, Model, Mutant, WINDOW};
 use rand::RngExt;
@@ -338,3 +339,49 @@
     let most = holders * (terms.rate * window + terms.capacity);
     assert!(most <= 10.0 * 5.0 + 20.0 + 1e-6, "{most}");
 }
+
+/// Guards against a grant of a peer that is larger than the ask: it would lift the limit, and
+/// two of them overflow the sum of tokens.
+#[test]
+fn grant_beyond_ask() {
+    let key = WorkspaceKey::from_name("w");
+    let limit = RateLimit {
+        per_second: 4.0,
+        burst: 4.0,
+    };
+    let members: Vec<LimitMember> = (0..20)
+        .map(|index| {
+            let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 9_000 + index));
+            LimitMember::new(&format!("vm-{index}").into(), addr, true)
+        })
+        .collect();
+    let mut vm = FleetLimits::new(seconds(1), &"vm-none".into(), 1, true);
+    vm.list_members(seconds(1), &members);
+    vm.set_fleet_known();
+    vm.declare(seconds(1), vec![(key, limit)]);
+    let (mut asked, mut admitted) = (0, 0);
+    for _ in 0..10 {
+        admitted += u32::from(matches!(vm.admit(seconds(2), key), Admission::Admitted(_)));
+        for (addr, message) in vm.take_messages() {
+            let LimitMessage::Asks(nonce, asks) = message else {
+                panic!("a VM that holds nothing grants nothing: {message:?}");
+            };
+            asked += asks.iter().map(|ask| ask.tokens).sum::<u32>();
+            let grants = asks.iter().map(|ask| TokenGrant {
+                workspace: ask.workspace,
+                tokens: u32::MAX,
+                left_percent: 0,
+            });
+            vm.receive(
+                seconds(2),
+                addr,
+                LimitMessage::Grants(nonce, grants.collect()),
+            );
+        }
+    }
+    assert!(asked > 0, "the VM asked for no tokens");
+    assert!(
+        admitted <= asked,
+        "{admitted} admitted with {asked} tokens asked for"
+    );
+}
