fix(gateway): buffered answers are copied into blocks that are reserved first

Cause: the start of an answer was held as slices of the HTTP library's read buffers, each of which keeps 8 KiB or more alive, while the account reserved only the bytes of the slices. Ruled out: the forwarded rest, which the library bounds to sixteen parts for a caller. Change: answers use the blocks of callers' bodies (BlockBuffer), reserved before they are allocated; small parts of a forwarded answer are copied too. Why it works: what is held is now what the account says, whatever the size of the pieces.

--- a/crates/daemon/src/gateway/answer.rs
+++ b/crates/daemon/src/gateway/answer.rs
@@ -89,6 +89,20 @@
     ends_at: Instant,
 }
 
+/// Size in bytes below which a forwarded part is copied. A smaller part may be all that is
+/// left of a read buffer of the HTTP library, which it would keep alive until its caller has
+/// taken it.
+const MIN_SHARED_PART: usize = 4 * 1024;
+
+/// Returns a part that keeps little more memory than its own size.
+fn detach_part(part: Bytes) -> Bytes {
+    if part.len() < MIN_SHARED_PART {
+        Bytes::copy_from_slice(&part)
+    } else {
+        part
+    }
+}
+
 impl AnswerBody {
     pub(crate) fn complete(chunks: Vec<Bytes>, memory: Reservation) -> Self {
         Self {
@@ -150,6 +164,7 @@
             self.rest = None;
             self.slot = None;
         }
+        let frame = frame.map(|frame| frame.map(|frame| frame.map_data(detach_part)));
         Poll::Ready(frame.map(|frame| frame.map_err(io::Error::other)))
     }
 
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -2,6 +2,7 @@
 
 use super::announcements::Announcements;
 use super::answer::{Answer, AnswerBody};
+use super::body::AnswerBuffer;
 use super::connections::{Connection, ReusePolicy, SendError};
 use super::request::CallerRequest;
 use super::state::Gateway;
@@ -12,7 +13,7 @@
 use gentianridge_core::{AttemptKey, ClassKind, Incarnation, LoadReport, Outcome, TargetKey};
 use http::{HeaderMap, Response, StatusCode, header};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -345,10 +346,10 @@
         response: Response<Incoming>,
     ) -> Result<Answer, Failure> {
         let (head, mut body) = response.into_parts();
-        let mut chunks: Vec<Bytes> = Vec::new();
-        let mut memory = self.request.memory.reserve_nothing();
-        let mut size = 0;
-        while size <= Self::MAX_BUFFERED_BODY {
+        let memory = self.request.memory.reserve_nothing();
+        let mut buf = AnswerBuffer::new(memory, body.size_hint().exact());
+        let mut unbuffered = Bytes::new();
+        while buf.get_length() <= Self::MAX_BUFFERED_BODY && unbuffered.is_empty() {
             let frame = timeout_at(self.deadline.into(), body.frame())
                 .await
                 .map_err(|_| {
@@ -357,12 +358,8 @@
             match frame {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
-                        let added = data.len();
-                        size += added;
-                        chunks.push(data);
-                        if !memory.try_grow(added) {
-                            break;
-                        }
+                        let left = buf.push(&data).len();
+                        unbuffered = data.slice(data.len() - left..);
                     }
                 }
                 Some(Err(error)) => {
@@ -375,11 +372,16 @@
                     if connection.record_answer(now, &head.headers) {
                         self.gateway.keep_connection(target.incarnation, connection);
                     }
+                    let (chunks, memory) = buf.into_parts();
                     let body = AnswerBody::complete(chunks, memory);
                     return Ok(Answer::new(head.status, head.headers, body));
                 }
             }
         }
+        let (mut chunks, memory) = buf.into_parts();
+        if !unbuffered.is_empty() {
+            chunks.push(unbuffered);
+        }
         // The body owns the connection, which is closed after the body.
         let body = AnswerBody::streamed(chunks, memory, body, connection, self.deadline);
         Ok(Answer::new(head.status, head.headers, body))
--- a/crates/daemon/src/gateway/body/held.rs
+++ b/crates/daemon/src/gateway/body/held.rs
@@ -1,7 +1,8 @@
 //! A body that is held whole, so that it can be sent again.
 
+use super::blocks::BlockBuffer;
 use crate::gateway::memory::{ConnectionMemory, Reservation};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use gentianridge_core::ResultCode;
 use std::rc::Rc;
 
@@ -23,83 +24,46 @@
     }
 }
 
-/// A body that arrives.
-///
-/// The bytes are copied into blocks that are reserved before they are allocated. The HTTP
-/// library's own parts would keep its read buffers alive, one for each chunk in the worst
-/// case, and a single growing buffer would be copied as it grows.
+/// A caller's body that arrives; its blocks are reserved before they are allocated.
 #[derive(Debug)]
 pub(super) struct HeldBuilder {
-    full: Vec<Bytes>,
-    block: BytesMut,
-    length: usize,
+    buf: BlockBuffer,
     memory: Reservation,
 }
 
 impl HeldBuilder {
-    /// Size of the first block in bytes if the length of the body is unknown.
-    const FIRST_BLOCK: usize = 1_024;
-    /// Largest block in bytes.
-    const MAX_BLOCK: usize = 64 * 1024;
-
     pub(super) fn new(memory: &ConnectionMemory) -> Self {
         Self {
-            full: Vec::new(),
-            block: BytesMut::new(),
-            length: 0,
+            buf: BlockBuffer::default(),
             memory: memory.reserve_nothing(),
         }
     }
 
     pub(super) fn get_length(&self) -> usize {
-        self.length
+        self.buf.get_length()
     }
 
     /// Appends bytes; `expected` is the length of the whole body, if it is known.
     pub(super) async fn push(
         &mut self,
         memory: &ConnectionMemory,
-        mut data: &[u8],
-        expected: Option<usize>,
-    ) -> Result<(), ResultCode> {
-        while !data.is_empty() {
-            let free = self.block.capacity() - self.block.len();
-            if free == 0 {
-                self.add_block(memory, expected).await?;
-                continue;
-            }
-            let (now, later) = data.split_at(free.min(data.len()));
-            self.block.extend_from_slice(now);
-            self.length += now.len();
-            data = later;
-        }
-        Ok(())
-    }
-
-    async fn add_block(
-        &mut self,
-        memory: &ConnectionMemory,
+        data: &[u8],
         expected: Option<usize>,
     ) -> Result<(), ResultCode> {
-        let doubled = (self.block.capacity() * 2).max(Self::FIRST_BLOCK);
-        let missing = expected.and_then(|length| length.checked_sub(self.length));
-        let size = missing.filter(|size| *size > 0).unwrap_or(doubled);
-        let size = size.min(Self::MAX_BLOCK);
-        self.memory.merge(memory.reserve(size).await?);
-        let full = std::mem::replace(&mut self.block, BytesMut::with_capacity(size));
-        if !full.is_empty() {
-            self.full.push(full.freeze());
+        let mut left = self.buf.fill(data);
+        while !left.is_empty() {
+            let size = self.buf.get_next_size(expected);
+            self.memory.merge(memory.reserve(size).await?);
+            self.buf.start_block(size);
+            left = self.buf.fill(left);
         }
         Ok(())
     }
 
-    pub(super) fn build(mut self) -> HeldBody {
-        if !self.block.is_empty() {
-            self.full.push(self.block.freeze());
-        }
+    pub(super) fn build(self) -> HeldBody {
         HeldBody {
-            blocks: self.full.into(),
-            length: self.length,
+            length: self.buf.get_length(),
+            blocks: self.buf.into_blocks().into(),
             _memory: self.memory,
         }
     }
--- a/crates/daemon/tests/outsiders/env.rs
+++ b/crates/daemon/tests/outsiders/env.rs
@@ -3,6 +3,7 @@
 use crate::vm_process::{VmLimits, VmProcess};
 use gentianridge_testkit::{
     CART, CallerConnection, FakeStore, FakeTarget, Reply, TargetEntryValue, write_config,
+    write_path,
 };
 use std::time::Duration;
 use tokio::sync::{Mutex, MutexGuard};
@@ -14,6 +15,24 @@
 /// Timeout of routes that a busy machine meets as well.
 pub(crate) const LONG_TIMEOUT_MS: u64 = 14_000;
 
+/// Service of the route `/other/`.
+const OTHER: &str = "other";
+/// Timeout of the route `/other/`.
+const BYSTANDER_TIMEOUT_MS: u64 = 4_000;
+
+/// Starts a target and writes its entry.
+async fn start_target(store: &FakeStore, id: &str, service: &str) -> FakeTarget {
+    let target = FakeTarget::start(id).await.unwrap();
+    let entry = target.make_entry(&TargetEntryValue {
+        service: service.into(),
+        zone: "d1".into(),
+        is_draining: false,
+        born: 1,
+    });
+    store.put("servers", id, &entry);
+    target
+}
+
 /// Limits of the configuration on what a caller may send.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct RequestLimits {
@@ -26,6 +45,8 @@
 pub(crate) struct Env {
     pub(crate) vm: VmProcess,
     pub(crate) target: FakeTarget,
+    /// The target of another service.
+    bystander: FakeTarget,
     _store: FakeStore,
     _turn: MutexGuard<'static, ()>,
 }
@@ -37,7 +58,10 @@
     pub(crate) async fn start(name: &str, vm: VmLimits, requests: RequestLimits) -> Self {
         let turn = TURN.lock().await;
         let store = FakeStore::start().await.unwrap();
-        let config = write_config(1, "")
+        let other = write_path("other", "/other/", "idempotent")
+            .replace(CART, OTHER)
+            .replace("2000ms", &format!("{BYSTANDER_TIMEOUT_MS}ms"));
+        let config = write_config(1, &format!(",{other}"))
             .replace(
                 "\"max_header_bytes\":16384",
                 &format!("\"max_header_bytes\":{}", requests.head),
@@ -51,18 +75,13 @@
                 &format!("\"timeout\":\"{}ms\"", requests.timeout_ms),
             );
         store.put("op", "config", config.as_bytes());
-        let target = FakeTarget::start("t0").await.unwrap();
-        let entry = target.make_entry(&TargetEntryValue {
-            service: CART.into(),
-            zone: "d1".into(),
-            is_draining: false,
-            born: 1,
-        });
-        store.put("servers", target.get_id(), &entry);
+        let target = start_target(&store, "t0", CART).await;
+        let bystander = start_target(&store, "o0", OTHER).await;
         let vm = VmProcess::start(name, store.get_addr(), vm);
         let env = Self {
             vm,
             target,
+            bystander,
             _store: store,
             _turn: turn,
         };
@@ -106,6 +125,20 @@
         caller.receive().await.unwrap().expect("an answer")
     }
 
+    /// Sends requests to another service than the usual one, on one connection; each has to
+    /// be answered by its target.
+    pub(crate) async fn check_bystander(&self, count: usize, pause: Duration) {
+        let caller = CallerConnection::open(self.vm.get_callers()).await;
+        let mut caller = caller.unwrap();
+        let before = self.bystander.count_all_runs();
+        for index in 0..count {
+            let id = format!("bystander{before}-{index}");
+            let reply = caller.request("GET", "/other/x", &id).await.unwrap();
+            assert_eq!(reply.status, 200, "{id}: {}", reply.body);
+            tokio::time::sleep(pause).await;
+        }
+    }
+
     /// Checks the limits of the VM and that it serves an ordinary request of each kind.
     pub(crate) async fn check(&mut self) {
         self.vm.check_limits();
--- a/crates/testkit/src/gateway/mod.rs
+++ b/crates/testkit/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 
 mod caller;
 mod config;
+mod endless;
 mod http;
 mod store;
 mod target;
@@ -14,6 +15,7 @@
 pub use config::{
     CART, WorkspaceValue, write_config, write_keyed_config, write_path, write_public_path,
 };
+pub use endless::{Endless, EndlessPace, EndlessPart};
 pub use store::{FakeStore, StoreEndpoint, StoreFault};
 pub use target::FakeTarget;
 pub use target_behavior::{LateCopies, TargetBehavior, TargetEntryValue};
--- a/crates/testkit/src/gateway/target.rs
+++ b/crates/testkit/src/gateway/target.rs
@@ -1,5 +1,6 @@
 //! A stand-in for a target of the users' platform, with injected faults.
 
+use super::Endless;
 use super::http::{Message, MessageStream};
 use super::target_behavior::{LateCopies, TargetBehavior, TargetEntryValue};
 use parking_lot::Mutex;
@@ -23,6 +24,10 @@
     /// Header lines that are added to answers of health and load requests.
     health_headers: Mutex<String>,
     health_status: Mutex<u16>,
+    /// Bytes without end in place of the answers to health and load requests.
+    endless_health: Mutex<Option<Endless>>,
+    /// Largest number of bytes of one answer without end.
+    endless_bytes: AtomicUsize,
     late_copies: Mutex<LateCopies>,
     runs: Mutex<Vec<Run>>,
     /// Ids of the requests that arrived, run or not.
@@ -83,6 +88,8 @@
             request_headers: Mutex::new(String::new()),
             health_headers: Mutex::new(String::new()),
             health_status: Mutex::new(200),
+            endless_health: Mutex::new(None),
+            endless_bytes: AtomicUsize::new(0),
             late_copies: Mutex::new(LateCopies::None),
             runs: Mutex::new(Vec::new()),
             arrivals: Mutex::new(Vec::new()),
@@ -145,6 +152,17 @@
         *self.shared.health_status.lock() = status;
     }
 
+    /// Sets bytes without end that are sent in place of the answers to health and load
+    /// requests.
+    pub fn set_endless_health(&self, endless: Option<Endless>) {
+        *self.shared.endless_health.lock() = endless;
+    }
+
+    /// Returns the largest number of bytes of one answer without end, and starts anew.
+    pub fn take_endless_bytes(&self) -> usize {
+        self.shared.endless_bytes.swap(0, Ordering::Relaxed)
+    }
+
     /// Sets which answers the target sends once more.
     pub fn set_late_copies(&self, copies: LateCopies) {
         *self.shared.late_copies.lock() = copies;
@@ -406,15 +424,18 @@
     if request.start_line.starts_with("GET /health ") {
         shared.load_requests.fetch_add(1, Ordering::Relaxed);
         let status = *shared.health_status.lock();
-        let text = reply(
-            status,
-            &format!(
-                "gentianridge-instance-id: {}\r\n{load}{}",
-                shared.id,
-                shared.health_headers.lock()
-            ),
-            "",
+        let headers = format!(
+            "gentianridge-instance-id: {}\r\n{load}{}",
+            shared.id,
+            shared.health_headers.lock()
         );
+        let endless = *shared.endless_health.lock();
+        if let Some(endless) = endless {
+            let sent = endless.send(messages, &headers).await;
+            shared.endless_bytes.fetch_max(sent, Ordering::Relaxed);
+            return false;
+        }
+        let text = reply(status, &headers, "");
         if status != 200 {
             return refuse(messages, text, shared, last).await;
         }
@@ -469,6 +490,16 @@
             let _ = messages.write(part).await;
             return false;
         }
+        TargetBehavior::StartLine(line) => {
+            let complete = reply(200, &signed, &body);
+            complete.replacen("HTTP/1.1 200 x", line, 1)
+        }
+        TargetBehavior::Endless(endless) => {
+            let sent = endless.send(messages, &signed).await;
+            shared.endless_bytes.fetch_max(sent, Ordering::Relaxed);
+            shared.cancelled.fetch_add(1, Ordering::Relaxed);
+            return false;
+        }
         TargetBehavior::EndlessBody => {
             send_endless_body(messages, &signed, shared).await;
             return false;
--- a/crates/testkit/src/gateway/target_behavior.rs
+++ b/crates/testkit/src/gateway/target_behavior.rs
@@ -1,5 +1,7 @@
 //! Behaviors and entries of a stand-in for a target.
 
+use super::Endless;
+
 /// How a target handles a request that it has read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TargetBehavior {
@@ -44,6 +46,11 @@
     /// Runs the request, sends the given number of bytes of the answer's head and closes
     /// the connection.
     TruncatedHead(usize),
+    /// Runs the request and answers with the given start line, and with the headers and the
+    /// body of a usual answer.
+    StartLine(&'static str),
+    /// Runs the request and sends bytes without end.
+    Endless(Endless),
 }
 
 /// Which answers a target sends once more on their connections, late.
