fix(gateway): what a target sends beside its answers is bounded, and reads give way

Cause: the HTTP library bounds neither interim answers nor the digits of a chunk's size, and reads in a loop as long as it needs bytes: one connection keeps the only thread for megabytes. Evidence: endless_answers::full_to_idempotent and full_to_once on: a request to another service takes 3.6 s, and 85 MB of one answer are taken in 3 s. Logs did not name the cause of a failed read; the line of the attempt now has the causes of the library's error. Ruled out: memory (27 to 39 MB), heads, extensions and trailers, which the library bounds. Change: 256 KiB without a head or a part of the body end a connection to a target; a connection that has read 64 KiB in its turn gives way to other tasks. Why it works: no loop of the library runs longer than one turn, and a target that sends no answer is cut off after four buffers, however fast it sends.

--- a/crates/daemon/src/gateway/answer.rs
+++ b/crates/daemon/src/gateway/answer.rs
@@ -83,7 +83,7 @@
 struct StreamedRest {
     body: Incoming,
     /// Closed with the rest: a body that is not read to its end cannot be skipped.
-    _connection: Connection,
+    connection: Connection,
     /// Time at which the body is broken off, since a target may send without end.
     deadline: Pin<Box<Sleep>>,
     ends_at: Instant,
@@ -131,7 +131,7 @@
     ) -> Self {
         let rest = StreamedRest {
             body,
-            _connection: connection,
+            connection,
             deadline: Box::pin(tokio::time::sleep_until(deadline.into())),
             ends_at: deadline,
         };
@@ -160,6 +160,11 @@
             return Poll::Ready(Some(Err(io::ErrorKind::TimedOut.into())));
         }
         let frame = ready!(Pin::new(&mut rest.body).poll_frame(cx));
+        if let Some(Ok(frame)) = &frame
+            && frame.is_data()
+        {
+            rest.connection.record_body_part();
+        }
         if frame.is_none() {
             self.rest = None;
             self.slot = None;
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -3,7 +3,7 @@
 use super::announcements::Announcements;
 use super::answer::{Answer, AnswerBody};
 use super::body::AnswerBuffer;
-use super::connections::{Connection, ReusePolicy, SendError};
+use super::connections::{Connection, ReusePolicy, SendError, describe_error};
 use super::request::CallerRequest;
 use super::state::Gateway;
 use crate::caller::headers::get_text;
@@ -266,7 +266,7 @@
                 Err(SendFailure::NothingSent)
             }
             Ok(Err(SendError::Unknown(error))) => Err(SendFailure::Final(make_connection_loss(
-                format!("no answer: {error}"),
+                format!("no answer: {}", describe_error(&error)),
             ))),
             Err(_) => Err(SendFailure::Final(make_failure(
                 Outcome::TimedOut,
@@ -358,13 +358,15 @@
             match frame {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
+                        connection.record_body_part();
                         let left = buf.push(&data).len();
                         unbuffered = data.slice(data.len() - left..);
                     }
                 }
                 Some(Err(error)) => {
                     return Err(make_connection_loss(format!(
-                        "the body was truncated: {error}"
+                        "the body was truncated: {}",
+                        describe_error(&error)
                     )));
                 }
                 None => {
--- a/crates/daemon/src/gateway/connections/connection.rs
+++ b/crates/daemon/src/gateway/connections/connection.rs
@@ -1,11 +1,13 @@
 //! A connection to a target.
 
+use super::overhead::{AnswerOverhead, TargetStream};
 use crate::gateway::body::OutgoingBody;
 use crate::gateway::counted::{ByteCounts, CountedStream};
 use http::{HeaderMap, HeaderName, Request, Response, header};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
+use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -24,11 +26,24 @@
     Unknown(hyper::Error),
 }
 
+/// Returns the text of an error and of its causes, which the HTTP library leaves out.
+pub(crate) fn describe_error(error: &hyper::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text.push_str(": ");
+        text.push_str(&cause.to_string());
+        source = cause.source();
+    }
+    text
+}
+
 /// A connection that carries one request at a time.
 #[derive(Debug)]
 pub(crate) struct Connection {
     sender: SendRequest<OutgoingBody>,
     counts: Rc<ByteCounts>,
+    overhead: Rc<AnswerOverhead>,
     answered_at: Instant,
     idle_limit: Duration,
     task: AbortHandle,
@@ -62,7 +77,9 @@
         let stream = TcpStream::connect(addr).await?;
         stream.set_nodelay(true)?;
         let counts = Rc::new(ByteCounts::default());
-        let io = TokioIo::new(CountedStream::new(stream, counts.clone()));
+        let overhead = Rc::new(AnswerOverhead::default());
+        let stream = CountedStream::new(stream, counts.clone());
+        let io = TokioIo::new(TargetStream::new(stream, overhead.clone()));
         let (sender, connection) = Builder::new()
             .max_buf_size(Self::MAX_BUFFER)
             .handshake(io)
@@ -77,6 +94,7 @@
         Ok(Self {
             sender,
             counts,
+            overhead,
             answered_at: now,
             idle_limit: Self::DEFAULT_IDLE_LIMIT,
             task: task.abort_handle(),
@@ -95,13 +113,23 @@
         request: Request<OutgoingBody>,
     ) -> Result<Response<Incoming>, SendError> {
         let before = self.counts.get_written();
+        self.overhead.record_progress();
         match self.sender.send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                self.overhead.record_progress();
+                Ok(response)
+            }
             Err(error) if self.counts.get_written() == before => Err(SendError::NothingSent(error)),
             Err(error) => Err(SendError::Unknown(error)),
         }
     }
 
+    /// Records that a part of the body was taken, after which the target may send more
+    /// that is no part of it.
+    pub(crate) fn record_body_part(&self) {
+        self.overhead.record_progress();
+    }
+
     /// Records a complete answer; returns false if the connection must not be
     /// reused.
     pub(crate) fn record_answer(&mut self, now: Instant, headers: &HeaderMap) -> bool {
--- a/crates/daemon/src/gateway/connections/mod.rs
+++ b/crates/daemon/src/gateway/connections/mod.rs
@@ -1,7 +1,8 @@
 //! Connections to targets, each with its last use and its byte counts.
 
 mod connection;
+mod overhead;
 mod pool;
 
-pub(crate) use connection::{Connection, SendError};
+pub(crate) use connection::{Connection, SendError, describe_error};
 pub(crate) use pool::{ConnectionPool, ReusePolicy};
--- a/crates/daemon/src/gateway/counted.rs
+++ b/crates/daemon/src/gateway/counted.rs
@@ -31,19 +31,32 @@
     }
 }
 
-/// TCP stream whose byte counts can be read while hyper owns the stream.
+/// TCP stream whose byte counts can be read while hyper owns the stream, and that gives way
+/// to other tasks.
 ///
 /// hyper does not expose the counts. They show whether a failed request can have
-/// reached its target, and whether a caller has started a request.
+/// reached its target, and whether a caller has started a request. hyper also reads in a loop
+/// for as long as it needs more bytes; a peer that always has some would keep the only
+/// thread.
 #[derive(Debug)]
 pub(crate) struct CountedStream {
     stream: TcpStream,
     counts: Rc<ByteCounts>,
+    /// Bytes read since the last time that a read was pending.
+    read_in_turn: usize,
 }
 
 impl CountedStream {
+    /// Bytes after which a reading task gives way. Parsing them takes about a millisecond at
+    /// most.
+    const TURN_BYTES: usize = 64 * 1024;
+
     pub(crate) fn new(stream: TcpStream, counts: Rc<ByteCounts>) -> Self {
-        Self { stream, counts }
+        Self {
+            stream,
+            counts,
+            read_in_turn: 0,
+        }
     }
 
     fn count_written(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
@@ -61,9 +74,19 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.read_in_turn >= Self::TURN_BYTES {
+            self.read_in_turn = 0;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         let before = buf.filled().len();
         let result = Pin::new(&mut self.stream).poll_read(cx, buf);
-        add(&self.counts.read, buf.filled().len() - before);
+        let size = buf.filled().len() - before;
+        add(&self.counts.read, size);
+        self.read_in_turn = match result {
+            Poll::Pending => 0,
+            Poll::Ready(_) => self.read_in_turn + size,
+        };
         result
     }
 }
--- a/crates/daemon/tests/outsiders/crowd.rs
+++ b/crates/daemon/tests/outsiders/crowd.rs
@@ -2,8 +2,9 @@
 
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
+use tokio::task::JoinSet;
 
 /// Longest time without progress of one caller's writes; a daemon that does not read any
 /// more, or has closed the connection, ends them.
@@ -35,6 +36,18 @@
         }
     }
 
+    /// Makes the callers read and discard their answers until their connections end.
+    pub(crate) fn read_answers(self) -> JoinSet<()> {
+        let mut readers = JoinSet::new();
+        for mut stream in self.connections {
+            readers.spawn(async move {
+                let mut buf = vec![0; 64 * 1024];
+                while matches!(stream.read(&mut buf).await, Ok(1..)) {}
+            });
+        }
+        readers
+    }
+
     pub(crate) fn count(&self) -> usize {
         self.connections.len()
     }
--- a/crates/daemon/tests/outsiders/endless_answers.rs
+++ b/crates/daemon/tests/outsiders/endless_answers.rs
@@ -22,6 +22,17 @@
 const BYSTANDER_REQUESTS: usize = 30;
 const BYSTANDER_PAUSE: Duration = Duration::from_millis(25);
 
+/// Most bytes that the daemon and the system's buffers take of one answer without end, while
+/// its caller reads nothing.
+const MOST_TAKEN: usize = 16 * 1024 * 1024;
+
+/// Checks that the daemon has ended the answers that are no answer.
+fn check_sent(env: &Env, part: EndlessPart) {
+    let sent = env.target.take_endless_bytes();
+    println!("{part:?}: {sent} bytes of one answer");
+    assert!(sent <= MOST_TAKEN, "{part:?}: {sent} bytes");
+}
+
 /// Plays all parts one after the other in one process, with requests of one kind.
 async fn check(name: &str, pace: EndlessPace, request: Vec<u8>) {
     let mut env = Env::start(name, VM, REQUESTS).await;
@@ -35,9 +46,11 @@
         env.check_bystander(BYSTANDER_REQUESTS, BYSTANDER_PAUSE)
             .await;
         env.vm.check_limits();
+        check_sent(&env, part);
     }
     env.target.set_behavior(TargetBehavior::Normal);
     tokio::time::sleep(Duration::from_millis(REQUESTS.timeout_ms)).await;
+    check_sent(&env, EndlessPart::Trailers);
     env.check().await;
 }
 
@@ -53,3 +66,46 @@
     let post = make_post_head("content-length: 0");
     check("endless-slow-post", EndlessPace::Slow, post).await;
 }
+
+/// Guards against a connection to a target that occupies the process for as long as the
+/// target has bytes to read.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn full_to_idempotent() {
+    check("endless-full-get", EndlessPace::Full, make_get()).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn full_to_once() {
+    let post = make_post_head("content-length: 0");
+    check("endless-full-post", EndlessPace::Full, post).await;
+}
+
+/// Bodies without end that their callers read leave room for the requests of others.
+async fn check_readers(name: &str, request: Vec<u8>) {
+    let mut env = Env::start(name, VM, REQUESTS).await;
+    for part in [EndlessPart::Chunks, EndlessPart::UnframedBody] {
+        let pace = EndlessPace::Full;
+        let endless = Endless { part, pace };
+        env.target.set_behavior(TargetBehavior::Endless(endless));
+        let parts = std::slice::from_ref(&request);
+        let crowd = Crowd::send(env.vm.get_callers(), CALLERS, parts).await;
+        let _readers = crowd.read_answers();
+        env.check_bystander(BYSTANDER_REQUESTS, BYSTANDER_PAUSE)
+            .await;
+        env.vm.check_limits();
+    }
+    env.target.set_behavior(TargetBehavior::Normal);
+    tokio::time::sleep(Duration::from_millis(REQUESTS.timeout_ms)).await;
+    env.check().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn readers_of_idempotent() {
+    check_readers("endless-read-get", make_get()).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn readers_of_once() {
+    let post = make_post_head("content-length: 0");
+    check_readers("endless-read-post", post).await;
+}
