fix(gateway): the body of an answer to a load request is discarded as it is read

Seen by callers: as with answers without end, the VM grows beyond its memory (a report of other operators), here through health answers. Cause: the body was collected whole until the timeout of 250 ms, outside the account of memory. Change: nothing of the body is held, and more than 64 KiB end the connection.

--- a/crates/daemon/src/gateway/samples.rs
+++ b/crates/daemon/src/gateway/samples.rs
@@ -1,7 +1,7 @@
 //! Load requests to targets.
 
 use super::body::OutgoingBody;
-use super::connections::{Connection, ReusePolicy};
+use super::connections::{Connection, ReusePolicy, describe_error};
 use super::state::Gateway;
 use crate::caller::headers::get_text;
 use crate::service::ServiceHandle;
@@ -11,6 +11,7 @@
 use gentianridge_core::{Incarnation, SendCheck, TargetKey};
 use http::{HeaderMap, HeaderValue, Request, header};
 use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,6 +20,8 @@
 /// milliseconds; the rest of the time avoids closing the connection of a slow
 /// target.
 const TIMEOUT: Duration = Duration::from_millis(250);
+/// Largest body in bytes of an answer to a load request, which states the load in its head.
+const MAX_BODY: usize = 64 * 1024;
 
 /// Sends load requests to the targets that the service names, until the task is
 /// dropped.
@@ -82,7 +85,7 @@
     let (head, body) = response.into_parts();
     gateway.record_announcements(&incarnation, head.status, &head.headers);
     check_answer(&gateway.headers, &head.headers, &incarnation)?;
-    body.collect().await?;
+    discard_body(&connection, body).await?;
     // A target that repeats a refusal would answer the next request with it.
     let is_refused = head.headers.contains_key(&gateway.headers.not_run);
     if !is_refused
@@ -104,6 +107,24 @@
     Ok(())
 }
 
+/// Reads the body of an answer to its end and holds nothing of it.
+///
+/// # Errors
+///
+/// Fails if the body is truncated or larger than [`MAX_BODY`].
+async fn discard_body(connection: &Connection, mut body: Incoming) -> anyhow::Result<()> {
+    let mut size = 0;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| anyhow::anyhow!(describe_error(&error)))?;
+        if let Some(data) = frame.data_ref() {
+            connection.record_body_part();
+            size += data.len();
+            anyhow::ensure!(size <= MAX_BODY, "the body is larger than {MAX_BODY} bytes");
+        }
+    }
+    Ok(())
+}
+
 /// Records for how long the target says it is cold.
 fn record_cold(gateway: &Gateway, service: &ServiceHandle, target: TargetKey, headers: &HeaderMap) {
     let text = get_text(headers, &gateway.headers.cold_ms);
--- a/crates/daemon/tests/outsiders/endless_answers.rs
+++ b/crates/daemon/tests/outsiders/endless_answers.rs
@@ -109,3 +109,31 @@
     let post = make_post_head("content-length: 0");
     check_readers("endless-read-post", post).await;
 }
+/// Plays all parts in place of answers to load requests, which each request causes.
+async fn check_health(name: &str, pace: EndlessPace) {
+    let mut env = Env::start(name, VM, REQUESTS).await;
+    for part in EndlessPart::ALL {
+        println!("{part:?}");
+        env.target.set_endless_health(Some(Endless { part, pace }));
+        for index in 0..CALLERS {
+            let reply = env.request("GET", "/look/x", &format!("{index}")).await;
+            assert_eq!(reply.status, 200, "{part:?}");
+        }
+        env.check_bystander(BYSTANDER_REQUESTS, BYSTANDER_PAUSE)
+            .await;
+        env.vm.check_limits();
+        check_sent(&env, part);
+    }
+    env.target.set_endless_health(None);
+    env.check().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn slow_health() {
+    check_health("endless-slow-health", EndlessPace::Slow).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn full_health() {
+    check_health("endless-full-health", EndlessPace::Full).await;
+}
