fix(membership): the number of VMs that peers can name is bounded

Cause: each name in a heartbeat or a relayed view added an entry, kept until it expires. Seen by callers: nothing so far; a faulty peer could take a VM out of memory. Change: at most 4,096 other VMs are recorded; known ones are followed on. Result: membership::endless_names fails without the bound by its reading of count_known (4,197 names are recorded) and passes now.

--- a/crates/core/src/membership/view.rs
+++ b/crates/core/src/membership/view.rs
@@ -50,6 +50,9 @@
 }
 
 impl Membership {
+    /// Largest number of other VMs that are recorded, several times that of a large fleet,
+    /// so that a faulty peer cannot fill the memory with names.
+    pub const MAX_PEERS: usize = 4_096;
     /// Time without a heartbeat after which a peer is silent.
     pub const SILENCE: Duration = Duration::from_millis(900);
     /// Time without a heartbeat after which a peer is removed.
@@ -74,14 +77,16 @@
     /// Records the state of a VM, received from the VM itself or from a peer.
     ///
     /// Only a newer incarnation or a higher sequence number is applied, so a
-    /// message that is duplicated, late or relayed changes nothing. Returns true
-    /// if the view is newer than the known one.
+    /// message that is duplicated, late or relayed changes nothing. Beyond
+    /// [`Self::MAX_PEERS`] no further VM is recorded. Returns true if the view is newer
+    /// than the known one.
     pub fn record_heartbeat(&mut self, now: Instant, view: PeerView) -> bool {
         if view.vm == self.me {
             return false;
         }
         match self.find(&view.vm) {
             Ok(index) => self.peers[index].update(now, view),
+            Err(_) if self.peers.len() >= Self::MAX_PEERS => false,
             Err(index) => {
                 self.peers.insert(index, Peer::new(now, view));
                 true
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -146,6 +146,22 @@
     assert_eq!(reached.len(), 5);
 }
 
+/// Guards against a faulty peer that names VMs without end: the table is bounded, and the
+/// VMs that are in it are followed on.
+#[test]
+fn endless_names() {
+    let start = Instant::now();
+    let mut membership = Membership::new("b".into());
+    membership.record_heartbeat(start, make_view("a", 1, 1));
+    for index in 0..Membership::MAX_PEERS + 100 {
+        membership.record_heartbeat(start, make_view(&format!("odd-{index}"), 1, 1));
+    }
+    assert_eq!(membership.count_known(), Membership::MAX_PEERS);
+    let later = start + Duration::from_millis(500);
+    assert!(membership.record_heartbeat(later, make_view("a", 1, 2)));
+    assert!(membership.is_live(start + Duration::from_secs(1), &"a".into()));
+}
+
 fn make_notice(is_leaving: bool, millis: u64) -> TargetNotice {
     TargetNotice {
         service: "draw".into(),
