--- a/crates/daemon/src/stream/target.rs
+++ b/crates/daemon/src/stream/target.rs
@@ -15,9 +15,9 @@
 }
 
 impl AnswerOverhead {
-    /// Most bytes without progress. The largest buffer of the HTTP library holds a head, and
-    /// it may read two more of them before the first part of the body is taken. Interim
-    /// answers and the framing of chunks are far below that.
+    /// Most bytes without progress: four times the largest buffer of a connection to a target,
+    /// which bounds a head. The rest leaves room for what is read along with a head, for
+    /// interim answers and for the framing of chunks.
     const MAX_BYTES: usize = 256 * 1024;
 
     pub(crate) fn record_progress(&self) {
--- a/crates/daemon/src/stream/yielding.rs
+++ b/crates/daemon/src/stream/yielding.rs
@@ -18,8 +18,8 @@
 }
 
 impl YieldingStream {
-    /// Bytes after which the reader gives way. Parsing them takes about a millisecond at
-    /// most.
+    /// Bytes after which the reader gives way: as many as the largest buffer of a connection
+    /// to a target holds. Usual messages are shorter.
     const TURN_BYTES: usize = 64 * 1024;
 
     pub(crate) fn new(stream: TcpStream) -> Self {
--- a/crates/testkit/src/gateway/mod.rs
+++ b/crates/testkit/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod store;
 mod target;
 mod target_behavior;
+mod target_server;
 mod vm;
 
 pub use caller::{CallerConnection, Reply};
