fix(config): a read continues only within its era of the store

Cause: a VM reads changes after the last version that it has read. The store gives versions out again after its return. Once they have passed that number it answers with what is newer, and what was written below is skipped; the read counted as a proof that nothing newer exists.

Change: StoreVersion orders versions by era, then number. A read that continues from a version of another era, or whose pages differ in it, is discarded and made in full; an answer of an earlier era is discarded. A proof of the configuration rests on a read that started after everything has been written again, and states its era. Peers report the era.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,7 @@
 mod service;
 mod spec;
 mod stop_schedule;
+mod store;
 mod workspace;
 
 pub use clock::{Clock, HybridClock, HybridTime, MAX_SPAN, add_span};
@@ -61,6 +62,7 @@
     RouteMatch, Sampling, ServiceSpec, TargetSpec, VmName,
 };
 pub use stop_schedule::StopSchedule;
+pub use store::{EraNotice, EraOrder, StoreEra, StoreVersion};
 pub use workspace::{
     Admission, ConfigProof, FleetLimits, LimitMember, LimitMessage, LimitTerms, Proofs, RateLimit,
     SpentToken, StoreClock, StoreTime, TokenAsk, TokenGrant, WorkspaceFault, WorkspaceKey,
--- a/crates/core/src/workspace/proof.rs
+++ b/crates/core/src/workspace/proof.rs
@@ -9,6 +9,8 @@
 /// that clock ([`StoreClock`](super::StoreClock)).
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ConfigProof {
+    /// Era of the store in which it was read, 0 if the store states none.
+    pub era: u64,
     /// Newest revision that can have been in the store.
     pub revision: u64,
     /// Time of the store's clock, at or before the start of the read.
--- a/crates/core/src/workspace/proofs.rs
+++ b/crates/core/src/workspace/proofs.rs
@@ -1,6 +1,7 @@
 //! Whether the keys of the configuration in force may still be accepted.
 
 use super::{ConfigProof, StoreClock, StoreTime};
+use crate::StoreEra;
 use std::time::Duration;
 
 /// The newest proof that a VM has of its configuration.
@@ -10,6 +11,10 @@
 /// A proof of a newer revision shows that this VM lacks a change and serves only once that
 /// revision is in force. docs/design/0025-withdrawn-keys.md has the arithmetic.
 ///
+/// After the store's return from a copy, a revision may be missing that was acknowledged
+/// before, so that reads prove nothing until everything has been written again. Proofs of
+/// the era before stay valid, as nothing was missing then.
+///
 /// All times of the VM are those of [`Clock::since_boot`](crate::Clock::since_boot).
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Proofs {
@@ -36,23 +41,41 @@
         }
     }
 
-    /// Records a read that this VM started at `sent`, and that succeeded: what it returned
-    /// is in force, or something newer is.
-    pub fn record_read(&mut self, sent: Duration) {
+    /// Records a read that this VM started at `sent`, and that succeeded in the newest era:
+    /// what it returned is in force, or something newer is.
+    pub fn record_read(&mut self, era: &StoreEra, sent: Duration) {
         if let Some(time) = self.clock.get_time(sent) {
-            self.keep(ConfigProof {
+            let proof = ConfigProof {
+                era: era.get(),
                 revision: self.in_force,
                 at: time.earliest,
-            });
+            };
+            if self.is_complete(era, proof) {
+                self.keep(proof);
+            }
         }
     }
 
     /// Adopts a proof of a peer if it is newer; returns true if it was.
     ///
-    /// A proof whose moment has not come yet is of another clock and is dropped.
-    pub fn adopt(&mut self, now: Duration, proof: ConfigProof) -> bool {
+    /// A proof whose moment has not come yet is of another clock and is dropped, as is one
+    /// of a peer that does not look at eras although the store states them.
+    pub fn adopt(&mut self, era: &StoreEra, now: Duration, proof: ConfigProof) -> bool {
         let latest = self.clock.get_time(now).map(|time| time.latest);
-        latest.is_some_and(|latest| proof.at <= latest) && self.keep(proof)
+        let has_era = proof.era > 0 || era.get() == 0;
+        has_era
+            && latest.is_some_and(|latest| proof.at <= latest)
+            && self.is_complete(era, proof)
+            && self.keep(proof)
+    }
+
+    /// Returns true if no acknowledged revision can have been missing at the proof's moment.
+    fn is_complete(&self, era: &StoreEra, proof: ConfigProof) -> bool {
+        let restored = era.get_restored(proof.era);
+        restored.is_none_or(|at| {
+            let time = self.clock.get_time(at);
+            time.is_some_and(|time| time.latest <= proof.at)
+        })
     }
 
     /// Records the revision that is in force from now on.
--- a/crates/core/tests/proof_fleet.rs
+++ b/crates/core/tests/proof_fleet.rs
@@ -1,8 +1,9 @@
 //! A model of a fleet that accepts keys by proofs of its configuration. Messages are lost
 //! and late, VMs are cut off, paused, suspended and restarted, and the store fails some of
-//! them. Each revision withdraws a key that only the one before it holds.
+//! them and returns from older copies. Each revision withdraws a key that only the one before
+//! it holds.
 
-use gentianridge_core::{ConfigProof, Proofs, StoreTime};
+use gentianridge_core::{ConfigProof, EraNotice, EraOrder, Proofs, StoreEra, StoreTime};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 use std::cmp::Reverse;
@@ -45,6 +46,29 @@
     TimeOfArrival,
     /// The age is the least that the proof can have.
     LeastAge,
+    /// After the store's return, a VM reads on from the version that it had.
+    ReadsOn,
+    /// Reads prove something as soon as the store has returned.
+    AtOnce,
+}
+
+/// A return of the store from a copy.
+#[derive(Debug, Clone, Copy)]
+struct Return {
+    at: Duration,
+    /// Newest revision in the copy.
+    kept: u64,
+    /// Time at which the lost revisions are written again.
+    restored_at: Duration,
+}
+
+/// What a read of the store returned.
+#[derive(Debug, Clone, Copy)]
+struct Answer {
+    era: u64,
+    newest: u64,
+    /// Time that the store stated.
+    stated: Duration,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -52,18 +76,19 @@
     revision: u64,
     proof: Option<ConfigProof>,
     time: Option<StoreTime>,
+    era: Option<EraNotice>,
 }
 
 #[derive(Debug, Clone, Copy)]
 enum Event {
     Round,
-    /// End of a read of the store: the newest revision and the time that the store stated,
-    /// `None` if it failed.
+    /// End of a read of the store, `None` if it failed.
     ReadEnd {
         sent: Duration,
-        answer: Option<(u64, Duration)>,
+        answer: Option<Answer>,
     },
     Datagram {
+        era: Option<EraNotice>,
         proof: Option<ConfigProof>,
         /// Age of the proof when it was sent.
         age: Option<Duration>,
@@ -83,6 +108,9 @@
 #[derive(Debug, Default)]
 struct Vm {
     proofs: Proofs,
+    era: StoreEra,
+    /// Newest revision that a read which went on from an old version left out.
+    skipped: u64,
     revision: u64,
     is_reading: bool,
     /// End of the time in which a peer may answer.
@@ -106,6 +134,7 @@
     next_event: u64,
     /// Times at which the revisions from 1 on were written.
     written: Vec<Duration>,
+    returns: Vec<Return>,
     cut_until: Duration,
     slow_until: Duration,
     is_calm: bool,
@@ -131,6 +160,7 @@
             contents: BTreeMap::new(),
             next_event: 0,
             written: vec![Duration::ZERO],
+            returns: Vec::new(),
             cut_until: Duration::ZERO,
             slow_until: Duration::ZERO,
             is_calm: true,
@@ -196,11 +226,15 @@
             Event::Round => self.run_round(vm),
             Event::ReadEnd { sent, answer } => self.end_read(vm, sent, answer),
             Event::Datagram {
+                era,
                 proof,
                 age,
                 newest,
                 from,
-            } => self.receive(vm, proof, age, newest, from),
+            } => {
+                self.adopt_era(vm, era);
+                self.receive(vm, proof, age, newest, from);
+            }
             Event::Request { sent, from } => self.answer(vm, sent, from),
             Event::Reply { sent, reply } => self.apply_reply(vm, sent, reply),
         }
@@ -222,9 +256,11 @@
         let time = self.vms[vm].proofs.get_store_time(clock);
         let age = proof.and_then(|proof| Some(time?.latest.saturating_sub(proof.at)));
         let newest = self.vms[vm].revision;
+        let era = self.vms[vm].era.get_notice(clock);
         for _ in 0..FANOUT {
             let to = self.rng.random_range(0..self.vms.len());
             let datagram = Event::Datagram {
+                era,
                 proof,
                 age,
                 newest,
@@ -265,23 +301,67 @@
         // The answer shows the state at the call, and the clock at its end.
         let read_at = sent + self.random_time(1, slow);
         let answered = read_at + self.random_time(0, 450);
-        let newest = self.written.iter().filter(|at| **at <= read_at).count() as u64;
         let stated = Duration::from_millis((STORE_START + answered).as_millis() as u64);
         let end = answered + self.random_time(1, slow);
-        let answer = Some((newest, stated));
+        let answer = Answer {
+            era: self.get_era(read_at),
+            newest: self.get_newest(read_at),
+            stated,
+        };
+        // A return ends the calls under way.
+        let answer = Some(answer).filter(|answer| answer.era == self.get_era(answered));
         self.schedule(end, vm, Event::ReadEnd { sent, answer });
     }
 
-    fn end_read(&mut self, vm: usize, sent: Duration, answer: Option<(u64, Duration)>) {
+    fn get_era(&self, at: Duration) -> u64 {
+        1 + self.returns.iter().filter(|r| r.at <= at).count() as u64
+    }
+
+    /// Returns the newest revision in the store.
+    fn get_newest(&self, at: Duration) -> u64 {
+        let newest = self
+            .written
+            .iter()
+            .filter(|written| **written <= at)
+            .count();
+        let last = self.returns.iter().rev().find(|r| r.at <= at);
+        let is_missing = |r: &&Return| at < r.restored_at && self.written[newest - 1] <= r.at;
+        last.filter(is_missing).map_or(newest as u64, |r| r.kept)
+    }
+
+    fn adopt_era(&mut self, vm: usize, era: Option<EraNotice>) {
+        let clock = self.clock(vm, self.now);
+        if let Some(notice) = era {
+            self.vms[vm].era.adopt(clock, notice);
+        }
+    }
+
+    fn end_read(&mut self, vm: usize, sent: Duration, answer: Option<Answer>) {
         self.vms[vm].is_reading = false;
         let (sent, received) = (self.clock(vm, sent), self.clock(vm, self.now));
         let state = &mut self.vms[vm];
-        let Some((newest, stated)) = answer else {
+        let Some(Answer {
+            era,
+            mut newest,
+            stated,
+        }) = answer
+        else {
             if self.mutant == Mutant::FailedReads {
-                state.proofs.record_read(sent);
+                state.proofs.record_read(&state.era, sent);
             }
             return;
         };
+        if self.mutant == Mutant::AtOnce {
+            state.era = StoreEra::default();
+        }
+        match state.era.observe(received, era) {
+            EraOrder::Older(_) => return,
+            EraOrder::Newer(_) if self.mutant == Mutant::ReadsOn => state.skipped = newest,
+            EraOrder::Newer(_) | EraOrder::Current => {}
+        }
+        if newest <= state.skipped {
+            newest = state.revision;
+        }
         let rounding = Duration::from_millis(1);
         let time = StoreTime {
             earliest: stated - rounding,
@@ -290,8 +370,8 @@
         state.proofs.record_time(sent, received, time);
         state.set_revision(newest);
         match self.mutant {
-            Mutant::ReadEnd => state.proofs.record_read(received),
-            _ => state.proofs.record_read(sent),
+            Mutant::ReadEnd => state.proofs.record_read(&state.era, received),
+            _ => state.proofs.record_read(&state.era, sent),
         }
     }
 
@@ -322,7 +402,7 @@
         if let (Mutant::AgeInMessage, Some(time), Some(age)) = (self.mutant, time, age) {
             proof.at = time.latest.saturating_sub(age);
         }
-        state.proofs.adopt(clock, proof);
+        state.proofs.adopt(&state.era, clock, proof);
     }
 
     fn ask(&mut self, vm: usize, peer: usize) {
@@ -340,6 +420,7 @@
             revision: state.revision,
             proof: state.proofs.get_newest(),
             time: state.proofs.get_store_time(clock),
+            era: state.era.get_notice(clock),
         };
         self.send(vm, from, Event::Reply { sent, reply });
     }
@@ -353,6 +434,7 @@
         if let Some(time) = reply.time {
             self.vms[vm].proofs.record_time(sent, received, time);
         }
+        self.adopt_era(vm, reply.era);
         self.adopt(vm, reply.proof, None);
         self.vms[vm].set_revision(reply.revision);
     }
@@ -389,7 +471,7 @@
     fn disturb(&mut self) {
         let vm = self.rng.random_range(0..self.vms.len());
         let end = self.now + self.random_time(500, 9_000);
-        match self.rng.random_range(0..8) {
+        match self.rng.random_range(0..9) {
             0 => self.vms[vm].paused_until = end,
             1 => {
                 self.vms[vm].paused_until = end;
@@ -410,7 +492,9 @@
                 self.vms[vm].group = 7;
                 self.cut_until = end;
             }
+            7 => self.return_store(),
             _ => {
+                // A VM that starts learns from a seed of a return before it reads the store.
                 let state = &mut self.vms[vm];
                 state.proofs = Proofs::default();
                 state.revision = 0;
@@ -418,6 +502,24 @@
         }
     }
 
+    /// Has the store leave for a moment and return from a copy some seconds old.
+    fn return_store(&mut self) {
+        let at = self.now + self.random_time(50, 1_500);
+        if self.returns.last().is_some_and(|last| last.at >= self.now) {
+            return;
+        }
+        let copied = self.now.saturating_sub(self.random_time(0, 10_000));
+        let restored_at = at + self.random_time(0, 1_900);
+        self.returns.push(Return {
+            at,
+            kept: self.get_newest(copied),
+            restored_at,
+        });
+        for vm in &mut self.vms {
+            vm.store_lost_until = vm.store_lost_until.max(at);
+        }
+    }
+
     fn run_faults(&mut self, length: Duration) {
         self.is_calm = false;
         let end = self.now + length;
@@ -521,6 +623,8 @@
         Mutant::AgeInMessage,
         Mutant::TimeOfArrival,
         Mutant::LeastAge,
+        Mutant::ReadsOn,
+        Mutant::AtOnce,
     ];
     for mutant in mutants {
         let small = (0..60).map(|seed| run(5, mutant, seed));
--- a/crates/daemon/src/gateway/feeds.rs
+++ b/crates/daemon/src/gateway/feeds.rs
@@ -7,7 +7,9 @@
 use gentianridge_adapter::{
     Changes, Row, StoreError, StoreErrorKind, Table, decode_entry, decode_routes,
 };
-use gentianridge_core::{EventKind, ReadTurn, TargetListRead, TargetListUpdate, UpdateOutcome};
+use gentianridge_core::{
+    EventKind, ReadTurn, StoreVersion, TargetListRead, TargetListUpdate, UpdateOutcome,
+};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -165,7 +167,7 @@
     /// True if the last read of the configuration succeeded.
     is_config_readable: bool,
     /// Version of the store at the last read of the configuration.
-    config_after: Option<u64>,
+    config_after: Option<StoreVersion>,
     /// False if the store holds a configuration that cannot be decoded.
     is_config_valid: bool,
     backoff: Backoff,
@@ -233,14 +235,14 @@
         is_success
     }
 
-    async fn read_config(&mut self, after: Option<u64>, wait: Duration) -> bool {
+    async fn read_config(&mut self, after: Option<StoreVersion>, wait: Duration) -> bool {
         let store = self.gateway.get_store();
         let sent = self.gateway.clock.since_boot();
         let changed = match after {
             None => None,
             Some(after) => {
                 let result = store.poll_changes(Table::Operators, after, wait).await;
-                filter_history_gone(result)
+                filter_incomplete(result)
             }
         };
         let is_full = changed.is_none();
@@ -251,7 +253,7 @@
         self.gateway
             .metrics
             .record_store_call("config", result.is_ok());
-        match result {
+        match result.and_then(|changes| self.gateway.check_era(changes)) {
             Ok(changes) => {
                 self.config_after = Some(changes.version);
                 self.gateway.record_store_time(sent, changes.time);
@@ -262,7 +264,7 @@
                     self.gateway.record_config_read(sent);
                 }
                 let gateway = &self.gateway;
-                gateway.apply_evacuation_rows(&changes.rows, changes.version, is_full);
+                gateway.apply_evacuation_rows(&changes.rows, changes.version.number, is_full);
                 true
             }
             Err(error) => {
@@ -299,15 +301,21 @@
     }
 }
 
-/// Returns the result of a feed, `None` if the table must be read in full: the
-/// store may drop its history at any time, which is not an outage.
-fn filter_history_gone(result: Result<Changes, StoreError>) -> Option<Result<Changes, StoreError>> {
-    let is_gone = |error: &StoreError| error.get_kind() == StoreErrorKind::HistoryGone;
-    if result.as_ref().is_err_and(is_gone) {
-        log::info!(target: STATE_LOG_TARGET, "the store dropped its history; reading the full table");
-        return None;
+/// Returns the result of a feed, `None` if the table must be read in full: the store may drop
+/// its history at any time or return from a copy, which is not an outage.
+fn filter_incomplete(result: Result<Changes, StoreError>) -> Option<Result<Changes, StoreError>> {
+    match result {
+        Err(error)
+            if matches!(
+                error.get_kind(),
+                StoreErrorKind::HistoryGone | StoreErrorKind::EraChanged
+            ) =>
+        {
+            log::info!(target: STATE_LOG_TARGET, "reading the full table: {error}");
+            None
+        }
+        result => Some(result),
     }
-    Some(result)
 }
 
 /// Reads the targets; returns the update to send to the peers.
@@ -318,14 +326,15 @@
     let sent_at = gateway.clock.now();
     let after = {
         let list = gateway.list.borrow();
-        list.get_version().filter(|_| !list.needs_full_read())
+        let version = list.get_version().filter(|_| !list.needs_full_read());
+        version.map(|number| StoreVersion::new(gateway.era.borrow().get(), number))
     };
     let store = gateway.get_store();
     let changed = match after {
         None => None,
         Some(after) => {
             let result = store.poll_changes(Table::Targets, after, wait).await;
-            filter_history_gone(result)
+            filter_incomplete(result)
         }
     };
     let is_full = changed.is_none();
@@ -335,7 +344,9 @@
         None => store.get_all(Table::Targets).await,
     };
     gateway.metrics.record_store_call("targets", result.is_ok());
-    let changes = result.inspect_err(|error| log::debug!("cannot read the targets: {error}"))?;
+    let changes = result
+        .and_then(|changes| gateway.check_era(changes))
+        .inspect_err(|error| log::debug!("cannot read the targets: {error}"))?;
     let sent_at = if is_full { full_sent_at } else { sent_at };
     let read = decode_read(changes, is_full);
     Ok(apply_target_changes(gateway, sent_at, read))
@@ -365,7 +376,7 @@
 
 fn decode_read(changes: Changes, is_full: bool) -> TargetListRead {
     let mut read = TargetListRead {
-        version: changes.version,
+        version: changes.version.number,
         is_full,
         ..TargetListRead::default()
     };
--- a/crates/daemon/src/gateway/identity.rs
+++ b/crates/daemon/src/gateway/identity.rs
@@ -100,7 +100,8 @@
 
     /// Records a successful read of the configuration; what it returned is in force.
     pub(super) fn record_config_read(&self, sent: Duration) {
-        self.proofs.borrow_mut().record_read(sent);
+        let era = self.era.borrow();
+        self.proofs.borrow_mut().record_read(&era, sent);
     }
 
     /// Records what a peer answered to a request that was sent at `sent`.
@@ -121,7 +122,8 @@
     pub(super) fn adopt_proof(&self, proof: Option<ConfigProof>) {
         if let Some(proof) = proof {
             let now = self.clock.since_boot();
-            self.proofs.borrow_mut().adopt(now, proof);
+            let era = self.era.borrow();
+            self.proofs.borrow_mut().adopt(&era, now, proof);
         }
     }
 
@@ -144,11 +146,13 @@
         age.filter(|_| self.needs_proofs())
     }
 
-    /// Returns true if this VM has to look for a newer proof itself.
+    /// Returns true if this VM has to look for a newer proof itself. Just after the store's
+    /// return there is none to be had.
     pub(super) fn is_proof_due(&self) -> bool {
         let revoke = self.get_settings().revoke.unwrap_or_default();
         let now = self.clock.since_boot();
         self.needs_proofs()
+            && !self.era.borrow().is_restoring(now)
             && !self
                 .proofs
                 .borrow()
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -39,6 +39,8 @@
     connections: Counter<u64>,
     samples: Counter<u64>,
     store_calls: Counter<u64>,
+    eras: Counter<u64>,
+    era: Gauge<f64>,
     targets: Gauge<f64>,
     waiting: Gauge<f64>,
     version: Gauge<f64>,
@@ -103,6 +105,16 @@
             ),
             samples: counter(&meter, "gentianridge.samples", "Load requests to targets"),
             store_calls: counter(&meter, "gentianridge.store.calls", "Calls by outcome"),
+            eras: counter(
+                &meter,
+                "gentianridge.store.eras",
+                "Answers of the store with another era than the last one, by order",
+            ),
+            era: gauge(
+                &meter,
+                "gentianridge.store.era",
+                "Newest era in an answer of the store, 0 if none states one",
+            ),
             targets: gauge(&meter, "gentianridge.targets", "Targets by condition"),
             waiting: gauge(
                 &meter,
@@ -316,6 +328,11 @@
         self.outdated_sends.add(1, &[]);
     }
 
+    /// Counts an answer of the store that states another era than the last one.
+    pub(crate) fn record_era(&self, order: &'static str) {
+        self.eras.add(1, &[KeyValue::new("order", order)]);
+    }
+
     pub(crate) fn record_store_call(&self, call: &'static str, is_success: bool) {
         let outcome = if is_success { "ok" } else { "failed" };
         let labels = [
@@ -329,6 +346,7 @@
     pub(crate) fn render(&self, gateway: &Gateway) -> String {
         self.observe_services(gateway);
         self.version.record(gateway.get_version() as f64, &[]);
+        self.era.record(gateway.era.borrow().get() as f64, &[]);
         self.vms
             .record(gateway.peers.count_live(gateway.clock.now()) as f64, &[]);
         if gateway.limits.read(FleetLimits::is_limiting) {
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod connections;
 mod counted;
 mod crashes;
+mod era;
 mod evacuations;
 mod exchange;
 mod feeds;
--- a/crates/daemon/src/gateway/peers/follow.rs
+++ b/crates/daemon/src/gateway/peers/follow.rs
@@ -142,6 +142,7 @@
             .borrow_mut()
             .record_heartbeat(now, view);
     }
+    gateway.adopt_era(reply.era);
     gateway.record_peer_proof(sent, reply.store_time, reply.proof);
     if let Some(evacuations) = reply.evacuations {
         gateway.apply_evacuations(evacuations, "peer");
--- a/crates/daemon/src/gateway/peers/gossip.rs
+++ b/crates/daemon/src/gateway/peers/gossip.rs
@@ -169,6 +169,7 @@
         if is_change {
             update_members(gateway, now);
         }
+        gateway.adopt_era(datagram.era);
         if let Some(evacuations) = datagram.evacuations {
             gateway.apply_evacuations(evacuations, "peer");
         }
@@ -219,6 +220,7 @@
         paused: Vec::new(),
         evacuations: gateway.list.borrow().get_emptied().get_message(),
         proof: gateway.get_proof(),
+        era: gateway.get_era_notice(),
         peers,
         summaries,
     }
--- a/crates/daemon/src/gateway/peers/register.rs
+++ b/crates/daemon/src/gateway/peers/register.rs
@@ -107,6 +107,7 @@
 /// Reads which VMs are registered, and returns their names in ascending order.
 pub(super) async fn find_registered(gateway: &Gateway) -> Result<Vec<VmName>, StoreError> {
     let listed = gateway.get_store().get_all(Table::Vms).await?;
+    let listed = gateway.check_era(listed)?;
     let now = gateway.clock.now();
     let me = gateway.get_settings().vm.clone();
     let mut names = Vec::with_capacity(listed.rows.len());
--- a/crates/daemon/src/gateway/peers/state_exchange.rs
+++ b/crates/daemon/src/gateway/peers/state_exchange.rs
@@ -109,6 +109,7 @@
         evacuations: gateway.list.borrow().get_emptied().get_message(),
         proof: gateway.get_proof(),
         store_time: gateway.get_store_time(),
+        era: gateway.get_era_notice(),
     };
     if request.needs_peers {
         reply.peers = gateway.peers.gossip.borrow().get_live_views(now);
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -14,7 +14,7 @@
 use gentianridge_adapter::{HeaderNames, Store, get_header_names};
 use gentianridge_config::GatewaySettings;
 use gentianridge_core::{
-    Clock, Proofs, Quarantine, RouteTable, StopSchedule, TargetList, UpdateLog,
+    Clock, Proofs, Quarantine, RouteTable, StopSchedule, StoreEra, TargetList, UpdateLog,
 };
 use std::cell::{Cell, Ref, RefCell};
 use std::rc::Rc;
@@ -36,6 +36,8 @@
     pub(crate) metrics: GatewayMetrics,
     pub(crate) memory: Rc<MemoryKeeper>,
     pub(super) routes: RefCell<Option<RouteTable>>,
+    /// Newest era of the store.
+    pub(super) era: RefCell<StoreEra>,
     /// How recently the configuration in force was the newest one.
     pub(super) proofs: RefCell<Proofs>,
     /// True if keys were accepted at the last look.
@@ -88,6 +90,7 @@
             peers: Peers::new(settings.vm.clone(), settings.domain.clone()),
             metrics: GatewayMetrics::new(lines)?,
             routes: RefCell::new(None),
+            era: RefCell::default(),
             proofs: RefCell::default(),
             was_serving_keys: Cell::new(true),
             list: RefCell::new(TargetList::new(get_list_bound(&settings))),
--- a/crates/testkit/src/gateway/mod.rs
+++ b/crates/testkit/src/gateway/mod.rs
@@ -17,7 +17,7 @@
     CART, WorkspaceValue, write_config, write_keyed_config, write_path, write_public_path,
 };
 pub use endless::{Endless, EndlessPace, EndlessPart};
-pub use store::{FakeStore, StoreEndpoint, StoreFault};
+pub use store::{FakeStore, StoreCopy, StoreEndpoint, StoreFault};
 pub use target::FakeTarget;
 pub use target_behavior::{LateCopies, TargetBehavior, TargetEntryValue};
 pub use vm::{GatewayVm, make_settings};
--- a/crates/testkit/src/gateway/store.rs
+++ b/crates/testkit/src/gateway/store.rs
@@ -26,7 +26,7 @@
     Reset,
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 struct StoredRow {
     table: String,
     key: String,
@@ -35,14 +35,23 @@
     ver: u64,
 }
 
-#[derive(Debug)]
-struct State {
+/// The content of a store at a moment.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoreCopy {
     rows: Vec<StoredRow>,
     /// All writes in their order, also those that a later write has replaced.
     history: Vec<StoredRow>,
     ver: u64,
     /// Changes up to and including this version have been dropped from the history.
     compacted: u64,
+}
+
+#[derive(Debug)]
+struct State {
+    content: StoreCopy,
+    era: u64,
+    /// What the header of answers states in place of the era; empty for no header.
+    era_text: Option<String>,
     /// Request lines of all calls.
     calls: Vec<String>,
     started: Instant,
@@ -124,10 +133,14 @@
     pub async fn start() -> anyhow::Result<Self> {
         let shared = Arc::new(Shared {
             state: Mutex::new(State {
-                rows: Vec::new(),
-                history: Vec::new(),
-                ver: 0,
-                compacted: 0,
+                content: StoreCopy {
+                    rows: Vec::new(),
+                    history: Vec::new(),
+                    ver: 0,
+                    compacted: 0,
+                },
+                era: 1,
+                era_text: None,
                 calls: Vec::new(),
                 started: Instant::now(),
             }),
@@ -169,7 +182,31 @@
     /// Drops the history, which the platform may do at any time.
     pub fn compact(&self) {
         let mut state = self.shared.state.lock();
-        state.compacted = state.ver;
+        state.content.compacted = state.content.ver;
+    }
+
+    /// Returns a copy of the content, to which the store may return.
+    pub fn copy(&self) -> StoreCopy {
+        self.shared.state.lock().content.clone()
+    }
+
+    /// Returns to a copy: later writes are lost, their versions are given out again, and a
+    /// new era begins.
+    pub fn return_to(&self, copy: StoreCopy) {
+        let mut state = self.shared.state.lock();
+        state.content = copy;
+        state.era += 1;
+    }
+
+    /// Sets what answers state in place of the era; an empty text leaves the header out,
+    /// `None` states the era again.
+    pub fn set_era_text(&self, text: Option<&str>) {
+        self.shared.state.lock().era_text = text.map(str::to_owned);
+    }
+
+    /// Returns the newest version.
+    pub fn get_version(&self) -> u64 {
+        self.shared.state.lock().content.ver
     }
 
     /// Returns the number of calls whose request line contains the text.
@@ -185,7 +222,7 @@
     /// Returns the value of a row, or `None` if the row does not exist.
     pub fn get_value(&self, table: &str, key: &str) -> Option<Vec<u8>> {
         let state = self.shared.state.lock();
-        let mut rows = state.rows.iter();
+        let mut rows = state.content.rows.iter();
         let row = rows.find(|row| row.table == table && row.key == key)?;
         row.value.clone()
     }
@@ -193,7 +230,8 @@
     /// Returns the keys of the existing rows of a table, sorted.
     pub fn get_keys(&self, table: &str) -> Vec<String> {
         let state = self.shared.state.lock();
-        let rows = state.rows.iter().filter(|row| row.table == table);
+        let rows = state.content.rows.iter();
+        let rows = rows.filter(|row| row.table == table);
         let mut keys: Vec<String> = rows
             .filter(|row| row.value.is_some())
             .map(|row| row.key.clone())
@@ -210,16 +248,28 @@
 
 impl State {
     fn write(&mut self, table: &str, key: &str, value: Option<Vec<u8>>) {
-        self.ver += 1;
+        let content = &mut self.content;
+        content.ver += 1;
         let row = StoredRow {
             table: table.into(),
             key: key.into(),
             value,
-            ver: self.ver,
+            ver: content.ver,
         };
-        self.rows.retain(|row| row.table != table || row.key != key);
-        self.rows.push(row.clone());
-        self.history.push(row);
+        content
+            .rows
+            .retain(|row| row.table != table || row.key != key);
+        content.rows.push(row.clone());
+        content.history.push(row);
+    }
+
+    /// Returns the header that states the era.
+    fn get_era_header(&self) -> String {
+        let text = self.era_text.clone();
+        match text.unwrap_or_else(|| self.era.to_string()) {
+            text if text.is_empty() => text,
+            text => format!("store-era: {text}\r\n"),
+        }
     }
 
     /// Returns the time of the store's clock.
@@ -230,6 +280,7 @@
     /// Returns the version of a row, 0 if it does not exist.
     fn get_version(&self, table: &str, key: &str) -> u64 {
         let row = self
+            .content
             .rows
             .iter()
             .find(|row| row.table == table && row.key == key && row.value.is_some());
@@ -239,6 +290,7 @@
     /// Returns the rows with keys in `from..to`.
     fn read(&self, table: &str, from: &str, to: &str) -> Value {
         let mut rows: Vec<&StoredRow> = self
+            .content
             .rows
             .iter()
             .filter(|row| row.table == table && row.value.is_some())
@@ -251,7 +303,7 @@
     /// Returns every change of a table after a version, so that a row that changed
     /// twice is in the reply twice.
     fn read_history(&self, table: &str, after: u64) -> Value {
-        let changes = self.history.iter();
+        let changes = self.content.history.iter();
         let changes: Vec<&StoredRow> = changes
             .filter(|row| row.table == table && row.ver > after)
             .collect();
@@ -260,7 +312,9 @@
 
     fn reply(&self, rows: &[&StoredRow]) -> Value {
         let rows: Vec<Value> = rows.iter().map(|row| row_json(row)).collect();
-        json!({"rows": rows, "has_more": false, "ver": self.ver, "now": self.get_time()})
+        json!({
+            "rows": rows, "has_more": false, "ver": self.content.ver, "now": self.get_time(),
+        })
     }
 }
 
@@ -311,8 +365,9 @@
             }
         };
         let body = body.to_string();
+        let era = shared.state.lock().get_era_header();
         let text = format!(
-            "HTTP/1.1 {status} x\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+            "HTTP/1.1 {status} x\r\ncontent-type: application/json\r\n{era}content-length: {}\r\n\r\n{body}",
             body.len()
         );
         if messages.write(text.as_bytes()).await.is_err() {
@@ -352,10 +407,11 @@
         let changed = shared.changed.notified();
         {
             let state = shared.state.lock();
-            if after < state.compacted {
+            let content = &state.content;
+            if after < content.compacted || after > content.ver {
                 return (410, Value::Null);
             }
-            let has_changes = state
+            let has_changes = content
                 .rows
                 .iter()
                 .any(|row| row.table == table && row.ver > after);
@@ -385,7 +441,7 @@
     for expected in list("expected_rev") {
         let version = state.get_version(&text(&expected, "table"), &text(&expected, "key"));
         if expected["ver"].as_u64() != Some(version) {
-            let current = state.rows.iter().filter(|row| {
+            let current = state.content.rows.iter().filter(|row| {
                 row.table == text(&expected, "table")
                     && row.key == text(&expected, "key")
                     && row.value.is_some()
@@ -402,7 +458,10 @@
         state.write(&text(row, "table"), &text(row, "key"), None);
     }
     shared.changed.notify_waiters();
-    (200, json!({"ver": state.ver, "now": state.get_time()}))
+    (
+        200,
+        json!({"ver": state.content.ver, "now": state.get_time()}),
+    )
 }
 
 /// Returns the decoded value of a query parameter, empty if it is missing.
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -16,8 +16,8 @@
 pub use fleet::{FleetOptions, LocalFleet, LocalVm};
 pub use gateway::{
     CART, CallerConnection, Endless, EndlessPace, EndlessPart, FakeStore, FakeTarget, GatewayVm,
-    LateCopies, Reply, StoreEndpoint, StoreFault, TargetBehavior, TargetEntryValue, WorkspaceValue,
-    make_settings, write_config, write_keyed_config, write_path, write_public_path,
+    LateCopies, Reply, StoreCopy, StoreEndpoint, StoreFault, TargetBehavior, TargetEntryValue,
+    WorkspaceValue, make_settings, write_config, write_keyed_config, write_path, write_public_path,
 };
 pub use history::{
     History, Leave, RevisionSample, SubmissionResult, Violation, check_history, run_history,
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -6,8 +6,8 @@
 use crate::message::{CrashMessage, PeerViewMessage};
 use crate::{WireError, WireErrorKind};
 use gentianridge_core::{
-    ConfigProof, CrashRecord, Evacuations, HeartbeatSummary, Incarnation, PeerView, TargetEntry,
-    TargetListUpdate, UpdateContent,
+    ConfigProof, CrashRecord, EraNotice, Evacuations, HeartbeatSummary, Incarnation, PeerView,
+    TargetEntry, TargetListUpdate, UpdateContent,
 };
 use prost::Message;
 use smol_str::SmolStr;
@@ -43,6 +43,8 @@
     pub evacuations: Option<Evacuations>,
     /// Newest proof of a configuration that the sender has, if keys need one.
     pub proof: Option<ConfigProof>,
+    /// Newest era of the store that the sender knows, if the store states eras.
+    pub era: Option<EraNotice>,
     /// Views of other VMs.
     pub peers: Vec<PeerView>,
     /// Summaries of recent heartbeats of further VMs.
@@ -126,6 +128,17 @@
     evacuations: Option<EncodedEvacuations>,
     #[prost(message, optional, tag = "13")]
     proof: Option<EncodedProof>,
+    #[prost(message, optional, tag = "14")]
+    era: Option<EncodedEra>,
+}
+
+/// Missing from messages of processes that do not look at eras.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct EncodedEra {
+    #[prost(uint64, tag = "1")]
+    era: u64,
+    #[prost(uint32, optional, tag = "2")]
+    age_ms: Option<u32>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -142,6 +155,9 @@
     revision: u64,
     #[prost(uint64, tag = "2")]
     at_ms: u64,
+    /// 0 in messages of processes that do not look at eras.
+    #[prost(uint64, tag = "3")]
+    era: u64,
 }
 
 impl PeerDatagram {
@@ -164,6 +180,7 @@
             paused: self.paused.clone(),
             evacuations: self.evacuations.as_ref().map(encode_evacuations),
             proof: self.proof.map(encode_proof),
+            era: self.era.map(encode_era),
         };
         encoded.encode_to_vec()
     }
@@ -196,6 +213,7 @@
             paused: encoded.paused,
             evacuations: encoded.evacuations.map(decode_evacuations),
             proof: encoded.proof.as_ref().map(decode_proof),
+            era: encoded.era.as_ref().map(decode_era),
             peers: peers.collect::<Result<_, _>>()?,
             summaries: summaries
                 .map(|(&peer, &seq)| HeartbeatSummary { peer, seq })
@@ -227,16 +245,34 @@
     EncodedProof {
         revision: proof.revision,
         at_ms: u64::try_from(proof.at.as_millis()).unwrap_or(0),
+        era: proof.era,
     }
 }
 
 pub(crate) fn decode_proof(encoded: &EncodedProof) -> ConfigProof {
     ConfigProof {
+        era: encoded.era,
         revision: encoded.revision,
         at: Duration::from_millis(encoded.at_ms),
     }
 }
 
+/// Rounds the age down, so that the return does not look earlier than it was noticed.
+pub(crate) fn encode_era(notice: EraNotice) -> EncodedEra {
+    EncodedEra {
+        era: notice.era,
+        age_ms: notice.age.map(saturate_ms),
+    }
+}
+
+pub(crate) fn decode_era(encoded: &EncodedEra) -> EraNotice {
+    let age = encoded.age_ms;
+    EraNotice {
+        era: encoded.era,
+        age: age.map(|age_ms| Duration::from_millis(u64::from(age_ms))),
+    }
+}
+
 pub(crate) fn encode_list(list: &TargetListUpdate) -> EncodedList {
     let mut names = Vec::new();
     let entries = list.entries.iter();
--- a/crates/wire/src/state.rs
+++ b/crates/wire/src/state.rs
@@ -2,12 +2,14 @@
 
 use crate::convert::{decode_peer, encode_peer, malformed};
 use crate::datagram::{
-    EncodedEvacuations, EncodedList, EncodedProof, decode_evacuations, decode_list, decode_proof,
-    encode_evacuations, encode_list, encode_proof,
+    EncodedEra, EncodedEvacuations, EncodedList, EncodedProof, decode_era, decode_evacuations,
+    decode_list, decode_proof, encode_era, encode_evacuations, encode_list, encode_proof,
 };
 use crate::message::PeerViewMessage;
 use crate::{WireError, WireErrorKind};
-use gentianridge_core::{ConfigProof, Evacuations, PeerView, StoreTime, TargetListUpdate, VmName};
+use gentianridge_core::{
+    ConfigProof, EraNotice, Evacuations, PeerView, StoreTime, TargetListUpdate, VmName,
+};
 use prost::Message;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
@@ -54,6 +56,8 @@
     pub proof: Option<ConfigProof>,
     /// Time of the store at the reply, if keys need a proof.
     pub store_time: Option<StoreTime>,
+    /// Newest era of the store that the peer knows, if the store states eras.
+    pub era: Option<EraNotice>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -98,6 +102,8 @@
     proof: Option<EncodedProof>,
     #[prost(message, optional, tag = "7")]
     store_time: Option<EncodedStoreTime>,
+    #[prost(message, optional, tag = "8")]
+    era: Option<EncodedEra>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -164,6 +170,7 @@
             evacuations: self.evacuations.as_ref().map(encode_evacuations),
             proof: self.proof.map(encode_proof),
             store_time: self.store_time.map(encode_store_time),
+            era: self.era.map(encode_era),
         };
         encoded.encode_to_vec()
     }
@@ -185,6 +192,7 @@
             evacuations: encoded.evacuations.map(decode_evacuations),
             proof: encoded.proof.as_ref().map(decode_proof),
             store_time: encoded.store_time.as_ref().map(decode_store_time),
+            era: encoded.era.as_ref().map(decode_era),
         })
     }
 }
--- a/crates/wire/tests/datagrams.rs
+++ b/crates/wire/tests/datagrams.rs
@@ -1,8 +1,8 @@
 //! Encoding of datagrams between VMs.
 
 use gentianridge_core::{
-    ConfigProof, CrashRecord, Evacuations, GossipState, HeartbeatSummary, Incarnation, PeerView,
-    TargetEntry, TargetListUpdate, UpdateContent,
+    ConfigProof, CrashRecord, EraNotice, Evacuations, GossipState, HeartbeatSummary, Incarnation,
+    PeerView, TargetEntry, TargetListUpdate, UpdateContent,
 };
 use gentianridge_wire::PeerDatagram;
 use proptest::prelude::*;
@@ -38,7 +38,13 @@
         prop::option::of(any_list()),
         prop::collection::vec(any_peer(), 0..5),
         prop::collection::vec(any::<(u32, u64)>(), 0..30),
-        any::<(Vec<u64>, Vec<u64>, Option<u64>, Option<(u64, u64)>)>(),
+        any::<(
+            Vec<u64>,
+            Vec<u64>,
+            Option<u64>,
+            Option<(u64, u64, u64)>,
+            Option<(u64, Option<u32>)>,
+        )>(),
     )
         .prop_map(
             |(me, (is_hello, newest_revision), crashes, list, peers, summaries, notices)| {
@@ -57,10 +63,15 @@
                         version,
                         domains: vec!["a".into(), "b".into()],
                     }),
-                    proof: notices.3.map(|(revision, at_ms)| ConfigProof {
+                    proof: notices.3.map(|(era, revision, at_ms)| ConfigProof {
+                        era,
                         revision,
                         at: Duration::from_millis(at_ms),
                     }),
+                    era: notices.4.map(|(era, age_ms)| EraNotice {
+                        era,
+                        age: age_ms.map(|ms| Duration::from_millis(u64::from(ms))),
+                    }),
                     peers,
                     summaries: summaries
                         .into_iter()
@@ -165,6 +176,7 @@
         paused: Vec::new(),
         evacuations: None,
         proof: None,
+        era: None,
         peers: (1..=GossipState::PEER_VIEWS as u16).map(view).collect(),
         summaries: (0..GossipState::SUMMARIES as u32)
             .map(|peer| HeartbeatSummary { peer, seq: 100_000 })
--- a/crates/wire/tests/messages.rs
+++ b/crates/wire/tests/messages.rs
@@ -119,7 +119,9 @@
 /// bytes.
 mod state {
     use super::make_peer;
-    use gentianridge_core::{ConfigProof, Evacuations, StoreTime, TargetListUpdate, UpdateContent};
+    use gentianridge_core::{
+        ConfigProof, EraNotice, Evacuations, StoreTime, TargetListUpdate, UpdateContent,
+    };
     use gentianridge_wire::{ConfigState, StateReply, StateRequest};
     use proptest::prelude::*;
     use std::time::Duration;
@@ -155,6 +157,7 @@
                     domains: vec!["a".into(), "b".into()],
                 }),
                 proof: fact.map(|(revision, at_ms)| ConfigProof {
+                    era: revision / 2,
                     revision,
                     at: Duration::from_millis(at_ms),
                 }),
@@ -162,6 +165,12 @@
                     earliest: Duration::from_millis(earliest_ms),
                     latest: Duration::from_millis(latest_ms),
                 }),
+                era: fact.map(|(era, age_ms)| EraNotice {
+                    era,
+                    age: u32::try_from(age_ms)
+                        .ok()
+                        .map(|age_ms| Duration::from_millis(u64::from(age_ms))),
+                }),
                 config: config.map(|(revision, value)| ConfigState { revision, value }),
                 list: list.map(|(version, digest)| TargetListUpdate {
                     version,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -21,6 +21,7 @@
 mod previews;
 mod slow_bodies;
 mod store_faults;
+mod store_returns;
 mod test_env;
 mod withdrawn_keys;
 mod workspaces;
--- a/tests/gateway/peer_state.rs
+++ b/tests/gateway/peer_state.rs
@@ -232,6 +232,7 @@
         paused: Vec::new(),
         evacuations: None,
         proof: None,
+        era: None,
         peers: Vec::new(),
         summaries: Vec::new(),
     }
--- a/tests/gateway/peers.rs
+++ b/tests/gateway/peers.rs
@@ -189,6 +189,7 @@
         paused: Vec::new(),
         evacuations: None,
         proof: None,
+        era: None,
         peers: Vec::new(),
         summaries: Vec::new(),
     };
--- a/tests/gateway/withdrawn_keys.rs
+++ b/tests/gateway/withdrawn_keys.rs
@@ -10,19 +10,19 @@
 use tokio::net::UdpSocket;
 
 /// Bound on withdrawn keys.
-const REVOKE: Duration = Duration::from_secs(2);
+pub(crate) const REVOKE: Duration = Duration::from_secs(2);
 /// Time within which any VM notices a change or the loss of the store.
-const LIMIT: Duration = Duration::from_secs(20);
+pub(crate) const LIMIT: Duration = Duration::from_secs(20);
 const UNPROVEN: Option<&str> = Some("1009");
 
 /// The workspace without its first key.
-const WITHDRAWN: WorkspaceValue<'static> = WorkspaceValue {
+pub(crate) const WITHDRAWN: WorkspaceValue<'static> = WorkspaceValue {
     keys: &[SECOND_KEY],
     ..NORTH
 };
 
 /// Starts an environment whose VM accepts keys by proof.
-async fn start_strict() -> TestEnv {
+pub(crate) async fn start_strict() -> TestEnv {
     let env = TestEnv::start_with(1, |settings| settings.revoke = Some(REVOKE)).await;
     put_workspaces(&env.store, 2, &[NORTH, SOUTH]);
     wait_until(LIMIT, || async {
@@ -45,7 +45,7 @@
     GatewayVm::start_with(settings).unwrap()
 }
 
-async fn ask(vm: &GatewayVm, key: &str, id: &str) -> Reply {
+pub(crate) async fn ask(vm: &GatewayVm, key: &str, id: &str) -> Reply {
     let mut caller = vm.open().await.unwrap();
     caller.set_key(key);
     caller.request("GET", "/look/x", id).await.unwrap()
@@ -232,6 +232,7 @@
         paused: Vec::new(),
         evacuations: None,
         proof: None,
+        era: None,
         peers: Vec::new(),
         summaries: Vec::new(),
     };
