fix(evacuations): sets of emptied domains are ordered by era

Cause: sets of emptied domains moved forward by the number of the store's version alone, and numbers are given out again after a return.

Change: sets and their messages are ordered by era, then number. Domains that the first sets of an era list otherwise than before are held as they were until their row changes in the new era or the time for writing again has passed; peers get held domains. Expired parts of the list are dropped while reads fail, too.

--- a/crates/core/src/discovery/list.rs
+++ b/crates/core/src/discovery/list.rs
@@ -268,14 +268,18 @@
         self.directory.set_unreadable();
     }
 
-    /// Removes the targets that did not register again within the settle period.
+    /// Removes the targets that did not register again within the settle period, and gives
+    /// up emptied domains that were held for long enough.
     pub fn expire(&mut self, now: Instant, changed: &mut Vec<SmolStr>) {
         self.directory.expire(now, changed);
+        let domains = self.emptied.expire(now);
+        self.directory.collect_services(&domains, changed);
     }
 
     /// Returns the time at which [`Self::expire`] is to be called next.
     pub fn next_expiry(&self) -> Option<Instant> {
-        self.directory.next_expiry()
+        let times = [self.directory.next_expiry(), self.emptied.next_expiry()];
+        times.into_iter().flatten().min()
     }
 
     fn apply(&mut self, now: Instant, update: &TargetListUpdate, changed: &mut Vec<SmolStr>) {
@@ -303,7 +307,7 @@
     pub fn get_targets(&self, service: &str, connections: u16) -> Vec<TargetSpec> {
         let mut targets = self.directory.get_targets(service, connections);
         for target in &mut targets {
-            target.is_emptied = self.emptied.get().contains(&target.domain);
+            target.is_emptied = self.emptied.contains(&target.domain);
         }
         targets
     }
--- a/crates/core/src/discovery/list_domains.rs
+++ b/crates/core/src/discovery/list_domains.rs
@@ -7,14 +7,15 @@
 /// Emptied failure domains.
 impl TargetList {
     /// Applies a set of emptied failure domains that this VM read or a peer sent; returns
-    /// true if it changes any domain.
+    /// true if it changes any domain. See [`EmptiedDomains::apply`].
     pub fn apply_evacuations(
         &mut self,
         now: Instant,
         evacuations: Evacuations,
+        restored: Option<Instant>,
         changed: &mut Vec<SmolStr>,
     ) -> bool {
-        let Some(domains) = self.emptied.apply(now, evacuations) else {
+        let Some(domains) = self.emptied.apply(now, evacuations, restored) else {
             return false;
         };
         self.directory.collect_services(&domains, changed);
@@ -29,7 +30,7 @@
     /// Returns true if the failure domain of an incarnation is emptied.
     pub fn is_emptied(&self, incarnation: &Incarnation) -> bool {
         let domain = self.directory.get_domain(incarnation);
-        domain.is_some_and(|domain| self.emptied.get().contains(domain))
+        domain.is_some_and(|domain| self.emptied.contains(domain))
     }
 }
 
--- a/crates/core/tests/evacuation_model.rs
+++ b/crates/core/tests/evacuation_model.rs
@@ -1,8 +1,9 @@
 //! Emptied failure domains over a whole fleet, in a model with a virtual clock: messages that
-//! are lost or late, cuts, pauses and restarts.
+//! are lost or late, cuts, pauses and restarts, and returns of the store from a copy.
 
 use gentianridge_core::{
-    Evacuations, Incarnation, ReadTurn, SendCheck, TargetEntry, TargetList, TargetListRead,
+    EraNotice, Evacuations, Incarnation, ReadTurn, SendCheck, StoreEra, StoreVersion, TargetEntry,
+    TargetList, TargetListRead,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
@@ -33,10 +34,15 @@
     NoRelay,
     /// A target is checked when it is chosen and not when the request is sent.
     NoSendCheck,
+    /// Versions of different eras are compared by their numbers.
+    NoEras,
+    /// What the copy lacks is given up at once.
+    NoHold,
 }
 
 struct Vm {
     list: TargetList,
+    era: StoreEra,
     next_round: Instant,
     trouble_until: Instant,
     /// Requests with their domain and the time of their send.
@@ -47,14 +53,21 @@
     to: usize,
     at: Instant,
     set: Evacuations,
+    era: Option<EraNotice>,
 }
 
 struct Model {
+    start: Instant,
     now: Instant,
     vms: Vec<Vm>,
     messages: Vec<Message>,
-    /// Sets in the store, with the times of their acknowledgement.
-    store: Vec<(Instant, Evacuations)>,
+    /// Orders of the operators, with the times of their acknowledgement.
+    orders: Vec<(Instant, Vec<usize>)>,
+    /// Version of the newest order in the store.
+    version: StoreVersion,
+    /// Order that the store's copy holds, and the time at which the newest one is written
+    /// again.
+    copy: Option<(usize, Instant)>,
     next_read: Instant,
     mutant: Mutant,
     rng: Pcg32,
@@ -99,15 +112,19 @@
         let mut rng = Pcg32::seed_from_u64(seed);
         let vms = (0..count).map(|_| Vm {
             list: make_list(now),
+            era: StoreEra::default(),
             next_round: now + ROUND.mul_f64(rng.random()),
             trouble_until: now,
             waiting: Vec::new(),
         });
         Self {
+            start: now,
             now,
             vms: vms.collect(),
             messages: Vec::new(),
-            store: vec![(now, Evacuations::new(2, Vec::new()))],
+            orders: vec![(now, Vec::new())],
+            version: StoreVersion::new(1, 100_000),
+            copy: None,
             next_read: now,
             mutant,
             rng,
@@ -116,10 +133,31 @@
     }
 
     fn set_emptied(&mut self, domains: &[usize]) {
-        let version = self.store.len() as u64 * 10;
-        let names = domains.iter().map(|domain| name_domain(*domain).into());
-        let set = Evacuations::new(version, names.collect());
-        self.store.push((self.now, set));
+        self.version.number += 10;
+        self.orders.push((self.now, domains.to_vec()));
+        self.copy = None;
+    }
+
+    /// Has the store return from a copy that holds an earlier order. Its versions are lower
+    /// than those of before.
+    fn return_store(&mut self) {
+        let held = self.rng.random_range(0..self.orders.len());
+        let missing = Duration::from_millis(self.rng.random_range(0..1_900));
+        self.version = StoreVersion::new(self.version.era + 1, self.version.number - 200);
+        self.copy = Some((held, self.now + missing));
+    }
+
+    /// Returns the set that the store holds now.
+    fn get_stored(&mut self) -> Evacuations {
+        if self.copy.is_some_and(|(_, until)| until <= self.now) {
+            self.copy = None;
+            self.version.number += 1;
+        }
+        let newest = self.orders.len() - 1;
+        let order = self.copy.map_or(newest, |(held, _)| held);
+        let domains = self.orders[order].1.iter();
+        let names = domains.map(|domain| name_domain(*domain).into());
+        Evacuations::new(self.version, names.collect())
     }
 
     /// Pauses or cuts off a VM, or replaces it by one that has the state of a peer.
@@ -129,21 +167,44 @@
         let length = Duration::from_millis(self.rng.random_range(200..4_000));
         if self.rng.random_bool(0.3) {
             let set = self.vms[peer].list.get_emptied().get_message();
+            let era = self.get_notice(peer);
             self.vms[index].list = make_list(self.now);
+            self.vms[index].era = StoreEra::default();
             self.vms[index].waiting.clear();
             if let Some(set) = set {
-                self.receive(index, set);
+                self.receive(index, set, era);
             }
         }
         self.vms[index].trouble_until = self.now + length;
     }
 
-    fn receive(&mut self, index: usize, mut set: Evacuations) {
+    fn get_clock(&self) -> Duration {
+        self.now - self.start
+    }
+
+    fn get_notice(&self, vm: usize) -> Option<EraNotice> {
+        self.vms[vm].era.get_notice(self.get_clock())
+    }
+
+    fn receive(&mut self, index: usize, mut set: Evacuations, era: Option<EraNotice>) {
+        let clock = self.get_clock();
         let vm = &mut self.vms[index];
-        if self.mutant == Mutant::NoVersions {
-            set.version = vm.list.get_emptied().get().version + 1;
+        if let Some(notice) = era {
+            vm.era.adopt(clock, notice);
         }
-        let is_changed = vm.list.apply_evacuations(self.now, set, &mut Vec::new());
+        let restored = vm.era.get_restored(set.version.era);
+        let restored = restored.filter(|_| self.mutant != Mutant::NoHold);
+        let restored = restored.map(|at| self.start + at);
+        match self.mutant {
+            Mutant::NoVersions => {
+                set.version = vm.list.get_emptied().get_version();
+                set.version.number += 1;
+            }
+            Mutant::NoEras => set.version.era = 1,
+            _ => {}
+        }
+        let list = &mut vm.list;
+        let is_changed = list.apply_evacuations(self.now, set, restored, &mut Vec::new());
         if is_changed && self.mutant != Mutant::NoRelay {
             vm.next_round = self.now + STEP;
         }
@@ -157,8 +218,10 @@
         {
             let wait = self.rng.random_range(10..CYCLE_MS);
             self.next_read = now + Duration::from_millis(wait);
-            let newest = self.store.last().map(|(_, set)| set.clone());
-            self.receive(reader, newest.unwrap_or_default());
+            let newest = self.get_stored();
+            let clock = self.get_clock();
+            self.vms[reader].era.observe(clock, newest.version.era);
+            self.receive(reader, newest, None);
         }
     }
 
@@ -172,6 +235,7 @@
             let Some(set) = vm.list.get_emptied().get_message() else {
                 continue;
             };
+            let era = self.get_notice(index);
             for _ in 0..FANOUT {
                 let delay = match self.rng.random_range(0..100) {
                     0..10 => continue,
@@ -180,7 +244,7 @@
                 };
                 let to = self.rng.random_range(0..self.vms.len());
                 let (at, set) = (self.now + Duration::from_millis(delay), set.clone());
-                self.messages.push(Message { to, at, set });
+                self.messages.push(Message { to, at, set, era });
             }
         }
     }
@@ -194,7 +258,7 @@
         for message in due {
             // A message that arrives during a cut is lost.
             if self.vms[message.to].trouble_until <= self.now {
-                self.receive(message.to, message.set);
+                self.receive(message.to, message.set, message.era);
             }
         }
     }
@@ -205,6 +269,7 @@
             let wait = Duration::from_millis(self.rng.random_range(0..6_000));
             let (now, mutant) = (self.now, self.mutant);
             let vm = &mut self.vms[index];
+            vm.list.expire(now, &mut Vec::new());
             let is_chosen = !vm.list.get_targets("cart", 10)[domain].is_emptied;
             if is_chosen && self.rng.random_bool(0.1) {
                 vm.waiting.push((domain, now + wait));
@@ -217,7 +282,7 @@
                 let check = vm.list.check_send(now, &make_incarnation(domain));
                 let is_sent = check == SendCheck::Allowed || mutant == Mutant::NoSendCheck;
                 let is_in_touch = vm.trouble_until + STABLE <= now;
-                let is_late = is_emptied_since(&self.store, now, domain, BOUND);
+                let is_late = is_emptied_since(&self.orders, now, domain, BOUND);
                 self.late_sends += usize::from(is_sent && is_in_touch && is_late);
             }
         }
@@ -244,11 +309,11 @@
     /// Returns the times until the middle VM and the last one know the newest set.
     fn measure_spread(&mut self) -> (Duration, Duration) {
         let begin = self.now;
-        let newest = self.store.last().map_or(0, |(_, set)| set.version);
+        let newest = self.version;
         let mut times = Vec::new();
         while times.len() < self.vms.len() && self.now < begin + BOUND {
             self.step();
-            let known = |vm: &&Vm| vm.list.get_emptied().get().version >= newest;
+            let known = |vm: &&Vm| vm.list.get_emptied().get_version() >= newest;
             let count = self.vms.iter().filter(known).count();
             times.resize(count.max(times.len()), self.now - begin);
         }
@@ -259,16 +324,15 @@
 
 /// Returns true if the domain has been emptied for longer than `time`.
 fn is_emptied_since(
-    store: &[(Instant, Evacuations)],
+    orders: &[(Instant, Vec<usize>)],
     now: Instant,
     domain: usize,
     time: Duration,
 ) -> bool {
-    let name = name_domain(domain);
-    let emptied = store
+    let emptied = orders
         .iter()
         .rev()
-        .take_while(|(_, set)| set.contains(&name));
+        .take_while(|(_, domains)| domains.contains(&domain));
     emptied.last().is_some_and(|(at, _)| *at + time < now)
 }
 
@@ -278,13 +342,18 @@
     for order in orders {
         model.set_emptied(order);
         model.run(Duration::from_secs(7), true);
+        if model.rng.random_bool(0.6) {
+            model.return_store();
+            let time = model.rng.random_range(100..4_000);
+            model.run(Duration::from_millis(time), true);
+        }
     }
     model.late_sends
 }
 
 #[test]
 fn no_late_send() {
-    for (count, seeds) in [(5, 4), (41, 2), (124, 1), (300, 1)] {
+    for (count, seeds) in [(5, 20), (41, 6), (124, 2), (300, 2)] {
         for seed in 0..seeds {
             let late = play(count, seed, Mutant::None);
             assert_eq!(late, 0, "{count} VMs, seed {seed}");
@@ -294,7 +363,13 @@
 
 #[test]
 fn guards_needed() {
-    for mutant in [Mutant::NoVersions, Mutant::NoSendCheck] {
+    let mutants = [
+        Mutant::NoVersions,
+        Mutant::NoSendCheck,
+        Mutant::NoEras,
+        Mutant::NoHold,
+    ];
+    for mutant in mutants {
         let is_found = (0..4).any(|seed| play(41, seed, mutant) > 0);
         assert!(is_found, "{mutant:?} sends nothing late");
     }
--- a/crates/core/tests/evacuations.rs
+++ b/crates/core/tests/evacuations.rs
@@ -4,13 +4,27 @@
 
 use common::{Harness, ONCE, SHORT, make_spec};
 use gentianridge_core::{
-    EmptiedDomains, Evacuations, Incarnation, Outcome, ReadTurn, ResultCode, SendCheck,
-    TargetEntry, TargetList, TargetListRead,
+    DomainName, EmptiedDomains, Evacuations, Incarnation, Outcome, ReadTurn, ResultCode, SendCheck,
+    StoreVersion, TargetEntry, TargetList, TargetListRead,
 };
 use std::time::{Duration, Instant};
 
+/// Time until everything has been written again after a return, and until all VMs know it.
+const RESTORE: Duration = Duration::from_secs(2);
+const SPREAD: Duration = Duration::from_secs(2);
+
 fn make_set(version: u64, domains: &[&str]) -> Evacuations {
-    Evacuations::new(version, domains.iter().map(|name| (*name).into()).collect())
+    make_set_of(1, version, domains)
+}
+
+fn make_set_of(era: u64, version: u64, domains: &[&str]) -> Evacuations {
+    let names = domains.iter().map(|name| (*name).into());
+    Evacuations::new(StoreVersion::new(era, version), names.collect())
+}
+
+/// Applies a set without a return of the store.
+fn apply(known: &mut EmptiedDomains, now: Instant, set: Evacuations) -> Option<Vec<DomainName>> {
+    known.apply(now, set, None)
 }
 
 fn make_entry(name: &str, domain: &str) -> TargetEntry {
@@ -45,22 +59,26 @@
     let now = Instant::now();
     let mut known = EmptiedDomains::default();
     assert_eq!(
-        known.apply(now, make_set(7, &["d1"])),
+        apply(&mut known, now, make_set(7, &["d1"])),
+        Some(vec!["d1".into()])
+    );
+    assert_eq!(apply(&mut known, now, make_set(6, &[])), None);
+    assert_eq!(apply(&mut known, now, make_set(7, &["d2"])), None);
+    assert_eq!(known.get_listed(), &make_set(7, &["d1"]));
+    assert_eq!(
+        apply(&mut known, now, make_set(9, &[])),
         Some(vec!["d1".into()])
     );
-    assert_eq!(known.apply(now, make_set(6, &[])), None);
-    assert_eq!(known.apply(now, make_set(7, &["d2"])), None);
-    assert_eq!(known.get(), &make_set(7, &["d1"]));
-    assert_eq!(known.apply(now, make_set(9, &[])), Some(vec!["d1".into()]));
-    assert!(known.get().domains.is_empty());
+    assert!(known.get().is_empty());
 }
 
 #[test]
 fn start_kept() {
     let start = Instant::now();
     let mut known = EmptiedDomains::default();
-    known.apply(start, make_set(7, &["d1"]));
-    known.apply(start + Duration::from_secs(3), make_set(9, &["d0", "d1"]));
+    apply(&mut known, start, make_set(7, &["d1"]));
+    let later = start + Duration::from_secs(3);
+    apply(&mut known, later, make_set(9, &["d0", "d1"]));
     let since: Vec<Duration> = known.get_since().map(|(_, at)| at - start).collect();
     assert_eq!(since, [Duration::from_secs(3), Duration::ZERO]);
 }
@@ -71,12 +89,90 @@
 fn message_once_used() {
     let now = Instant::now();
     let mut known = EmptiedDomains::default();
-    known.apply(now, make_set(7, &[]));
+    apply(&mut known, now, make_set(7, &[]));
     assert_eq!(known.get_message(), None);
-    assert_eq!(known.apply(now, make_set(4, &["d1"])), None);
+    assert_eq!(apply(&mut known, now, make_set(4, &["d1"])), None);
     assert_eq!(known.get_message(), Some(make_set(7, &[])));
 }
 
+/// Guards against the order by number alone: an evacuation after the store's return was
+/// dropped, as the version of an earlier one was higher.
+#[test]
+fn era_before_number() {
+    let now = Instant::now();
+    let mut known = EmptiedDomains::default();
+    apply(&mut known, now, make_set_of(1, 600, &[]));
+    apply(&mut known, now, make_set_of(2, 400, &["d1"]));
+    assert!(known.contains("d1"));
+    assert_eq!(apply(&mut known, now, make_set_of(1, 700, &[])), None);
+    assert_eq!(apply(&mut known, now, make_set_of(0, 900, &[])), None);
+    assert!(known.contains("d1"));
+}
+
+/// The copy lacks an evacuation: the domain stays empty until it is written again, or until
+/// the time for that has passed.
+#[test]
+fn lost_in_copy() {
+    for is_written in [true, false] {
+        let now = Instant::now();
+        let mut known = EmptiedDomains::default();
+        apply(&mut known, now, make_set_of(1, 600, &["d1"]));
+        let changed = known.apply(now, make_set_of(2, 400, &["d2"]), Some(now + RESTORE));
+        assert_eq!(changed, Some(Vec::new()));
+        assert_eq!(known.get(), ["d1"]);
+        assert_eq!(known.get_message().unwrap().held, ["d1"]);
+        if is_written {
+            known.apply(now, make_set_of(2, 401, &["d1", "d2"]), Some(now + RESTORE));
+            assert!(known.get_held().is_empty());
+        }
+        let end = now + RESTORE + SPREAD;
+        known.expire(end - Duration::from_millis(1));
+        assert!(known.contains("d1"));
+        known.expire(end);
+        assert_eq!(known.contains("d1"), is_written);
+        assert!(known.contains("d2"));
+        assert_eq!(known.next_expiry(), None);
+    }
+}
+
+/// The copy holds a domain that was given back: it stays in use until the order is written
+/// again, and is emptied by an order of the new era at once.
+#[test]
+fn given_back_before() {
+    let now = Instant::now();
+    let mut known = EmptiedDomains::default();
+    apply(&mut known, now, make_set_of(1, 600, &["d1"]));
+    apply(&mut known, now, make_set_of(1, 610, &[]));
+    known.apply(now, make_set_of(2, 400, &["d1"]), Some(now + RESTORE));
+    assert!(!known.contains("d1"));
+    known.apply(now, make_set_of(2, 401, &[]), Some(now + RESTORE));
+    known.apply(now, make_set_of(2, 402, &["d1"]), Some(now + RESTORE));
+    assert!(known.contains("d1"));
+    known.expire(now + RESTORE);
+    assert!(known.contains("d1"));
+}
+
+/// A VM that starts after the return learns from a peer what was emptied before it, whether
+/// or not it has read the store.
+#[test]
+fn start_after_return() {
+    let now = Instant::now();
+    let mut known = EmptiedDomains::default();
+    apply(&mut known, now, make_set_of(1, 600, &["d1"]));
+    known.apply(now, make_set_of(2, 400, &[]), Some(now + RESTORE));
+    let message = known.get_message().unwrap();
+    for has_read in [false, true] {
+        let mut starting = EmptiedDomains::default();
+        if has_read {
+            starting.apply(now, make_set_of(2, 400, &[]), Some(now + RESTORE));
+        }
+        starting.apply(now, message.clone(), Some(now + RESTORE / 2));
+        assert_eq!(starting.get(), ["d1"]);
+        starting.expire(now + RESTORE / 2 + SPREAD);
+        assert!(starting.get().is_empty());
+    }
+}
+
 #[test]
 fn changes_in_order() {
     let set = make_set(3, &["d1"]);
@@ -87,7 +183,10 @@
         ("d1".into(), true),
         ("d0".into(), true),
     ];
-    assert_eq!(set.after(8, &changes), make_set(8, &["d0", "d1"]));
+    assert_eq!(
+        set.after(StoreVersion::new(1, 8), &changes),
+        make_set(8, &["d0", "d1"])
+    );
 }
 
 #[test]
@@ -96,7 +195,7 @@
     let mut list = make_list(now);
     let emptied = make_entry("t1", "d1").incarnation;
     let mut changed = Vec::new();
-    assert!(list.apply_evacuations(now, make_set(6, &["d1"]), &mut changed));
+    assert!(list.apply_evacuations(now, make_set(6, &["d1"]), None, &mut changed));
     assert_eq!(changed, ["cart"]);
     assert_eq!(list.check_send(now, &emptied), SendCheck::Emptied);
     let other = make_entry("t0", "d0").incarnation;
@@ -104,7 +203,7 @@
     let targets = list.get_targets("cart", 10);
     let states: Vec<bool> = targets.iter().map(|target| target.is_emptied).collect();
     assert_eq!(states, [false, true]);
-    assert!(list.apply_evacuations(now, make_set(8, &[]), &mut changed));
+    assert!(list.apply_evacuations(now, make_set(8, &[]), None, &mut changed));
     assert_eq!(list.check_send(now, &emptied), SendCheck::Allowed);
 }
 
--- a/crates/daemon/src/gateway/era.rs
+++ b/crates/daemon/src/gateway/era.rs
@@ -4,6 +4,7 @@
 use crate::telemetry::STATE_LOG_TARGET;
 use gentianridge_adapter::{Changes, StoreError};
 use gentianridge_core::{EraNotice, EraOrder};
+use std::time::Instant;
 
 impl Gateway {
     /// Passes on a read of the store unless it is older than the store's last return.
@@ -54,6 +55,16 @@
         }
     }
 
+    /// Returns when everything has been written again after the return of the store that
+    /// began an era, `None` if no return is known.
+    pub(super) fn get_restored(&self, era: u64) -> Option<Instant> {
+        let at = self.era.borrow().get_restored(era)?;
+        let (now, boot) = (self.clock.now(), self.clock.since_boot());
+        let left = at.saturating_sub(boot);
+        let passed = boot.saturating_sub(at);
+        (now + left).checked_sub(passed)
+    }
+
     /// Returns the newest era for peers.
     pub(super) fn get_era_notice(&self) -> Option<EraNotice> {
         self.era.borrow().get_notice(self.clock.since_boot())
--- a/crates/daemon/src/gateway/evacuations.rs
+++ b/crates/daemon/src/gateway/evacuations.rs
@@ -3,7 +3,7 @@
 use super::state::Gateway;
 use crate::telemetry::STATE_LOG_TARGET;
 use gentianridge_adapter::Row;
-use gentianridge_core::{DomainName, Evacuations};
+use gentianridge_core::{DomainName, Evacuations, StoreVersion};
 
 /// Prefix of the keys of the operators' rows that empty a failure domain.
 const KEY_PREFIX: &str = "evacuate/";
@@ -14,7 +14,7 @@
     /// The changes of an incremental read are applied to the newest known set. If a peer has
     /// sent that set, the read either contains all that led to it or has an older version,
     /// which is not applied.
-    pub(super) fn apply_evacuation_rows(&self, rows: &[Row], version: u64, is_full: bool) {
+    pub(super) fn apply_evacuation_rows(&self, rows: &[Row], version: StoreVersion, is_full: bool) {
         let changes: Vec<(DomainName, bool)> = rows
             .iter()
             .filter_map(|row| {
@@ -27,7 +27,7 @@
         }
         let known = match is_full {
             true => Evacuations::default(),
-            false => self.list.borrow().get_emptied().get().clone(),
+            false => self.list.borrow().get_emptied().get_listed().clone(),
         };
         self.apply_evacuations(known.after(version, &changes), "store");
     }
@@ -36,18 +36,21 @@
     /// changes anything.
     pub(super) fn apply_evacuations(&self, evacuations: Evacuations, source: &'static str) {
         let now = self.clock.now();
-        let is_changed =
-            self.change_targets(|list, changed| list.apply_evacuations(now, evacuations, changed));
+        let restored = self.get_restored(evacuations.version.era);
+        let is_changed = self.change_targets(|list, changed| {
+            list.apply_evacuations(now, evacuations, restored, changed)
+        });
         if !is_changed {
             return;
         }
         self.peers.queue_evacuations();
         let list = self.list.borrow();
-        let evacuations = list.get_emptied().get();
+        let emptied = list.get_emptied();
         log::warn!(
             target: STATE_LOG_TARGET,
-            domains = evacuations.domains.join(",").as_str(),
-            store_version = evacuations.version,
+            domains = emptied.get().join(",").as_str(),
+            held = emptied.get_held().join(",").as_str(),
+            store_version = emptied.get_version().to_string().as_str(),
             source = source;
             "emptied failure domains changed"
         );
--- a/crates/daemon/src/gateway/feeds.rs
+++ b/crates/daemon/src/gateway/feeds.rs
@@ -137,6 +137,7 @@
         // The list has priority: a configuration version that the store does
         // not have must not prevent reads of the list.
         let now = gateway.clock.now();
+        expire_list(gateway, now);
         let Some(due) = gateway.get_list_due().filter(|due| *due > now) else {
             return ReadReason::Due;
         };
@@ -150,16 +151,21 @@
         }
         let expiry = gateway.list.borrow().next_expiry().filter(|at| *at < due);
         tokio::select! {
-            () = tokio::time::sleep_until(expiry.unwrap_or(due).into()) => {
-                let now = gateway.clock.now();
-                gateway.change_targets(|list, changed| list.expire(now, changed));
-            }
+            () = tokio::time::sleep_until(expiry.unwrap_or(due).into()) => {}
             () = gateway.peers.wait_list_update() => {}
             () = gateway.peers.wait_store_read() => {}
         }
     }
 }
 
+/// Drops what has expired, also while reads fail.
+fn expire_list(gateway: &Gateway, now: Instant) {
+    let expiry = gateway.list.borrow().next_expiry();
+    if expiry.is_some_and(|at| at <= now) {
+        gateway.change_targets(|list, changed| list.expire(now, changed));
+    }
+}
+
 /// State of the task that reads the store.
 struct Follower {
     gateway: Rc<Gateway>,
@@ -264,7 +270,7 @@
                     self.gateway.record_config_read(sent);
                 }
                 let gateway = &self.gateway;
-                gateway.apply_evacuation_rows(&changes.rows, changes.version.number, is_full);
+                gateway.apply_evacuation_rows(&changes.rows, changes.version, is_full);
                 true
             }
             Err(error) => {
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -386,9 +386,9 @@
         let now = gateway.clock.now();
         let first = domains.get_since().map(|(_, since)| since).min();
         let time = first.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        self.emptied.record(domains.get().domains.len() as f64, &[]);
+        self.emptied.record(domains.get().len() as f64, &[]);
         self.emptied_version
-            .record(domains.get().version as f64, &[]);
+            .record(domains.get_version().number as f64, &[]);
         self.emptied_time.record(time.as_secs_f64(), &[]);
     }
 
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -7,7 +7,7 @@
 use crate::{WireError, WireErrorKind};
 use gentianridge_core::{
     ConfigProof, CrashRecord, EraNotice, Evacuations, HeartbeatSummary, Incarnation, PeerView,
-    TargetEntry, TargetListUpdate, UpdateContent,
+    StoreVersion, TargetEntry, TargetListUpdate, UpdateContent,
 };
 use prost::Message;
 use smol_str::SmolStr;
@@ -147,6 +147,11 @@
     version: u64,
     #[prost(string, repeated, tag = "2")]
     domains: Vec<String>,
+    /// 0 in messages of processes that do not look at eras.
+    #[prost(uint64, tag = "3")]
+    era: u64,
+    #[prost(string, repeated, tag = "4")]
+    held: Vec<String>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -223,20 +228,21 @@
 }
 
 pub(crate) fn encode_evacuations(evacuations: &Evacuations) -> EncodedEvacuations {
-    let domains = evacuations.domains.iter().map(SmolStr::to_string);
+    let encode = |domains: &[SmolStr]| domains.iter().map(SmolStr::to_string).collect();
     EncodedEvacuations {
-        version: evacuations.version,
-        domains: domains.collect(),
+        version: evacuations.version.number,
+        domains: encode(&evacuations.domains),
+        era: evacuations.version.era,
+        held: encode(&evacuations.held),
     }
 }
 
 pub(crate) fn decode_evacuations(encoded: EncodedEvacuations) -> Evacuations {
-    let mut domains: Vec<SmolStr> = encoded.domains.into_iter().map(SmolStr::from).collect();
-    domains.sort();
-    domains.dedup();
+    let decode = |domains: Vec<String>| domains.into_iter().map(SmolStr::from).collect();
+    let version = StoreVersion::new(encoded.era, encoded.version);
     Evacuations {
-        version: encoded.version,
-        domains,
+        held: decode(encoded.held),
+        ..Evacuations::new(version, decode(encoded.domains))
     }
 }
 
--- a/crates/wire/tests/datagrams.rs
+++ b/crates/wire/tests/datagrams.rs
@@ -2,7 +2,7 @@
 
 use gentianridge_core::{
     ConfigProof, CrashRecord, EraNotice, Evacuations, GossipState, HeartbeatSummary, Incarnation,
-    PeerView, TargetEntry, TargetListUpdate, UpdateContent,
+    PeerView, StoreVersion, TargetEntry, TargetListUpdate, UpdateContent,
 };
 use gentianridge_wire::PeerDatagram;
 use proptest::prelude::*;
@@ -60,8 +60,9 @@
                     leaving: notices.0,
                     paused: notices.1,
                     evacuations: notices.2.map(|version| Evacuations {
-                        version,
+                        version: StoreVersion::new(version / 3, version),
                         domains: vec!["a".into(), "b".into()],
+                        held: vec!["c".into()],
                     }),
                     proof: notices.3.map(|(era, revision, at_ms)| ConfigProof {
                         era,
--- a/crates/wire/tests/messages.rs
+++ b/crates/wire/tests/messages.rs
@@ -120,7 +120,8 @@
 mod state {
     use super::make_peer;
     use gentianridge_core::{
-        ConfigProof, EraNotice, Evacuations, StoreTime, TargetListUpdate, UpdateContent,
+        ConfigProof, EraNotice, Evacuations, StoreTime, StoreVersion, TargetListUpdate,
+        UpdateContent,
     };
     use gentianridge_wire::{ConfigState, StateReply, StateRequest};
     use proptest::prelude::*;
@@ -152,9 +153,10 @@
             prop::option::of(any::<(u64, u64)>()),
         )
             .prop_map(|(config, list, peers, fact)| StateReply {
-                evacuations: fact.map(|(version, _)| Evacuations {
-                    version,
+                evacuations: fact.map(|(version, era)| Evacuations {
+                    version: StoreVersion::new(era, version),
                     domains: vec!["a".into(), "b".into()],
+                    held: Vec::new(),
                 }),
                 proof: fact.map(|(revision, at_ms)| ConfigProof {
                     era: revision / 2,
--- a/tests/gateway/evacuations.rs
+++ b/tests/gateway/evacuations.rs
@@ -10,7 +10,7 @@
 const EVACUATE_BOUND: Duration = Duration::from_secs(5);
 
 /// Starts an environment with `t0` in the domain `d1` and `t1` in `d2`.
-async fn start_domains() -> TestEnv {
+pub(crate) async fn start_domains() -> TestEnv {
     let mut env = TestEnv::start(1).await;
     let target = FakeTarget::start("t1").await.unwrap();
     let entry = target.make_entry(&TargetEntryValue {
@@ -25,7 +25,7 @@
 }
 
 /// Returns the target that runs a request which is sent to the VM, or the status.
-async fn find_target(vm: &GatewayVm, id: &str) -> String {
+pub(crate) async fn find_target(vm: &GatewayVm, id: &str) -> String {
     let mut caller = vm.open().await.unwrap();
     let reply = caller.request("GET", "/look/x", id).await.unwrap();
     match reply.status {
@@ -35,7 +35,7 @@
 }
 
 /// Waits until the VM answers several requests in a row by the target.
-async fn wait_for_target(vm: &GatewayVm, target: &str) {
+pub(crate) async fn wait_for_target(vm: &GatewayVm, target: &str) {
     wait_until(EVACUATE_BOUND, || async {
         for index in 0..3 {
             if find_target(vm, &format!("w{index}")).await != target {
--- a/tests/gateway/store_returns.rs
+++ b/tests/gateway/store_returns.rs
@@ -1,5 +1,6 @@
 //! A store that returns from an older copy and gives out versions again.
 
+use crate::evacuations::{find_target, start_domains, wait_for_target};
 use crate::test_env::{TestEnv, put_config, wait_until};
 use crate::withdrawn_keys::{LIMIT, WITHDRAWN, ask, start_strict};
 use crate::workspaces::{KEY, SECOND_KEY, SOUTH, put_workspaces};
@@ -50,6 +51,14 @@
     put_config(store, version, &paths.collect::<String>());
 }
 
+/// Waits until the VM has read the store after a return.
+async fn wait_for_era(env: &TestEnv, era: f64) {
+    wait_until(LIMIT, || async {
+        get_sample(&get_metrics(env).await, "gentianridge_store_era") == Some(era)
+    })
+    .await;
+}
+
 async fn get_status(env: &TestEnv, path: &str) -> u16 {
     env.request("GET", path, "s").await.status
 }
@@ -103,10 +112,7 @@
     put_routes(&env.store, 2, 1);
     wait_until(LIMIT, || async { get_status(&env, "/n1/x").await == 200 }).await;
     return_to(&env.store, copy, || ()).await;
-    wait_until(LIMIT, || async {
-        get_sample(&get_metrics(&env).await, "gentianridge_store_era") == Some(2.0)
-    })
-    .await;
+    wait_for_era(&env, 2.0).await;
     for _ in 0..10 {
         assert_eq!(get_status(&env, "/n1/x").await, 200);
         tokio::time::sleep(Duration::from_millis(100)).await;
@@ -157,3 +163,76 @@
     put_routes(&env.store, 20, 9);
     wait_until(LIMIT, || async { get_status(&env, "/n9/x").await == 200 }).await;
 }
+
+/// Guards against comparing versions of different eras: an evacuation after the return was
+/// dropped for good, since its version was lower than that of an earlier taking back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn emptied_again() {
+    let env = start_domains().await;
+    env.store.put("op", "evacuate/d1", b"{}");
+    wait_for_target(&env.vm, "done by t1").await;
+    let copy = copy_and_move_on(&env.store).await;
+    env.store.remove("op", "evacuate/d1");
+    env.store.put("op", "evacuate/d2", b"{}");
+    wait_for_target(&env.vm, "done by t0").await;
+    let before = env.store.get_version();
+    env.store.return_to(copy);
+    env.store.remove("op", "evacuate/d1");
+    env.store.put("op", "evacuate/d2", b"{}");
+    tokio::time::sleep(READ_TIME).await;
+    env.store.remove("op", "evacuate/d2");
+    env.store.put("op", "evacuate/d1", b"{}");
+    assert!(env.store.get_version() < before);
+    wait_for_target(&env.vm, "done by t1").await;
+}
+
+/// The copy lacks an evacuation: the domain gets nothing before it is written again. Once it
+/// is not, the domain is used again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn emptied_through_return() {
+    let env = start_domains().await;
+    let copy = env.store.copy();
+    env.store.put("op", "evacuate/d1", b"{}");
+    wait_for_target(&env.vm, "done by t1").await;
+    return_to(&env.store, copy.clone(), || ()).await;
+    for index in 0..15 {
+        let id = format!("a{index}");
+        assert_eq!(find_target(&env.vm, &id).await, "done by t1");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    env.store.put("op", "evacuate/d1", b"{}");
+    for index in 0..40 {
+        let id = format!("b{index}");
+        assert_eq!(find_target(&env.vm, &id).await, "done by t1");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    return_to(&env.store, copy, || ()).await;
+    env.store.put("op", "evacuate/d2", b"{}");
+    wait_until(LIMIT, || async {
+        find_target(&env.vm, "c").await == "done by t0"
+    })
+    .await;
+}
+
+/// The copy holds an evacuation that was taken back: the last targets of a service stay in
+/// use until that is written again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn given_back_through_return() {
+    let env = start_with_metrics().await;
+    env.store.put("op", "evacuate/d1", b"{}");
+    wait_until(LIMIT, || async { get_status(&env, "/look/x").await == 503 }).await;
+    let copy = env.store.copy();
+    env.store.remove("op", "evacuate/d1");
+    wait_until(LIMIT, || async { get_status(&env, "/look/x").await == 200 }).await;
+    return_to(&env.store, copy, || ()).await;
+    wait_for_era(&env, 2.0).await;
+    for _ in 0..10 {
+        assert_eq!(get_status(&env, "/look/x").await, 200);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    env.store.remove("op", "evacuate/d1");
+    for _ in 0..30 {
+        assert_eq!(get_status(&env, "/look/x").await, 200);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
