fix(discovery): lists of targets are ordered by era

What callers would see: after the store came back from an older copy no VM followed targets that joined, drained or left until the versions had passed those of before; requests went to draining targets.

Cause: a read whose version is lower than that of the list was held for one that a peer's update had overtaken, and numbers are given out again.

Change: lists, updates, the log of updates and requests for the state bear StoreVersion. Changes of a new era without a base in it are refused. Targets that the copy lacks stay in use for two seconds; targets that had left are not used because the copy lists them. Messages without an era are of era 0, below all others.

Tried and dropped: one settle period for returns and outages, which a VM that had been stopped spread over the fleet.

--- a/crates/core/src/discovery/directory.rs
+++ b/crates/core/src/discovery/directory.rs
@@ -1,5 +1,6 @@
 //! The targets in the local state of this VM.
 
+use super::departed::DepartedTargets;
 use super::known_target::KnownTarget;
 use super::{Incarnation, LeavingTargets, PausedTargets, TargetEntry, TargetListUpdate};
 use crate::{DomainName, TargetSpec, add_span};
@@ -19,10 +20,16 @@
 ///   it, a new incarnation does.
 /// - If an entry is replaced by one that cannot be decoded, its target may still
 ///   run and stays in use.
+/// - If the store returns from a copy that lacks an entry, the target stays in use for
+///   [`Self::SETTLE_PERIOD`].
+/// - If the copy lists a target that had left, the target is not used until its entry is
+///   written again, or [`Self::DEPARTED_HOLD`] has passed without its removal.
 #[derive(Debug, Default)]
 pub struct Directory {
     targets: Vec<KnownTarget>,
     leaving: LeavingTargets,
+    /// Targets whose entries were removed.
+    departed: DepartedTargets,
     paused: PausedTargets,
     is_unreadable: bool,
     settles_at: Option<Instant>,
@@ -31,6 +38,9 @@
 impl Directory {
     /// Time after the store's return within which live targets register again.
     pub const SETTLE_PERIOD: Duration = Duration::from_secs(2);
+    /// Time for which a target that had left is not used although the store's copy lists it;
+    /// the store removes the entry of one that is silent sooner.
+    pub const DEPARTED_HOLD: Duration = Duration::from_secs(10);
 
     /// Creates an empty directory.
     pub fn new() -> Self {
@@ -49,11 +59,12 @@
             self.targets
                 .iter()
                 .filter(|known| known.entry.service == service && !known.is_replaced)
+                .filter(|known| known.held_until.is_none())
         };
-        let listed = of_service().filter(|known| !known.is_expired).count();
+        let listed = of_service().filter(|known| known.is_in_use()).count();
         let uses_expired = listed * 2 < of_service().count();
         of_service()
-            .filter(|known| uses_expired || !known.is_expired)
+            .filter(|known| uses_expired || known.is_in_use())
             .map(|known| {
                 let mut spec = known.entry.make_spec(connections);
                 spec.drain |= self.leaving.contains(&known.entry.incarnation);
@@ -118,6 +129,7 @@
             known.entry.incarnation == *incarnation
                 && !known.entry.is_draining
                 && !known.is_replaced
+                && known.held_until.is_none()
                 && !self.leaving.contains(incarnation)
         })
     }
@@ -269,6 +281,37 @@
         }
     }
 
+    /// Records that the store's copy lacks the entry of a target, which stays in use up to a
+    /// time.
+    pub fn record_lost(&mut self, id: &str, until: Instant, changed: &mut Vec<SmolStr>) {
+        if let Ok(index) = self.find(id) {
+            let known = &mut self.targets[index];
+            known.lost_until = known.is_in_use().then_some(until);
+            known.set_unlisted();
+            changed.push(known.entry.service.clone());
+        }
+    }
+
+    /// Keeps a target out of use whose entry the store's copy lists although it had left.
+    pub fn hold_departed(&mut self, now: Instant, entry: &TargetEntry) {
+        if self.departed.contains(&entry.incarnation.id)
+            && let Ok(index) = self.find(&entry.incarnation.id)
+        {
+            self.targets[index].held_until = Some(now + Self::DEPARTED_HOLD);
+        }
+    }
+
+    /// Records that an entry was written since its target was last removed.
+    pub fn record_written(&mut self, entry: &TargetEntry) {
+        self.departed.forget(&entry.incarnation.id);
+    }
+
+    /// Returns true if the target of an entry is kept out of use because it had left.
+    pub fn is_held(&self, entry: &TargetEntry) -> bool {
+        let found = self.find(&entry.incarnation.id);
+        found.is_ok_and(|index| self.targets[index].held_until.is_some())
+    }
+
     /// Applies a full list and returns the services that changed.
     pub fn apply_full(&mut self, now: Instant, entries: Vec<TargetEntry>) -> Vec<SmolStr> {
         let mut changed = Vec::new();
@@ -293,6 +336,8 @@
                     older: None,
                     entry,
                     is_expired: false,
+                    lost_until: None,
+                    held_until: None,
                     is_replaced: false,
                     cold_until: None,
                 };
@@ -304,17 +349,18 @@
     /// Applies the removal of an entry.
     pub fn remove(&mut self, now: Instant, id: &str, changed: &mut Vec<SmolStr>) {
         let Ok(index) = self.find(id) else {
+            self.departed.record(now, id);
             return;
         };
         if self.is_settling(now) {
             let known = &mut self.targets[index];
-            known.is_expired = true;
-            known.listed = None;
-            known.older = None;
+            known.lost_until = None;
+            known.set_unlisted();
             changed.push(known.entry.service.clone());
             return;
         }
         let known = self.targets.remove(index);
+        self.departed.record(now, id);
         changed.push(known.entry.service);
     }
 
@@ -341,29 +387,49 @@
     /// Returns the time at which [`Self::expire`] is to be called next.
     pub fn next_expiry(&self) -> Option<Instant> {
         let has_expired = self.targets.iter().any(|known| known.is_expired);
-        self.settles_at
-            .filter(|_| has_expired && !self.is_unreadable)
+        let settles_at = self
+            .settles_at
+            .filter(|_| has_expired && !self.is_unreadable);
+        let targets = self.targets.iter();
+        let ends = targets.flat_map(|known| [known.held_until, known.lost_until]);
+        ends.flatten().chain(settles_at).min()
     }
 
-    /// Removes the targets that did not register again within the settle period.
+    /// Removes the targets that did not register again within the settle period, and uses
+    /// those again that were kept out of use for long enough.
     pub fn expire(&mut self, now: Instant, changed: &mut Vec<SmolStr>) {
         self.leaving.expire(now);
+        self.departed.expire(now);
+        for known in &mut self.targets {
+            for end in [&mut known.held_until, &mut known.lost_until] {
+                if end.take_if(|until| *until <= now).is_some() {
+                    changed.push(known.entry.service.clone());
+                }
+            }
+        }
         if self.is_settling(now) {
             return;
         }
+        let departed = &mut self.departed;
         self.targets.retain(|known| {
-            if known.is_expired {
+            if known.is_expired && known.lost_until.is_none() {
+                departed.record(now, &known.entry.incarnation.id);
                 changed.push(known.entry.service.clone());
             }
-            !known.is_expired
+            !known.is_expired || known.lost_until.is_some()
         });
     }
 
     fn update(&mut self, index: usize, mut entry: TargetEntry, changed: &mut Vec<SmolStr>) {
         let known = &mut self.targets[index];
         known.listed = Some(entry.get_digest());
+        known.lost_until = None;
+        let was_expired = std::mem::take(&mut known.is_expired);
         let old = &known.entry;
         if entry.incarnation.born_ms < old.incarnation.born_ms {
+            if was_expired {
+                changed.push(old.service.clone());
+            }
             known.older = Some(Box::new(entry));
             return;
         }
@@ -375,8 +441,8 @@
         if !is_same_process {
             known.cold_until = None;
         }
-        let was_expired = std::mem::take(&mut known.is_expired);
-        if was_expired || entry != *old {
+        let was_held = known.held_until.take().is_some();
+        if was_expired || was_held || entry != *old {
             changed.push(old.service.clone());
             if entry.service != old.service {
                 changed.push(entry.service.clone());
--- a/crates/core/src/discovery/known_target.rs
+++ b/crates/core/src/discovery/known_target.rs
@@ -17,6 +17,12 @@
     pub(super) older: Option<Box<TargetEntry>>,
     /// True if the entry was removed at a time when it may only have expired.
     pub(super) is_expired: bool,
+    /// End of the time for which the target stays in use although the store's copy lacks its
+    /// entry.
+    pub(super) lost_until: Option<Instant>,
+    /// End of the time for which the entry is not used: the target had left before the store
+    /// returned from a copy that still lists it.
+    pub(super) held_until: Option<Instant>,
     /// True if another process answered at the address.
     pub(super) is_replaced: bool,
     /// End of the time for which the target is cold by its entries.
@@ -24,10 +30,22 @@
 }
 
 impl KnownTarget {
+    /// Returns true if the target has an entry that is in use.
+    pub(super) fn is_in_use(&self) -> bool {
+        (!self.is_expired || self.lost_until.is_some()) && self.held_until.is_none()
+    }
+
     /// Time by which the ends of one warm-up may differ that are computed from two entries,
     /// because entries are read some time after they were written.
     const COLD_TOLERANCE: Duration = Duration::from_secs(1);
 
+    /// Records that the store no longer lists the target.
+    pub(super) fn set_unlisted(&mut self) {
+        self.is_expired = true;
+        self.listed = None;
+        self.older = None;
+    }
+
     /// Returns the entry as the store lists it.
     ///
     /// `is_draining` is the only lasting state that is part of an entry's digest.
--- a/crates/core/src/discovery/list.rs
+++ b/crates/core/src/discovery/list.rs
@@ -4,7 +4,7 @@
     Directory, EmptiedDomains, Incarnation, ReadTurn, RefreshTimer, TargetEntry, TargetListRead,
     TargetListUpdate, UpdateContent, UpdateOutcome,
 };
-use crate::TargetSpec;
+use crate::{StoreVersion, TargetSpec};
 use smol_str::SmolStr;
 use std::time::{Duration, Instant};
 
@@ -41,6 +41,10 @@
 /// its list then has the same digest, so that by induction the list of every VM
 /// is what the store held at the list's version.
 /// docs/decisions/0018-leaving-targets.md has the reasons.
+///
+/// The first list of a new era is that of the store's copy. Targets that it lacks stay in
+/// use until they had time to register again, and those that left before the store's return
+/// are not used because of it.
 #[derive(Debug)]
 pub struct TargetList {
     pub(super) directory: Directory,
@@ -51,6 +55,8 @@
     pub(super) emptied: EmptiedDomains,
     /// True if a service has a rate for cold targets.
     pub(super) has_cold_rates: bool,
+    /// When everything has been written again after the store's last return.
+    restored: Option<Instant>,
 }
 
 /// Construction and timer.
@@ -63,6 +69,7 @@
             has_diverged: false,
             emptied: EmptiedDomains::default(),
             has_cold_rates: false,
+            restored: None,
         }
     }
 
@@ -71,8 +78,14 @@
         self.refresh_timer.set_bound(bound);
     }
 
+    /// Sets when everything has been written again after the store's last return, as far as
+    /// that is known.
+    pub fn set_restored(&mut self, restored: Option<Instant>) {
+        self.restored = restored;
+    }
+
     /// Returns the version of the store that the list reflects.
-    pub fn get_version(&self) -> Option<u64> {
+    pub fn get_version(&self) -> Option<StoreVersion> {
         self.refresh_timer.get_version()
     }
 
@@ -115,8 +128,8 @@
 
 /// Reads and updates.
 impl TargetList {
-    /// Applies a read of this VM, or returns `None` if an update from a peer is
-    /// newer.
+    /// Applies a read of this VM, or returns `None` if an update from a peer is newer, or if
+    /// changes of a new era have no base.
     ///
     /// `sent_at` is the time at which the read was sent: a change that the store
     /// acknowledged later may be missing from it.
@@ -131,6 +144,11 @@
         if self.refresh_timer.is_overtaken(read.version) {
             return None;
         }
+        let is_new_era = self.is_new_era(read.version);
+        if is_new_era && !read.is_full {
+            self.has_diverged = true;
+            return None;
+        }
         let directory = &mut self.directory;
         directory.set_readable(now);
         let mut removed = read.removed;
@@ -141,7 +159,9 @@
         }
         let has_cold_rates = self.has_cold_rates;
         let is_change = |entry: &&TargetEntry| {
-            directory.is_change(entry) || (has_cold_rates && directory.is_cold_again(now, entry))
+            directory.is_change(entry)
+                || (has_cold_rates && directory.is_cold_again(now, entry))
+                || (!read.is_full && directory.is_held(entry))
         };
         let mut update = TargetListUpdate {
             version: read.version,
@@ -152,7 +172,7 @@
             unreadable: read.unreadable,
             ..TargetListUpdate::default()
         };
-        self.apply(now, &update, changed);
+        self.apply(now, &update, is_new_era, changed);
         update.digest = self.directory.get_digest();
         let base = self.refresh_timer.record_read(sent_at, read.version, turn);
         Some(AppliedRead {
@@ -196,13 +216,15 @@
             timer.record_known_version(update.version);
             return UpdateOutcome::Gap;
         }
+        let is_new_era = self.is_new_era(update.version);
+        let timer = &mut self.refresh_timer;
         let outcome = timer.check_update(read_at, update.base, update.version, turn);
         if matches!(outcome, UpdateOutcome::Applied | UpdateOutcome::Unchanged) {
             self.directory.set_readable(now);
             self.directory.extend_settle(now, update.settle_left);
         }
         if outcome == UpdateOutcome::Applied {
-            self.apply(now, update, changed);
+            self.apply(now, update, is_new_era, changed);
         }
         outcome
     }
@@ -238,7 +260,8 @@
             removed: missing,
             ..update.clone()
         };
-        self.apply(now, &complete, changed);
+        let is_new_era = self.is_new_era(update.version);
+        self.apply(now, &complete, is_new_era, changed);
         self.has_diverged = false;
         self.refresh_timer
             .record_read(read_at, update.version, turn);
@@ -282,13 +305,37 @@
         times.into_iter().flatten().min()
     }
 
-    fn apply(&mut self, now: Instant, update: &TargetListUpdate, changed: &mut Vec<SmolStr>) {
+    /// Returns true if a version is of a later era than the list.
+    fn is_new_era(&self, version: StoreVersion) -> bool {
+        let known = self.get_version();
+        known.is_some_and(|known| known.era < version.era)
+    }
+
+    fn apply(
+        &mut self,
+        now: Instant,
+        update: &TargetListUpdate,
+        is_new_era: bool,
+        changed: &mut Vec<SmolStr>,
+    ) {
+        let settled = now + Directory::SETTLE_PERIOD;
+        let lost_until = self.restored.map_or(settled, |at| at.min(settled));
         for entry in &update.entries {
+            let was_listed = self.directory.is_listed(&entry.incarnation.id);
             self.directory.put(entry.clone(), changed);
+            if !is_new_era {
+                self.directory.record_written(entry);
+            } else if !was_listed {
+                self.directory.hold_departed(now, entry);
+            }
             self.directory.record_cold(now, entry, changed);
         }
         for id in &update.removed {
-            self.directory.remove(now, id, changed);
+            if is_new_era {
+                self.directory.record_lost(id, lost_until, changed);
+            } else {
+                self.directory.remove(now, id, changed);
+            }
         }
         for id in &update.unreadable {
             self.directory.set_unreadable_entry(id);
--- a/crates/core/src/discovery/mod.rs
+++ b/crates/core/src/discovery/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! docs/decisions/0013-platform.md lists the cases.
 
+mod departed;
 mod directory;
 mod emptied_domains;
 mod entry;
--- a/crates/core/src/discovery/refresh.rs
+++ b/crates/core/src/discovery/refresh.rs
@@ -1,6 +1,7 @@
 //! The timer that decides when a VM reads the target list itself.
 
 use super::ReadTurn;
+use crate::StoreVersion;
 use std::time::{Duration, Instant};
 
 /// Timer that lets one read of the list serve the entire fleet.
@@ -14,11 +15,11 @@
 #[derive(Debug)]
 pub struct RefreshTimer {
     bound: Duration,
-    version: Option<u64>,
+    version: Option<StoreVersion>,
     read_at: Option<Instant>,
     due: Option<Instant>,
     /// Newest version of the list that is known to exist.
-    newest_known: u64,
+    newest_known: StoreVersion,
 }
 
 /// Result of checking an update from a peer.
@@ -52,7 +53,7 @@
             version: None,
             read_at: None,
             due: None,
-            newest_known: 0,
+            newest_known: StoreVersion::default(),
         }
     }
 
@@ -62,7 +63,7 @@
     }
 
     /// Returns the version of the store that the list reflects.
-    pub fn get_version(&self) -> Option<u64> {
+    pub fn get_version(&self) -> Option<StoreVersion> {
         self.version
     }
 
@@ -95,7 +96,12 @@
     ///
     /// Returns the previous version, which is the base of the update to peers.
     /// Changes that peers sent during the read are part of the base.
-    pub fn record_read(&mut self, sent_at: Instant, version: u64, turn: ReadTurn) -> Option<u64> {
+    pub fn record_read(
+        &mut self,
+        sent_at: Instant,
+        version: StoreVersion,
+        turn: ReadTurn,
+    ) -> Option<StoreVersion> {
         let read_at = self.read_at.map_or(sent_at, |newest| newest.max(sent_at));
         self.restart(read_at, turn);
         self.version.replace(version)
@@ -103,7 +109,7 @@
 
     /// Returns true if a read up to `version` is older than the local state,
     /// because an update from a peer arrived before the answer of the store.
-    pub fn is_overtaken(&self, version: u64) -> bool {
+    pub fn is_overtaken(&self, version: StoreVersion) -> bool {
         self.version.is_some_and(|known| known > version)
     }
 
@@ -114,7 +120,7 @@
 
     /// Returns true if an update leads from the local version or an older one to
     /// the local version or a newer one.
-    pub fn is_applicable(&self, base: u64, version: u64) -> bool {
+    pub fn is_applicable(&self, base: StoreVersion, version: StoreVersion) -> bool {
         self.version
             .is_some_and(|known| base <= known && known <= version)
     }
@@ -122,7 +128,7 @@
     /// Records that a version of the list exists. If the local state is older and no
     /// update leads to that version, the changes have to be fetched from a peer or read
     /// from the store.
-    pub fn record_known_version(&mut self, version: u64) {
+    pub fn record_known_version(&mut self, version: StoreVersion) {
         self.newest_known = self.newest_known.max(version);
     }
 
@@ -134,8 +140,8 @@
     pub fn check_update(
         &mut self,
         read_at: Instant,
-        base: u64,
-        version: u64,
+        base: StoreVersion,
+        version: StoreVersion,
         turn: ReadTurn,
     ) -> UpdateOutcome {
         let Some(known) = self.version else {
--- a/crates/core/src/discovery/update.rs
+++ b/crates/core/src/discovery/update.rs
@@ -1,6 +1,7 @@
 //! Reads of the target list, and the updates that VMs send about them.
 
 use super::TargetEntry;
+use crate::StoreVersion;
 use smol_str::SmolStr;
 use std::time::Duration;
 
@@ -10,7 +11,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct TargetListRead {
     /// Version of the store that the read reflects.
-    pub version: u64,
+    pub version: StoreVersion,
     /// True for a full read, false for an incremental one that holds only changes.
     pub is_full: bool,
     /// Entries that could be decoded.
@@ -38,9 +39,9 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct TargetListUpdate {
     /// Version of the store that the changes are relative to.
-    pub base: u64,
+    pub base: StoreVersion,
     /// Version of the store that the changes lead to.
-    pub version: u64,
+    pub version: StoreVersion,
     /// Newest revision of the configuration at the time of the read.
     pub revision: u64,
     /// Time since the read.
--- a/crates/core/src/discovery/update_log.rs
+++ b/crates/core/src/discovery/update_log.rs
@@ -1,6 +1,7 @@
 //! Recent updates of the target list, from which peers get what they lack.
 
 use super::{TargetEntry, TargetListUpdate, UpdateContent};
+use crate::StoreVersion;
 use smol_str::SmolStr;
 use std::collections::VecDeque;
 
@@ -23,7 +24,8 @@
     /// A complete list, or an update that does not continue the log, starts it
     /// anew.
     pub fn push(&mut self, update: &TargetListUpdate) {
-        let newest = self.updates.back().map_or(0, |last| last.version);
+        let newest = self.updates.back();
+        let newest = newest.map_or_else(StoreVersion::default, |last| last.version);
         let is_continued = update.content == UpdateContent::Changes && update.base <= newest;
         if !is_continued {
             self.clear();
@@ -43,7 +45,7 @@
 
     /// Returns the changes after a version, `None` if the log does not reach back
     /// to it.
-    pub fn merge_since(&self, version: u64) -> Option<TargetListUpdate> {
+    pub fn merge_since(&self, version: StoreVersion) -> Option<TargetListUpdate> {
         let start = self
             .updates
             .iter()
--- a/crates/daemon/src/gateway/feeds.rs
+++ b/crates/daemon/src/gateway/feeds.rs
@@ -332,8 +332,7 @@
     let sent_at = gateway.clock.now();
     let after = {
         let list = gateway.list.borrow();
-        let version = list.get_version().filter(|_| !list.needs_full_read());
-        version.map(|number| StoreVersion::new(gateway.era.borrow().get(), number))
+        list.get_version().filter(|_| !list.needs_full_read())
     };
     let store = gateway.get_store();
     let changed = match after {
@@ -366,8 +365,11 @@
 ) -> Option<TargetListUpdate> {
     let now = gateway.clock.now();
     let turn = gateway.peers.get_turn(now, gateway.get_version());
-    let applied = gateway
-        .change_targets(|list, changed| list.apply_read(now, sent_at, read, turn, changed))?;
+    let restored = gateway.get_restored(read.version.era);
+    let applied = gateway.change_targets(|list, changed| {
+        list.set_restored(restored);
+        list.apply_read(now, sent_at, read, turn, changed)
+    })?;
     let update = applied.update;
     log_list_update(&update, "store");
     gateway.update_log.borrow_mut().push(&update);
@@ -382,7 +384,7 @@
 
 fn decode_read(changes: Changes, is_full: bool) -> TargetListRead {
     let mut read = TargetListRead {
-        version: changes.version.number,
+        version: changes.version,
         is_full,
         ..TargetListRead::default()
     };
@@ -424,8 +426,11 @@
 ) -> UpdateOutcome {
     let now = gateway.clock.now();
     let turn = gateway.peers.get_turn(now, gateway.get_version());
-    let outcome =
-        gateway.change_targets(|list, changed| list.apply_update(now, &update, turn, changed));
+    let restored = gateway.get_restored(update.version.era);
+    let outcome = gateway.change_targets(|list, changed| {
+        list.set_restored(restored);
+        list.apply_update(now, &update, turn, changed)
+    });
     match outcome {
         UpdateOutcome::Stale => return outcome,
         UpdateOutcome::Corrupt => {
@@ -466,7 +471,7 @@
             listed = update.entries.len(),
             no_longer_listed = update.removed.len(),
             source = source,
-            store_version = update.version,
+            store_version = update.version.to_string().as_str(),
             age_ms = update.age.as_millis() as u64;
             "many targets changed"
         );
@@ -482,7 +487,7 @@
             is_draining = entry.is_draining,
             cold_left_ms = entry.cold_left.as_millis() as u64,
             source = source,
-            store_version = update.version;
+            store_version = update.version.to_string().as_str();
             "target listed"
         );
     }
@@ -491,7 +496,7 @@
             target: STATE_LOG_TARGET,
             target = id.as_str(),
             source = source,
-            store_version = update.version,
+            store_version = update.version.to_string().as_str(),
             settle_left_ms = update.settle_left.as_millis() as u64;
             "target no longer listed"
         );
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -78,6 +78,12 @@
     /// 0 for changes, 1 for a complete list, 2 if the changes are omitted.
     #[prost(uint32, tag = "11")]
     content: u32,
+    /// Eras of the version and of the base; 0 in messages of processes that do not look at
+    /// eras.
+    #[prost(uint64, tag = "12")]
+    era: u64,
+    #[prost(uint64, tag = "13")]
+    base_era: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -284,8 +290,10 @@
     let entries = list.entries.iter();
     let entries = entries.map(|entry| encode_entry(entry, &mut names));
     EncodedList {
-        base: list.base,
-        version: list.version,
+        base: list.base.number,
+        version: list.version.number,
+        era: list.version.era,
+        base_era: list.base.era,
         revision: list.revision,
         age_ms: saturate_ms(list.age),
         settle_left_ms: saturate_ms(list.settle_left),
@@ -326,8 +334,8 @@
     let entries = list.entries.into_iter();
     let entries = entries.map(|entry| decode_entry(entry, &names));
     Ok(TargetListUpdate {
-        base: list.base,
-        version: list.version,
+        base: StoreVersion::new(list.base_era, list.base),
+        version: StoreVersion::new(list.era, list.version),
         revision: list.revision,
         age: Duration::from_millis(u64::from(list.age_ms)),
         settle_left: Duration::from_millis(u64::from(list.settle_left_ms)),
--- a/crates/wire/src/state.rs
+++ b/crates/wire/src/state.rs
@@ -8,7 +8,8 @@
 use crate::message::PeerViewMessage;
 use crate::{WireError, WireErrorKind};
 use gentianridge_core::{
-    ConfigProof, EraNotice, Evacuations, PeerView, StoreTime, TargetListUpdate, VmName,
+    ConfigProof, EraNotice, Evacuations, PeerView, StoreTime, StoreVersion, TargetListUpdate,
+    VmName,
 };
 use prost::Message;
 use std::time::Duration;
@@ -25,7 +26,7 @@
     /// Revision of the configuration in force there, 0 if there is none.
     pub revision: u64,
     /// Version of its target list.
-    pub list_version: Option<u64>,
+    pub list_version: Option<StoreVersion>,
     /// True if only a complete list helps.
     pub needs_full_list: bool,
     /// True if the requesting VM has no other VM in its membership.
@@ -74,6 +75,9 @@
     needs_full_list: bool,
     #[prost(bool, tag = "6")]
     needs_peers: bool,
+    /// 0 in messages of processes that do not look at eras.
+    #[prost(uint64, tag = "7")]
+    list_era: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -124,7 +128,8 @@
             format: FORMAT,
             vm: self.vm.to_string(),
             revision: self.revision,
-            list_version: self.list_version,
+            list_version: self.list_version.map(|version| version.number),
+            list_era: self.list_version.map_or(0, |version| version.era),
             needs_full_list: self.needs_full_list,
             needs_peers: self.needs_peers,
         };
@@ -143,7 +148,9 @@
         Ok(Self {
             vm: encoded.vm.into(),
             revision: encoded.revision,
-            list_version: encoded.list_version,
+            list_version: encoded
+                .list_version
+                .map(|number| StoreVersion::new(encoded.list_era, number)),
             needs_full_list: encoded.needs_full_list,
             needs_peers: encoded.needs_peers,
         })
--- a/tests/gateway/store_returns.rs
+++ b/tests/gateway/store_returns.rs
@@ -1,10 +1,10 @@
 //! A store that returns from an older copy and gives out versions again.
 
 use crate::evacuations::{find_target, start_domains, wait_for_target};
-use crate::test_env::{TestEnv, put_config, wait_until};
+use crate::test_env::{TestEnv, put_config, register, wait_until};
 use crate::withdrawn_keys::{LIMIT, WITHDRAWN, ask, start_strict};
 use crate::workspaces::{KEY, SECOND_KEY, SOUTH, put_workspaces};
-use gentianridge_testkit::{FakeStore, StoreCopy, StoreFault, write_path};
+use gentianridge_testkit::{FakeStore, FakeTarget, StoreCopy, StoreFault, write_path};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -236,3 +236,42 @@
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
 }
+
+/// Guards against discarding reads of the targets until the versions have passed those of
+/// before the return: no VM followed targets that joined or drained meanwhile.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn targets_after_return() {
+    let env = TestEnv::start(1).await;
+    let copy = copy_and_move_on(&env.store).await;
+    env.store.return_to(copy);
+    let joined = FakeTarget::start("t1").await.unwrap();
+    register(&env.store, &joined, false, 1);
+    register(&env.store, &env.targets[0], true, 1);
+    wait_for_target(&env.vm, "done by t1").await;
+}
+
+/// The copy lists a target that had left and lacks one that had joined: the first gets
+/// nothing, and the second stays in use until it is written again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn targets_of_copy() {
+    let env = TestEnv::start(1).await;
+    let copy = env.store.copy();
+    let joined = FakeTarget::start("t1").await.unwrap();
+    register(&env.store, &joined, false, 1);
+    register(&env.store, &env.targets[0], true, 1);
+    wait_for_target(&env.vm, "done by t1").await;
+    env.store.remove("servers", "t0");
+    tokio::time::sleep(READ_TIME).await;
+    return_to(&env.store, copy, || ()).await;
+    for index in 0..15 {
+        let id = format!("a{index}");
+        assert_eq!(find_target(&env.vm, &id).await, "done by t1");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    register(&env.store, &joined, false, 1);
+    for index in 0..20 {
+        let id = format!("b{index}");
+        assert_eq!(find_target(&env.vm, &id).await, "done by t1");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
