fix(config): no proof of a peer that does not look at eras

Cause: by reading, a VM that has had no answer of the store, but hears from a peer that it states eras, took proofs without an era from an earlier build, whose reads may have gone on from a version of another era.

Change: StoreEra tells whether the store states eras, by answers or peers.

Evidence: store_era::proof_without_era failed with the check by the VM's own answers and passes now.

--- a/crates/core/src/store/era.rs
+++ b/crates/core/src/store/era.rs
@@ -59,6 +59,11 @@
         self.answered.unwrap_or_default()
     }
 
+    /// Returns true if the store states eras, as far as this VM and its peers know.
+    pub fn is_stated(&self) -> bool {
+        self.get() > 0 || self.reported.is_some()
+    }
+
     /// Records the era that an answer of the store states.
     pub fn observe(&mut self, now: Duration, era: u64) -> EraOrder {
         match self.answered {
--- a/crates/core/src/workspace/proofs.rs
+++ b/crates/core/src/workspace/proofs.rs
@@ -62,7 +62,7 @@
     /// of a peer that does not look at eras although the store states them.
     pub fn adopt(&mut self, era: &StoreEra, now: Duration, proof: ConfigProof) -> bool {
         let latest = self.clock.get_time(now).map(|time| time.latest);
-        let has_era = proof.era > 0 || era.get() == 0;
+        let has_era = proof.era > 0 || !era.is_stated();
         has_era
             && latest.is_some_and(|latest| proof.at <= latest)
             && self.is_complete(era, proof)
--- a/crates/core/tests/store_era.rs
+++ b/crates/core/tests/store_era.rs
@@ -119,6 +119,18 @@
     assert_eq!(proofs.get_newest().unwrap().era, 2);
 }
 
+/// A VM that the store turns away learns from a peer that the store has eras, and takes no
+/// proof from a peer that does not look at them.
+#[test]
+fn proof_without_era() {
+    let mut era = StoreEra::default();
+    let mut proofs = make_proofs(millis(1_000));
+    assert!(proofs.adopt(&era, millis(4_000), make_proof(0, millis(3_000))));
+    era.adopt(millis(4_000), EraNotice { era: 3, age: None });
+    assert!(!proofs.adopt(&era, millis(4_000), make_proof(0, millis(3_500))));
+    assert!(proofs.adopt(&era, millis(4_000), make_proof(3, millis(3_500))));
+}
+
 /// A store that states no era is read as before.
 #[test]
 fn no_eras() {
