--- a/crates/core/src/discovery/emptied_domains.rs
+++ b/crates/core/src/discovery/emptied_domains.rs
@@ -106,7 +106,7 @@
         Some(self.update(now))
     }
 
-    /// Gives up what was held for long enough; returns the domains that change.
+    /// Ends holds whose time has passed; returns the domains that change.
     pub fn expire(&mut self, now: Instant) -> Vec<DomainName> {
         self.drop_ended(now);
         self.update(now)
--- a/crates/core/src/discovery/list.rs
+++ b/crates/core/src/discovery/list.rs
@@ -291,8 +291,8 @@
         self.directory.set_unreadable();
     }
 
-    /// Removes the targets that did not register again within the settle period, and gives
-    /// up emptied domains that were held for long enough.
+    /// Removes the targets that did not register again within the settle period, and ends
+    /// holds of emptied domains whose time has passed.
     pub fn expire(&mut self, now: Instant, changed: &mut Vec<SmolStr>) {
         self.directory.expire(now, changed);
         let domains = self.emptied.expire(now);
--- a/crates/core/src/workspace/limits/member_exchange.rs
+++ b/crates/core/src/workspace/limits/member_exchange.rs
@@ -34,7 +34,7 @@
         self.introduction.is_done()
     }
 
-    /// Gives up all parts until the fleet has confirmed that it still counts this VM.
+    /// Drops all parts until the fleet has confirmed that it still counts this VM.
     pub(super) fn introduce_again(&mut self) {
         self.introduction.restart();
         self.members.set_introduced(false);
--- a/crates/core/tests/gossip.rs
+++ b/crates/core/tests/gossip.rs
@@ -342,7 +342,7 @@
 }
 
 /// Guards against shares that are too large after several VMs were killed together: a VM that
-/// starts hears of the live ones only, and divides budgets by them.
+/// starts was sent the live ones only, and divided budgets by them.
 #[test]
 fn size_of_peer() {
     let now = Instant::now();
--- a/crates/core/tests/store_era.rs
+++ b/crates/core/tests/store_era.rs
@@ -91,8 +91,8 @@
     assert_eq!(late.get_restored(2), restored);
 }
 
-/// A VM that has just started and hears of an earlier era notices the return by its first
-/// answer.
+/// A VM that has just started and receives an earlier era from a peer notices the return by
+/// its first answer.
 #[test]
 fn earlier_era_of_peer() {
     let mut era = StoreEra::default();
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 mod exchange;
 mod feeds;
 mod identity;
+mod list_log;
 mod list_reader;
 mod memory;
 mod metrics;
