fix(limits): tokens of a process that returns accrue from its start

Change: a VM that was counted all along accrues tokens from its start, and such buckets start like others. It waits half a second for VMs that do not answer, in place of a second. A process that did not run for long begins without tokens.

Evidence: workspace_limits passes with all mutants found, nothing above the bound.

--- a/crates/core/src/workspace/limits/bucket.rs
+++ b/crates/core/src/workspace/limits/bucket.rs
@@ -28,6 +28,14 @@
         }
     }
 
+    /// Returns the start of a bucket with the tokens of several parts.
+    pub(super) fn scale(self, parts: f64) -> Self {
+        Self {
+            level: self.level * parts,
+            ..self
+        }
+    }
+
     /// Returns the start of a bucket that is empty at `now`.
     pub(super) fn empty(now: Duration) -> Self {
         Self {
--- a/crates/core/src/workspace/limits/introduction.rs
+++ b/crates/core/src/workspace/limits/introduction.rs
@@ -48,7 +48,7 @@
 
 impl Introduction {
     /// Time for which a VM that was a member before waits for one that does not answer.
-    const RETURN_WAIT: Duration = Duration::from_secs(1);
+    const RETURN_WAIT: Duration = Duration::from_millis(500);
     /// Time for which a new member waits for one that does not answer.
     const JOIN_WAIT: Duration = LimitMembers::RETENTION;
     /// Time after which all other members know a VM that one of them knows.
@@ -79,6 +79,17 @@
         self.is_done
     }
 
+    /// Returns true if no VM can have held parts of this one since `start`: those that may hold
+    /// parts have counted it for longer, and the others held none.
+    pub(super) fn was_counted_since(&self, now: Duration, start: Duration) -> bool {
+        let elapsed = now.saturating_sub(start);
+        self.is_returning
+            && self.contacts.iter().all(|contact| {
+                let reply = contact.reply;
+                reply.is_none_or(|reply| !reply.is_introduced || reply.known_for >= elapsed)
+            })
+    }
+
     /// Returns true while it is not known which VMs may hold parts.
     pub(super) fn needs_list(&self) -> bool {
         self.is_started && !self.is_listed
--- a/crates/core/src/workspace/limits/machine.rs
+++ b/crates/core/src/workspace/limits/machine.rs
@@ -36,6 +36,11 @@
     /// True if `since` is the start of this process.
     pub(super) is_since_start: bool,
     pub(super) is_first_start: bool,
+    /// Time of the start of this process, or of its last introduction if it did not run for
+    /// long.
+    pub(super) started: Duration,
+    /// Division from which on this VM may hold parts.
+    pub(super) introduced_at: u32,
     /// Raised by each change that divides limits anew.
     pub(super) division: u32,
     /// In the order of keys.
@@ -74,6 +79,8 @@
             since: (!is_first_start).then_some(now),
             is_since_start: true,
             is_first_start,
+            started: now,
+            introduced_at: 0,
             division: 0,
             declared: Vec::new(),
             states: SlotMap::with_key(),
@@ -127,7 +134,7 @@
     pub fn list_members(&mut self, now: Duration, members: &[LimitMember]) {
         let listed_at = self.listed_at.replace(now).unwrap_or(now);
         if now.saturating_sub(listed_at) >= Self::MAX_PAUSE {
-            self.introduce_again();
+            self.introduce_again(now);
         }
         let change = self.members.list(now, members);
         if change.has_added || change.has_removed {
@@ -247,8 +254,14 @@
         let terms = LimitTerms::new(declared.limit, self.window, self.bound);
         Some(match found {
             Some(index) => {
+                let is_introduced_since = self.states[index].division < self.introduced_at;
+                let start = match is_introduced_since {
+                    true => self.make_start(now, &declared, terms.start_level),
+                    false => BucketStart::empty(now),
+                };
+                let (division, members) = (self.division, &self.members);
                 let state = &mut self.states[index];
-                state.divide(now, declared.limit, self.division, terms, &self.members);
+                state.divide(now, declared.limit, division, terms, members, start);
                 index
             }
             None => {
--- a/crates/core/src/workspace/limits/member_exchange.rs
+++ b/crates/core/src/workspace/limits/member_exchange.rs
@@ -35,8 +35,12 @@
     }
 
     /// Drops all parts until the fleet has confirmed that it still counts this VM.
-    pub(super) fn introduce_again(&mut self) {
+    pub(super) fn introduce_again(&mut self, now: Duration) {
         self.introduction.restart();
+        self.is_first_start = false;
+        self.started = now;
+        self.since = Some(now);
+        self.is_since_start = false;
         self.members.set_introduced(false);
         self.division += 1;
     }
@@ -52,8 +56,10 @@
         }
         self.members.set_introduced(true);
         self.division += 1;
-        // What others held in the place of this VM was theirs up to now.
-        if !self.is_first_start {
+        self.introduced_at = self.division;
+        let started = self.started;
+        if !self.is_first_start && !self.introduction.was_counted_since(now, started) {
+            // What others held in the place of this VM was theirs up to now.
             self.since = Some(now);
             self.is_since_start = true;
         }
--- a/crates/core/src/workspace/limits/state.rs
+++ b/crates/core/src/workspace/limits/state.rs
@@ -57,12 +57,9 @@
     ) -> Self {
         let holders = members.choose_holders(declared.key, terms.parts);
         let parts = f64::from(holders.own_parts);
-        let start = BucketStart {
-            level: start.level * parts.max(1.0),
-            ..start
-        };
-        let bucket = (parts > 0.0)
-            .then(|| TokenBucket::new(now, start, terms.rate * parts, terms.capacity * parts));
+        let (rate, capacity) = (terms.rate * parts, terms.capacity * parts);
+        let bucket =
+            (parts > 0.0).then(|| TokenBucket::new(now, start.scale(parts), rate, capacity));
         Self {
             key: declared.key,
             limit: declared.limit,
@@ -81,8 +78,9 @@
         }
     }
 
-    /// Divides the limit anew. Parts that this VM gains start without tokens, and it drops
-    /// what the parts that it keeps cannot hold.
+    /// Divides the limit anew. The first parts of this VM are those of a bucket that started
+    /// at `start`; further ones bring no tokens, and what the parts that it keeps cannot hold
+    /// is dropped.
     pub(super) fn divide(
         &mut self,
         now: Duration,
@@ -90,6 +88,7 @@
         division: u32,
         terms: LimitTerms,
         members: &LimitMembers,
+        start: BucketStart,
     ) {
         self.limit = limit;
         self.terms = terms;
@@ -103,7 +102,7 @@
                 bucket.set_size(now, rate, capacity);
                 bucket
             }
-            None => TokenBucket::new(now, BucketStart::empty(now), rate, capacity),
+            None => TokenBucket::new(now, start.scale(parts), rate, capacity),
         });
     }
 
