perf(limits): a process that starts reads the rows once it has registered

Cause: rows that were read before the registration do not list the fleet for limits, so that the rows were read again up to 0.6 s later, and a fleet whose VMs were all lost began to admit late.

Change: the first read of the rows waits for the registration, for 300 ms at most.

--- a/crates/daemon/src/gateway/peers/start.rs
+++ b/crates/daemon/src/gateway/peers/start.rs
@@ -19,6 +19,8 @@
 const SEED_HEAD_START: Duration = Duration::from_millis(20);
 /// Longest random pause before registered VMs are looked for.
 const JOIN_PAUSE: Duration = Duration::from_millis(30);
+/// Longest wait for the registration before the rows are read all the same.
+const MAX_REGISTRATION: Duration = Duration::from_millis(300);
 /// Time between the turns in which VMs of a starting fleet read the store.
 const TURN: Duration = Duration::from_millis(150);
 /// VMs that have a turn of their own.
@@ -59,6 +61,9 @@
 async fn join_fleet(gateway: Rc<Gateway>) {
     let jitter = JOIN_PAUSE.mul_f64(rand::rng().random());
     tokio::time::sleep(jitter).await;
+    // Only rows that are read after the registration name all VMs that may hold parts of limits.
+    let registered = gateway.peers.wait_registered();
+    let _ = tokio::time::timeout(MAX_REGISTRATION, registered).await;
     discover_vms(&gateway).await;
 }
 
--- a/crates/daemon/src/gateway/peers/table.rs
+++ b/crates/daemon/src/gateway/peers/table.rs
@@ -37,6 +37,7 @@
     store_read: Notify,
     proof_request: Notify,
     rows_request: Notify,
+    registered: Notify,
     is_store_read_requested: Cell<bool>,
     list_holder: Cell<Option<SocketAddr>>,
     config_holder: Cell<Option<(u64, SocketAddr)>>,
@@ -65,6 +66,7 @@
             store_read: Notify::new(),
             proof_request: Notify::new(),
             rows_request: Notify::new(),
+            registered: Notify::new(),
             is_store_read_requested: Cell::new(false),
             list_holder: Cell::new(None),
             config_holder: Cell::new(None),
@@ -89,6 +91,14 @@
     pub(super) fn set_registered(&self, was_registered: bool) {
         self.is_registered.set(true);
         self.was_registered.set(was_registered);
+        self.registered.notify_waiters();
+    }
+
+    /// Waits until this process is registered in the store.
+    pub(super) async fn wait_registered(&self) {
+        while !self.is_registered() {
+            self.registered.notified().await;
+        }
     }
 
     /// Returns true once this process is registered in the store.
